Lay out the project: build, checks, base types and the public headers of each subsystem

Cause: an empty repository; several subsystems are to grow side by side. Change: CMake with one library and thin programs, formatter and linter settings, a strict JSON reader, and the headers on which the subsystems meet. Conclusion: work on the subsystems can begin.

--- /dev/null
+++ b/cmake/targets.cmake
@@ -0,0 +1,36 @@
+add_library(fescuecleat_options INTERFACE)
+target_compile_options(fescuecleat_options INTERFACE -Wall -Wextra -Wpedantic -Wnon-virtual-dtor -Wshadow)
+if(FESCUECLEAT_WERROR)
+    target_compile_options(fescuecleat_options INTERFACE -Werror)
+endif()
+if(FESCUECLEAT_SANITIZE)
+    target_compile_options(fescuecleat_options INTERFACE -fsanitize=${FESCUECLEAT_SANITIZE} -fno-omit-frame-pointer)
+    target_link_options(fescuecleat_options INTERFACE -fsanitize=${FESCUECLEAT_SANITIZE})
+    # GCC reports false positives from inlined library code under sanitizers.
+    target_compile_options(fescuecleat_options INTERFACE -Wno-maybe-uninitialized -Wno-tsan)
+endif()
+
+# One program per folder; every .cpp file in it belongs to the program.
+function(fescuecleat_program name folder)
+    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${folder}/*.cpp)
+    if(NOT sources)
+        return()
+    endif()
+    add_executable(${name} ${sources})
+    target_link_libraries(${name} PRIVATE fescuecleat_options libfescuecleat ${ARGN})
+endfunction()
+
+# One test program per folder of tests/, run by CTest under the folder's name.
+function(fescuecleat_tests subject)
+    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${subject}/*.cpp)
+    if(NOT sources)
+        return()
+    endif()
+    add_executable(test_${subject} ${sources} ${CMAKE_SOURCE_DIR}/tests/support/main.cpp)
+    target_link_libraries(test_${subject} PRIVATE fescuecleat_options libfescuecleat cppunit_tests rapidcheck_tests)
+    target_include_directories(test_${subject} PRIVATE ${CMAKE_SOURCE_DIR}/tests)
+    add_test(NAME ${subject} COMMAND test_${subject})
+    set_tests_properties(${subject} PROPERTIES
+        ENVIRONMENT "RC_PARAMS=seed=20261203;FESCUECLEAT_BIN=${CMAKE_BINARY_DIR}/bin;FESCUECLEAT_SOURCE=${CMAKE_SOURCE_DIR}"
+        TIMEOUT 300)
+endfunction()
--- /dev/null
+++ b/src/libfescuecleat/http/httphandler.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "http/httpmessage.h"
+
+namespace fescuecleat {
+
+/** Answers HTTP requests; called by several threads at once. */
+class HttpHandler {
+public:
+    virtual ~HttpHandler() = default;
+
+    virtual HttpResponse handle(const HttpRequest&) = 0;
+};
+
+}
--- /dev/null
+++ b/src/libfescuecleat/json/json.cpp
@@ -0,0 +1,215 @@
+#include "json/json.h"
+
+#include <cxxtools/jsondeserializer.h>
+#include <cxxtools/jsonserializer.h>
+#include <cxxtools/utf8codec.h>
+#include <exception>
+#include <set>
+#include <sstream>
+
+namespace fescuecleat {
+
+namespace {
+
+    const char* const syntaxRemedy = "correct the JSON text";
+
+    /** Walks over a JSON text without building values and measures what the library does not check. */
+    class TextScanner {
+    public:
+        explicit TextScanner(std::string_view text)
+            : text_(text)
+        {
+        }
+
+        int line() const { return line_; }
+
+        /** Deepest nesting up to the end of the first value. */
+        int depthOfFirstValue()
+        {
+            int depth = 0;
+            int deepest = 0;
+            skipBlank();
+            while (position_ < text_.size()) {
+                const char c = text_[position_];
+                if (c == '"') {
+                    skipString();
+                } else if (c == '{' || c == '[') {
+                    deepest = std::max(deepest, ++depth);
+                    ++position_;
+                } else if (c == '}' || c == ']') {
+                    --depth;
+                    ++position_;
+                } else if (isBlank(c) || c == '/') {
+                    skipBlank();
+                    continue;
+                } else {
+                    ++position_;
+                    if (depth == 0 && position_ < text_.size() && isScalar(text_[position_]))
+                        continue;
+                }
+                if (depth <= 0)
+                    break;
+            }
+            return deepest;
+        }
+
+        /** True if only blanks and comments follow. */
+        bool isAtEnd()
+        {
+            skipBlank();
+            return position_ >= text_.size();
+        }
+
+    private:
+        static bool isBlank(char c) { return c == ' ' || c == '\t' || c == '\n' || c == '\r'; }
+        static bool isScalar(char c) { return !isBlank(c) && std::string_view("{}[],:\"/").find(c) == std::string_view::npos; }
+
+        bool startsWith(std::string_view prefix) const { return text_.substr(position_, prefix.size()) == prefix; }
+
+        void advance()
+        {
+            if (text_[position_] == '\n')
+                ++line_;
+            ++position_;
+        }
+
+        void skipUntil(std::string_view end)
+        {
+            while (position_ < text_.size() && !startsWith(end))
+                advance();
+        }
+
+        void skipBlank()
+        {
+            while (position_ < text_.size()) {
+                if (isBlank(text_[position_])) {
+                    advance();
+                } else if (startsWith("//")) {
+                    skipUntil("\n");
+                } else if (startsWith("/*")) {
+                    position_ += 2;
+                    skipUntil("*/");
+                    position_ = std::min(position_ + 2, text_.size());
+                } else if (text_[position_] == '/') {
+                    // Not a comment: the parser reports it.
+                    ++position_;
+                } else {
+                    return;
+                }
+            }
+        }
+
+        void skipString()
+        {
+            ++position_;
+            while (position_ < text_.size() && text_[position_] != '"') {
+                if (text_[position_] == '\\')
+                    ++position_;
+                if (position_ < text_.size())
+                    advance();
+            }
+            position_ = std::min(position_ + 1, text_.size());
+        }
+
+        std::string_view text_;
+        std::size_t position_ = 0;
+        int line_ = 1;
+    };
+
+    std::string joinedPath(const std::string& path, const std::string& name)
+    {
+        return path.empty() ? name : path + "." + name;
+    }
+
+    /** Path of the first member that stands twice in one object; empty if none does. */
+    std::string duplicateMember(const JsonValue& value, const std::string& path)
+    {
+        std::set<std::string> names;
+        int index = 0;
+        for (const JsonValue& member : value) {
+            std::string memberPath;
+            if (value.category() == JsonValue::Object) {
+                memberPath = joinedPath(path, member.name());
+                if (!names.insert(member.name()).second)
+                    return memberPath;
+            } else {
+                memberPath = path + "[" + std::to_string(index) + "]";
+                ++index;
+            }
+            std::string found = duplicateMember(member, memberPath);
+            if (!found.empty())
+                return found;
+        }
+        return {};
+    }
+
+    std::string located(const std::string& location, const std::string& detail)
+    {
+        if (location.empty())
+            return detail;
+        return detail.empty() ? location : location + ": " + detail;
+    }
+
+    std::string write(const JsonValue& value, bool beautify)
+    {
+        std::ostringstream out;
+        cxxtools::JsonSerializer serializer(out);
+        serializer.beautify(beautify);
+        serializer.serialize(value).finish();
+        return out.str();
+    }
+
+}
+
+Result<JsonValue> parseJson(std::string_view text, const std::string& location, const JsonLimits& limits)
+{
+    if (text.size() > limits.bytes_)
+        return failure(ErrorKind::TooLarge, "JSON text has " + std::to_string(text.size()) + " bytes, at most " + std::to_string(limits.bytes_) + " are taken", "send a smaller text", location);
+
+    TextScanner scanner(text);
+    if (scanner.isAtEnd())
+        return failure(ErrorKind::InvalidSyntax, "JSON text is empty", syntaxRemedy, location);
+    if (scanner.depthOfFirstValue() > limits.depth_)
+        return failure(ErrorKind::TooDeep, "JSON text is nested deeper than " + std::to_string(limits.depth_) + " levels", "send a flatter text", located(location, "line " + std::to_string(scanner.line())));
+    if (!scanner.isAtEnd())
+        return failure(ErrorKind::InvalidSyntax, "text follows the JSON value", "remove everything after the first value", located(location, "line " + std::to_string(scanner.line())));
+
+    JsonValue value;
+    try {
+        std::istringstream in { std::string(text) };
+        cxxtools::JsonDeserializer deserializer(in);
+        deserializer.deserialize(value);
+    } catch (const std::exception& error) {
+        return failure(ErrorKind::InvalidSyntax, error.what(), syntaxRemedy, location);
+    }
+    const std::string duplicate = duplicateMember(value, {});
+    if (!duplicate.empty())
+        return failure(ErrorKind::DuplicateMember, "member stands twice in one object", "keep one of the two", located(location, duplicate));
+    return value;
+}
+
+std::string writeJson(const JsonValue& value)
+{
+    return write(value, false);
+}
+
+std::string writePrettyJson(const JsonValue& value)
+{
+    return write(value, true);
+}
+
+JsonValue jsonObject()
+{
+    JsonValue value;
+    value.setCategory(JsonValue::Object);
+    return value;
+}
+
+JsonValue jsonArray()
+{
+    JsonValue value;
+    value.setCategory(JsonValue::Array);
+    return value;
+}
+
+}
--- /dev/null
+++ b/src/libfescuecleat/platform/row.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+
+namespace fescuecleat {
+
+/** A row of the platform's table. */
+struct Row {
+    std::string key_;
+    std::string value_;
+    /** Grows with every commit that writes the row; 0 means that the row doesn't exist. */
+    std::uint64_t version_ = 0;
+
+    bool operator==(const Row& other) const { return std::tie(key_, value_, version_) == std::tie(other.key_, other.value_, other.version_); }
+    bool operator!=(const Row& other) const { return !(*this == other); }
+};
+
+}
--- /dev/null
+++ b/tests/json/jsontest.cpp
@@ -0,0 +1,89 @@
+#include "json/json.h"
+#include "json/objectreader.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <string>
+
+using namespace fescuecleat;
+
+/** What the JSON reader takes and what it refuses. */
+class JsonTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(JsonTest);
+    CPPUNIT_TEST(takesComments);
+    CPPUNIT_TEST(refusesDuplicates);
+    CPPUNIT_TEST(refusesTrailingText);
+    CPPUNIT_TEST(refusesDeepNesting);
+    CPPUNIT_TEST(refusesTruncatedText);
+    CPPUNIT_TEST(writesWhatItReads);
+    CPPUNIT_TEST(reportsEveryError);
+    CPPUNIT_TEST_SUITE_END();
+
+    static ErrorKind refusal(const std::string& text)
+    {
+        const Result<JsonValue> value = parseJson(text);
+        CPPUNIT_ASSERT_MESSAGE(text, !value);
+        return value.error().kind_;
+    }
+
+    void takesComments()
+    {
+        CPPUNIT_ASSERT(parseJson("// one\n{ /* two */ \"a\": 1 } // three\n"));
+        CPPUNIT_ASSERT(parseJson("{\"a\": \"text with // and \\\" in it }\"}"));
+        CPPUNIT_ASSERT(parseJson("17"));
+        CPPUNIT_ASSERT(parseJson("true"));
+    }
+
+    void refusesDuplicates()
+    {
+        CPPUNIT_ASSERT(refusal("{\"a\": 1, \"a\": 2}") == ErrorKind::DuplicateMember);
+        CPPUNIT_ASSERT(refusal("{\"a\": [{\"b\": 1, \"b\": 1}]}") == ErrorKind::DuplicateMember);
+    }
+
+    void refusesTrailingText()
+    {
+        CPPUNIT_ASSERT(refusal("{} {}") == ErrorKind::InvalidSyntax);
+        CPPUNIT_ASSERT(refusal("{}x") == ErrorKind::InvalidSyntax);
+        CPPUNIT_ASSERT(refusal("{}}") == ErrorKind::InvalidSyntax);
+        CPPUNIT_ASSERT(refusal("12 13") == ErrorKind::InvalidSyntax);
+    }
+
+    void refusesDeepNesting()
+    {
+        CPPUNIT_ASSERT(refusal(std::string(100000, '[')) == ErrorKind::TooDeep);
+        CPPUNIT_ASSERT(parseJson(std::string(10, '[') + std::string(10, ']')));
+    }
+
+    void refusesTruncatedText()
+    {
+        for (const char* text : { "", "  // only a comment", "{", "{\"a\"", "{\"a\":", "[1,", "\"abc", "{\"a\": tru" })
+            refusal(text);
+    }
+
+    void writesWhatItReads()
+    {
+        const std::string text = "{\"a\":[1,-2,2.5],\"b\":{\"c\":\"x\\\"y\"},\"d\":true}";
+        CPPUNIT_ASSERT_EQUAL(text, writeJson(*parseJson(text)));
+        CPPUNIT_ASSERT_EQUAL(text, writeJson(*parseJson(writePrettyJson(*parseJson(text)))));
+        CPPUNIT_ASSERT_EQUAL(std::string("{}"), writeJson(jsonObject()));
+        CPPUNIT_ASSERT_EQUAL(std::string("[]"), writeJson(jsonArray()));
+    }
+
+    void reportsEveryError()
+    {
+        const JsonValue value = *parseJson("{\"tasks\": \"4\", \"size\": -1, \"extra\": 0}");
+        std::vector<Error> errors;
+        ObjectReader reader(value, "job", errors);
+        reader.integer("tasks", 1, 128);
+        reader.integer("size", 0, 10);
+        reader.string("name");
+        reader.finish();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 4 }, errors.size());
+        CPPUNIT_ASSERT(errors[0].kind_ == ErrorKind::WrongType);
+        CPPUNIT_ASSERT(errors[1].kind_ == ErrorKind::OutOfRange);
+        CPPUNIT_ASSERT(errors[2].kind_ == ErrorKind::MissingMember);
+        CPPUNIT_ASSERT(errors[3].kind_ == ErrorKind::UnknownMember);
+        CPPUNIT_ASSERT_EQUAL(std::string("job.extra"), errors[3].location_);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(JsonTest);
