--- /dev/null
+++ b/src/libfescuecleat/http/percentencoding.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace fescuecleat {
+
+/** Encodes a value for use in a query or a path segment. */
+std::string percentEncode(std::string_view);
+
+/** Decodes %XX and, since queries use it, + as a blank. Malformed sequences stay as they are. */
+std::string percentDecode(std::string_view);
+
+/** Splits "a=1&b=2" and decodes names and values. */
+std::map<std::string, std::string> parseQuery(std::string_view);
+
+}
