--- /dev/null
+++ b/src/libfescuecleat/scheduler/gangtask.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "base/id.h"
+#include "scheduler/acceleratormask.h"
+
+namespace fescuecleat {
+
+/** What is known of one task of a gang. */
+enum class GangTaskState {
+    /** Recorded as placed by an earlier holder, not reported yet. */
+    Unseen,
+    /** A prepare was sent. */
+    Asked,
+    Prepared,
+    /** A start was sent. */
+    StartSent,
+    Running,
+    // The task certainly no longer runs from here on.
+    Finished,
+    Failed,
+    Refused,
+    Stopped,
+    Checkpointed,
+    WorkerLost,
+};
+
+inline bool hasEnded(GangTaskState state)
+{
+    return state >= GangTaskState::Finished;
+}
+
+/** One task of a placed gang. */
+struct GangTask {
+    WorkerId worker_;
+    AcceleratorMask accelerators_ = 0;
+    GangTaskState state_ = GangTaskState::Asked;
+    /** Share of the work that its newest checkpoint holds. */
+    double checkpointedShare_ = 0;
+};
+
+}
--- /dev/null
+++ b/src/libfescuecleat/scheduler/jobentry.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "base/time.h"
+#include "scheduler/gangtask.h"
+#include "scheduler/jobphase.h"
+#include "scheduler/jobspec.h"
+#include "scheduler/taskkey.h"
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fescuecleat {
+
+/** What becomes of a job once all of its tasks have ended. */
+enum class AfterStop {
+    Requeue,
+    Fail,
+    Cancel,
+    /** Another data centre took it over: nothing is recorded. */
+    Forget,
+};
+
+/** Who is to blame for a gang that ended early. */
+enum class Blame {
+    /** Neither the job nor a worker: preempted, moved, permit lapsed. */
+    None,
+    /** The job itself, as by taking more memory than it declared. */
+    Job,
+    /** A task failed: shared between the job and the worker. */
+    JobAndWorker,
+    /** The worker refused or vanished. */
+    Worker,
+};
+
+/** A job of this data centre and its gang. */
+struct JobEntry {
+    JobSpec spec_;
+    Time submitted_;
+    /** Placements so far, in any data centre. */
+    int attempts_ = 0;
+    /** Placements that ended by a failure, the job's own part of the blame. */
+    int failures_ = 0;
+    /** Placements that ended by the fault of a worker. */
+    int disturbances_ = 0;
+    double checkpointedShare_ = 0;
+    /** The declared shape, corrected by what was seen in use. */
+    TaskShape shape_;
+    /** Workers on which a task of it failed. */
+    std::set<WorkerId> failedOn_;
+
+    JobPhase phase_ = JobPhase::Queued;
+    std::vector<GangTask> tasks_;
+    /** True once a start of any attempt was or may have been sent. */
+    bool wasStartSent_ = false;
+    /** True if it runs outside its organisation's guarantee. */
+    bool isBorrower_ = true;
+    /** When the running attempt began to run. */
+    Time startedAt_;
+    /** When the phase is given up; Time::max() if never. */
+    Time phaseDeadline_ = Time::max();
+    /** When unanswered messages are sent again. */
+    Time resendAt_ = Time::max();
+    /** Set while Stopping. */
+    AfterStop afterStop_ = AfterStop::Requeue;
+    Blame blame_ = Blame::None;
+    std::string stopReason_;
+    /** True while its tasks write checkpoints, before they are stopped hard. */
+    bool isCheckpointing_ = false;
+    /** Live tasks of earlier attempts; it is not placed before they ended. */
+    int strays_ = 0;
+    /** Times it was offered to other data centres as one that can't be placed here. */
+    int offers_ = 0;
+
+    TaskKey taskKey(int index) const { return TaskKey { spec_.id_, attempts_, index }; }
+};
+
+}
--- a/src/libfescuecleat/scheduler/scheduleraction.h
+++ b/src/libfescuecleat/scheduler/scheduleraction.h
@@ -55,6 +55,8 @@
     /** Workers of the gang by task index; empty unless placed. */
     std::vector<WorkerId> placement_;
     double checkpointedShare_ = 0;
+    /** Attempts that failed so far; comes back in JobSubmitted. */
+    int failures_ = 0;
     /** Why, for people; empty if plain. */
     std::string reason_;
 };
--- a/src/libfescuecleat/scheduler/schedulerevent.h
+++ b/src/libfescuecleat/scheduler/schedulerevent.h
@@ -7,6 +7,7 @@
 #include "scheduler/taskstate.h"
 #include "scheduler/worker.h"
 #include "settings/configuration.h"
+#include "state/jobstate.h"
 
 #include <string>
 #include <variant>
@@ -19,7 +20,7 @@
     Configuration configuration_;
 };
 
-/** A job of this data centre's queue, new or read back from the table. */
+/** A job of this data centre's queue, new or read back from the table. Told again it changes nothing. */
 struct JobSubmitted {
     JobSpec spec_;
     Time submitted_;
@@ -27,12 +28,23 @@
     int attempts_ = 0;
     /** Share of the work that a checkpoint holds, 0 to 1. */
     double checkpointedShare_ = 0;
+    /** The recorded state; Placed, Prepared and Running jobs are adopted, not placed again. */
+    JobState state_ = JobState::Queued;
+    /** The recorded workers of the gang by task index. */
+    std::vector<WorkerId> placement_;
+    /** The recorded count of failed attempts. */
+    int failures_ = 0;
 };
 
 struct JobCancelled {
     JobId job_;
 };
 
+/** Another data centre took the job over, or the row says that it is not ours: its tasks are stopped and it is forgotten. */
+struct JobMoved {
+    JobId job_;
+};
+
 /** A worker joined or is known again. */
 struct WorkerJoined {
     WorkerId worker_;
@@ -45,7 +57,15 @@
     WorkerId worker_;
 };
 
-/** One task's state, as its worker reported it. May come late, twice or out of order. */
+/**
+ * The worker answered under the present epoch and every task of its report was
+ * told by TaskReported: a recorded task that it never named isn't there.
+ */
+struct WorkerReported {
+    WorkerId worker_;
+};
+
+/** One task's state, as its worker reported it or as it answered a prepare, start or stop. May come late, twice or out of order. */
 struct TaskReported {
     TaskKey task_;
     WorkerId worker_;
@@ -84,7 +104,7 @@
 struct Tick {
 };
 
-using SchedulerEvent = std::variant<ConfigurationChanged, JobSubmitted, JobCancelled, WorkerJoined, WorkerLost,
-    TaskReported, TaskRefused, StartPermitExtended, DataCentreTakenOut, DataCentreReturned, Tick>;
+using SchedulerEvent = std::variant<ConfigurationChanged, JobSubmitted, JobCancelled, JobMoved, WorkerJoined, WorkerLost,
+    WorkerReported, TaskReported, TaskRefused, StartPermitExtended, DataCentreTakenOut, DataCentreReturned, Tick>;
 
 }
