--- a/src/libfescuecleat/base/errorkind.cpp
+++ b/src/libfescuecleat/base/errorkind.cpp
@@ -15,6 +15,8 @@
         return "missing_member";
     case ErrorKind::WrongType:
         return "wrong_type";
+    case ErrorKind::WrongUnit:
+        return "wrong_unit";
     case ErrorKind::OutOfRange:
         return "out_of_range";
     case ErrorKind::UnknownReference:
--- a/src/libfescuecleat/base/errorkind.h
+++ b/src/libfescuecleat/base/errorkind.h
@@ -9,6 +9,7 @@
     DuplicateMember,
     MissingMember,
     WrongType,
+    WrongUnit,
     OutOfRange,
     UnknownReference,
     GuaranteeDoesNotFit,
--- a/src/libfescuecleat/base/result.h
+++ b/src/libfescuecleat/base/result.h
@@ -2,7 +2,10 @@
 
 #include "base/error.h"
 
+#include <string>
 #include <tl/expected.hpp>
+#include <utility>
+#include <vector>
 
 namespace fescuecleat {
 
@@ -10,6 +13,10 @@
 template <typename Value>
 using Result = tl::expected<Value, Error>;
 
+/** A value, or every error that was found in its input. */
+template <typename Value>
+using Checked = tl::expected<Value, std::vector<Error>>;
+
 /** Shorthand for returning an error from a function that returns a Result. */
 inline tl::unexpected<Error> failure(ErrorKind kind, std::string message, std::string remedy, std::string location = {})
 {
--- a/src/libfescuecleat/settings/configuration.h
+++ b/src/libfescuecleat/settings/configuration.h
@@ -3,6 +3,7 @@
 #include "base/id.h"
 #include "base/time.h"
 #include "scheduler/cell.h"
+#include "settings/datacentrecapacity.h"
 
 #include <cstdint>
 #include <string>
@@ -14,6 +15,7 @@
 /** An organisation, what it is guaranteed in this data centre, and who may act for it. */
 struct OrganisationConfiguration {
     OrganisationId id_;
+    /** At most one entry for each level, largest level first. */
     std::vector<CellCount> guarantee_;
     /** Weight among borrowers of spare capacity. */
     double weight_ = 1;
@@ -58,6 +60,8 @@
 
 /** What operators decided for one data centre: the base merged with its overlay. */
 struct Configuration {
+    /** What the guarantees were checked against. */
+    DataCentreCapacity capacity_;
     std::vector<OrganisationConfiguration> organisations_;
     std::vector<ServiceConfiguration> services_;
     std::vector<std::string> operatorKeyHashes_;
@@ -65,8 +69,8 @@
 
     bool operator==(const Configuration& other) const
     {
-        return std::tie(organisations_, services_, operatorKeyHashes_, policy_)
-            == std::tie(other.organisations_, other.services_, other.operatorKeyHashes_, other.policy_);
+        return std::tie(capacity_, organisations_, services_, operatorKeyHashes_, policy_)
+            == std::tie(other.capacity_, other.organisations_, other.services_, other.operatorKeyHashes_, other.policy_);
     }
     bool operator!=(const Configuration& other) const { return !(*this == other); }
 };
--- /dev/null
+++ b/src/libfescuecleat/settings/datacentrecapacity.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <tuple>
+
+namespace fescuecleat {
+
+/** What operators declare a data centre to have; guarantees have to fit into it. */
+struct DataCentreCapacity {
+    int workers_ = 0;
+    int workersPerRack_ = 1;
+    int acceleratorsPerWorker_ = 1;
+
+    /** Racks with their full number of workers. */
+    int fullRacks() const { return workers_ / workersPerRack_; }
+
+    bool operator==(const DataCentreCapacity& other) const
+    {
+        return std::tie(workers_, workersPerRack_, acceleratorsPerWorker_)
+            == std::tie(other.workers_, other.workersPerRack_, other.acceleratorsPerWorker_);
+    }
+    bool operator!=(const DataCentreCapacity& other) const { return !(*this == other); }
+};
+
+}
--- /dev/null
+++ b/src/libfescuecleat/settings/merge.cpp
@@ -0,0 +1,61 @@
+#include "settings/merge.h"
+
+namespace fescuecleat {
+
+namespace {
+
+    bool isObject(const JsonValue& value) { return value.category() == JsonValue::Object; }
+
+    void addNamed(JsonValue& object, const std::string& name, const JsonValue& value)
+    {
+        JsonValue& member = object.addMember(name);
+        member = value;
+        member.setName(name);
+    }
+
+    /** Merges one member of the overlay into the result; null adds nothing. */
+    void addMerged(JsonValue& result, const JsonValue* base, const JsonValue& overlay)
+    {
+        if (overlay.isNull())
+            return;
+        if (!isObject(overlay)) {
+            addNamed(result, overlay.name(), overlay);
+            return;
+        }
+        const bool hasBase = base && isObject(*base);
+        addNamed(result, overlay.name(), merge(hasBase ? *base : jsonObject(), overlay));
+    }
+
+}
+
+JsonValue merge(const JsonValue& base, const JsonValue& overlay)
+{
+    if (!isObject(overlay))
+        return overlay;
+    if (!isObject(base))
+        return merge(jsonObject(), overlay);
+
+    JsonValue result = jsonObject();
+    for (const JsonValue& member : base) {
+        const JsonValue* replacement = overlay.findMember(member.name());
+        if (replacement)
+            addMerged(result, &member, *replacement);
+        else
+            addNamed(result, member.name(), member);
+    }
+    for (const JsonValue& member : overlay) {
+        if (!base.findMember(member.name()))
+            addMerged(result, nullptr, member);
+    }
+    return result;
+}
+
+JsonValue merge(const JsonValue& base, const std::vector<JsonValue>& overlays)
+{
+    JsonValue result = base;
+    for (const JsonValue& overlay : overlays)
+        result = merge(result, overlay);
+    return result;
+}
+
+}
--- a/src/libfescuecleat/settings/settings.h
+++ b/src/libfescuecleat/settings/settings.h
@@ -2,24 +2,14 @@
 
 #include "base/id.h"
 #include "base/time.h"
+#include "settings/address.h"
 
 #include <string>
 #include <vector>
 
 namespace fescuecleat {
 
-/** An address to listen at or to connect to: a numeric IP and a port. */
-struct Address {
-    std::string ip_;
-    unsigned short port_ = 0;
-
-    bool operator==(const Address& other) const { return ip_ == other.ip_ && port_ == other.port_; }
-    bool operator!=(const Address& other) const { return !(*this == other); }
-};
-
-/** "ip:port". */
-std::string toString(const Address&);
-
+/** Layout of log lines. */
 enum class LogFormat {
     Text,
     Json,
@@ -46,9 +36,11 @@
     /** PEM files of the HTTP edges; empty: no TLS. */
     std::string tlsCertificate_;
     std::string tlsPrivateKey_;
-    /** Z85 key pair and accepted public keys for peers; empty: loopback only. */
+    /** Z85 key pair for peers (CURVE); empty: peers are on loopback only. */
     std::string peerPublicKey_;
     std::string peerSecretKey_;
+    /** Z85 public keys of the peers that may connect; several pairs while one is rotated. */
+    std::vector<std::string> acceptedPeerKeys_;
     /** Time a planned stop gives to requests in progress. */
     Duration stopTime_ { std::chrono::seconds(30) };
     /** Hashes that are accepted from operators until a configuration is in force. */
--- /dev/null
+++ b/src/libfescuecleat/settings/settingsloader.cpp
@@ -0,0 +1,85 @@
+#include "settings/settingsloader.h"
+
+#include "settings/merge.h"
+#include "json/jsonlocator.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace fescuecleat {
+
+namespace {
+
+    /** The path without its last member or index; empty at the top. */
+    std::string parentOf(const std::string& path)
+    {
+        const std::size_t end = path.find_last_of(".[");
+        return end == std::string::npos ? std::string() : path.substr(0, end);
+    }
+
+    /** "file:line" of the member, or of the nearest one around it if it is missing; empty if there is none. */
+    std::string placeOf(const Document& document, const std::string& location)
+    {
+        for (std::string path = location; !path.empty(); path = parentOf(path)) {
+            // The last file that has the path decided its value.
+            for (auto file = document.files_.rbegin(); file != document.files_.rend(); ++file) {
+                const std::optional<int> line = lineOfPath(file->text_, path);
+                if (line)
+                    return file->name_ + ":" + std::to_string(*line);
+            }
+        }
+        return {};
+    }
+
+}
+
+Result<DocumentFile> readDocumentFile(const std::string& name)
+{
+    std::ifstream in(name, std::ios::binary);
+    if (!in)
+        return failure(ErrorKind::NotFound, "file can't be read", "check its name and that this user may read it", name);
+    std::ostringstream text;
+    text << in.rdbuf();
+    if (in.bad() || text.fail())
+        return failure(ErrorKind::NotFound, "file can't be read or is empty", "check that it is a file with text", name);
+
+    Result<JsonValue> value = parseJson(text.str(), name);
+    if (!value)
+        return tl::make_unexpected(value.error());
+    if (value->category() != JsonValue::Object)
+        return failure(ErrorKind::WrongType, "file does not hold an object", "write an object in braces", name);
+    return DocumentFile { name, text.str(), std::move(*value) };
+}
+
+Checked<Document> loadDocument(const std::vector<std::string>& names)
+{
+    Document document;
+    std::vector<Error> errors;
+    document.merged_ = jsonObject();
+    for (const std::string& name : names) {
+        Result<DocumentFile> file = readDocumentFile(name);
+        if (!file) {
+            errors.push_back(file.error());
+            continue;
+        }
+        document.merged_ = merge(document.merged_, file->value_);
+        document.files_.push_back(std::move(*file));
+    }
+    if (names.empty())
+        errors.push_back({ ErrorKind::MissingMember, "no settings file is given", "name a base file, then its overlays", {} });
+    if (!errors.empty())
+        return tl::make_unexpected(std::move(errors));
+    return document;
+}
+
+std::vector<Error> locateErrors(const Document& document, std::vector<Error> errors)
+{
+    for (Error& error : errors) {
+        const std::string place = placeOf(document, error.location_);
+        if (!place.empty())
+            error.location_ = place + ": " + error.location_;
+    }
+    return errors;
+}
+
+}
