--- /dev/null
+++ b/src/libfescuecleat/daemon/datacentrescheduler.cpp
@@ -0,0 +1,542 @@
+#include "daemon/datacentrescheduler.h"
+
+#include "base/overloaded.h"
+#include "daemon/wallclock.h"
+#include "telemetry/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fescuecleat {
+
+namespace {
+
+    constexpr std::size_t commandThreads = 16;
+    /** Jobs whose records go into one transaction. */
+    constexpr std::size_t recordsPerCommit = 64;
+    constexpr Duration storeTime = std::chrono::seconds(2);
+    constexpr Duration commandTime = std::chrono::seconds(1);
+    constexpr Duration retryTime = std::chrono::milliseconds(250);
+    constexpr Duration leasePollTime = std::chrono::milliseconds(20);
+    constexpr Duration inboxPollTime = std::chrono::milliseconds(200);
+    /** Longest sleep of the decision thread without a deadline of the core. */
+    constexpr Duration idleTime = std::chrono::milliseconds(200);
+
+    void sleepUntil(Time moment, const std::atomic<bool>& isStopping)
+    {
+        while (!isStopping && monotonicNow() < moment)
+            std::this_thread::sleep_for(std::min(leasePollTime, remaining(moment, monotonicNow())));
+    }
+
+    /** Moment of the local clock that lies as far back as the wall-clock moment. */
+    Time toLocal(std::int64_t wallMillis, Time now)
+    {
+        return now - std::chrono::milliseconds(std::max<std::int64_t>(0, wallClockMillis() - wallMillis));
+    }
+
+    JobSubmitted submittedEvent(const JobRecord& record, Time now)
+    {
+        JobSubmitted event;
+        event.spec_ = record.spec_;
+        event.submitted_ = toLocal(record.submittedAt_, now);
+        event.attempts_ = record.attempt_;
+        event.checkpointedShare_ = record.checkpointedShare_;
+        event.state_ = record.state_;
+        event.placement_ = record.placement_;
+        return event;
+    }
+
+}
+
+DataCentreScheduler::DataCentreScheduler(const DataCentreId& dataCentre, LeaseService& lease, JobStore& store, WorkerClient& workers, Metrics& metrics, DataCentreChooser chooser, const RunPermitPolicy& policy)
+    : dataCentre_(dataCentre)
+    , lease_(lease)
+    , store_(store)
+    , workers_(workers)
+    , chooser_(std::move(chooser))
+    , events_(metrics.counter("fescuecleat_scheduler_events_total", "Events that the scheduler handled"))
+    , records_(metrics.counter("fescuecleat_job_records_total", "Changes of jobs that were made durable"))
+    , recordFailures_(metrics.counter("fescuecleat_job_record_failures_total", "Commits of job changes that failed and are repeated"))
+    , takeovers_(metrics.counter("fescuecleat_scheduler_takeovers_total", "Times this instance became the scheduler"))
+    , decisionTime_(metrics.latency("fescuecleat_decision_seconds", "Time of one decision of the scheduler"))
+    , recordTime_(metrics.latency("fescuecleat_job_record_seconds", "Time of one commit of job changes"))
+    , commands_(commandThreads)
+    , fleet_(
+          workers, policy, [this](SchedulerEvent event) { post(std::move(event)); },
+          [this](const TaskKey& task) { return isSettled(task); })
+{
+    threads_.emplace_back([this] {
+        while (!isStopping_)
+            sleepUntil(lease_.step(), isStopping_);
+    });
+    threads_.emplace_back([this] { watchLease(); });
+    threads_.emplace_back([this] { decide(); });
+    threads_.emplace_back([this] { writeRecords(); });
+    threads_.emplace_back([this] { watchInbox(); });
+}
+
+DataCentreScheduler::~DataCentreScheduler()
+{
+    isStopping_ = true;
+    posted_.notify_all();
+    recordsAdded_.notify_all();
+    for (std::thread& thread : threads_)
+        thread.join();
+    commands_.clear();
+}
+
+void DataCentreScheduler::setConfiguration(const Configuration& configuration)
+{
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        configuration_ = configuration;
+    }
+    post(ConfigurationChanged { configuration });
+}
+
+std::optional<std::string> DataCentreScheduler::explain(const JobId& job) const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!isActive_ || !scheduler_)
+        return std::nullopt;
+    return scheduler_->explain(job, monotonicNow());
+}
+
+JsonValue DataCentreScheduler::dump() const
+{
+    const Time now = monotonicNow();
+    JsonValue state = jsonObject();
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        state.addValue("active", isActive_.load());
+        state.addValue("epoch", fence_.epoch_);
+        state.addValue("pending_records", sequencer_.pendingRecords());
+        state.addValue("queued_events", queue_.size());
+        if (scheduler_)
+            addMember(state, "core", scheduler_->dump(now));
+    }
+    state.addValue("waiting_commands", commands_.waiting());
+    addMember(state, "workers", fleet_.dump(now));
+    return state;
+}
+
+// Lease and permits
+
+void DataCentreScheduler::watchLease()
+{
+    while (!isStopping_) {
+        const ControlStatus status = lease_.status(monotonicNow());
+        const bool isSame = status.fence_.epoch_ == fence().epoch_;
+        if (isActive_ && (!status.isHeld_ || !isSame))
+            standDown();
+        if (!isActive_ && status.isHeld_)
+            takeOver(status);
+        if (isActive_)
+            applyPermit(status);
+        sleepUntil(monotonicNow() + leasePollTime, isStopping_);
+    }
+}
+
+void DataCentreScheduler::takeOver(const ControlStatus& status)
+{
+    const Result<std::vector<StoredJob>> live = store_.loadLive(dataCentre_, monotonicNow() + storeTime);
+    if (!live) {
+        logStateChange("scheduler", "jobs could not be loaded", { { "error", describe(live.error()) } }, LogLevel::Warn);
+        return;
+    }
+    if (!lease_.status(monotonicNow()).isHeld_)
+        return;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        const Time now = monotonicNow();
+        scheduler_.emplace();
+        sequencer_ = ActionSequencer();
+        queue_.clear();
+        jobs_.clear();
+        fence_ = status.fence_;
+        serviceVersion_ = 0;
+        isTakenOut_ = false;
+        if (configuration_)
+            queue_.emplace_back(ConfigurationChanged { *configuration_ });
+        for (const StoredJob& job : *live) {
+            jobs_[job.record_.spec_.id_] = job;
+            queue_.emplace_back(submittedEvent(job.record_, now));
+        }
+        isActive_ = true;
+    }
+    posted_.notify_all();
+    takeovers_.add();
+    fleet_.begin(status.fence_.epoch_);
+    logStateChange("scheduler", "took over", { { "data_centre", dataCentre_.value() }, { "epoch", std::to_string(status.fence_.epoch_) }, { "jobs", std::to_string(live->size()) } });
+}
+
+void DataCentreScheduler::standDown()
+{
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        isActive_ = false;
+        scheduler_.reset();
+        sequencer_ = ActionSequencer();
+        queue_.clear();
+    }
+    commands_.clear();
+    fleet_.suspend();
+    logStateChange("scheduler", "stood down", { { "data_centre", dataCentre_.value() } });
+}
+
+void DataCentreScheduler::applyPermit(const ControlStatus& status)
+{
+    if (status.service_.isInService_)
+        post(StartPermitExtended { status.startPermitUntil_ });
+    if (status.serviceVersion_ == serviceVersion_)
+        return;
+    serviceVersion_ = status.serviceVersion_;
+    if (isTakenOut_ == !status.service_.isInService_)
+        return;
+    isTakenOut_ = !status.service_.isInService_;
+    if (isTakenOut_)
+        post(DataCentreTakenOut { monotonicNow() + std::chrono::milliseconds(status.service_.drainMillis_) });
+    else
+        post(DataCentreReturned {});
+    logStateChange("scheduler", isTakenOut_ ? "data centre was taken out" : "data centre returned", { { "data_centre", dataCentre_.value() }, { "by", status.service_.by_ } });
+}
+
+// Decisions
+
+void DataCentreScheduler::post(SchedulerEvent event)
+{
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (!isActive_)
+            return;
+        queue_.push_back(std::move(event));
+    }
+    posted_.notify_one();
+}
+
+void DataCentreScheduler::decide()
+{
+    std::unique_lock<std::mutex> lock(mutex_);
+    while (!isStopping_) {
+        if (!scheduler_) {
+            posted_.wait_for(lock, idleTime);
+            continue;
+        }
+        const Time now = monotonicNow();
+        SchedulerEvent event = Tick {};
+        if (!queue_.empty()) {
+            event = std::move(queue_.front());
+            queue_.pop_front();
+        } else if (scheduler_->nextDeadline() > now) {
+            posted_.wait_until(lock, std::min(scheduler_->nextDeadline(), now + idleTime));
+            continue;
+        }
+        handle(event, now);
+    }
+}
+
+/** Called with the decision lock held. */
+void DataCentreScheduler::handle(const SchedulerEvent& event, Time now)
+{
+    events_.add();
+    ActionSequencer::Step step = sequencer_.add(scheduler_->handle(event, now));
+    decisionTime_.record(monotonicNow() - now);
+    if (sequencer_.hasRecordsToTake())
+        recordsAdded_.notify_one();
+    carryOut(std::move(step));
+}
+
+/** Called with the decision lock held: only hands over to the command threads. */
+void DataCentreScheduler::carryOut(ActionSequencer::Step step)
+{
+    for (const SchedulerAction& dropped : step.dropped_) {
+        if (const auto* prepare = std::get_if<PrepareTask>(&dropped))
+            queue_.emplace_back(TaskRefused { prepare->task_, prepare->worker_, "the prepare was never sent" });
+    }
+    const Time now = monotonicNow();
+    for (SchedulerAction& action : step.ready_)
+        commands_.post(now, [this, action = std::move(action)] { issue(action); });
+}
+
+// Commands to workers
+
+void DataCentreScheduler::issue(SchedulerAction action)
+{
+    std::visit(Overloaded {
+                   [this](const PrepareTask& prepare) { issuePrepare(prepare); },
+                   [this](const StartTask& start) { issueStart(start); },
+                   [this](const StopTask& stop) { issueStop(stop); },
+                   [this](const CheckpointTask& checkpoint) { issueCheckpoint(checkpoint); },
+                   [this](const ThrottleTask& throttle) { issueThrottle(throttle); },
+                   [this](const OfferJob& offer) { issueOffer(offer); },
+                   [](const RecordJob&) {},
+               },
+        action);
+}
+
+void DataCentreScheduler::issuePrepare(const PrepareTask& prepare)
+{
+    const std::optional<WorkerTarget> target = fleet_.target(prepare.worker_);
+    const std::optional<JobSpec> spec = specOf(prepare.task_.job_);
+    if (!target || !spec)
+        return refuse(prepare.task_, prepare.worker_, "the worker or the job is gone");
+    fleet_.notePending(prepare.worker_, prepare.task_);
+    const WorkerAnswer answer = workers_.prepare(target->address_, target->epoch_, { prepare.task_, prepare.accelerators_, *spec }, monotonicNow() + commandTime);
+    fleet_.noteAnswered(prepare.worker_, prepare.task_);
+    std::visit(Overloaded {
+                   [&](const WorkerDone&) { report(prepare.task_, prepare.worker_, TaskState::Prepared); },
+                   [&](const WorkerRefused& refused) { refuse(prepare.task_, prepare.worker_, refused.message_); },
+                   [&](const WorkerNotReached& unreached) { refuse(prepare.task_, prepare.worker_, unreached.message_); },
+                   // A newer scheduler decides now, or the next reports tell.
+                   [](const WorkerFenced&) {},
+                   [](const WorkerSilent&) {},
+               },
+        answer);
+}
+
+void DataCentreScheduler::issueStart(const StartTask& start)
+{
+    const std::optional<WorkerTarget> target = fleet_.target(start.worker_);
+    const std::optional<Time> permit = lease_.beginStart(monotonicNow());
+    if (!permit)
+        return refuse(start.task_, start.worker_, "there is no start permit");
+    const std::optional<std::int64_t> startBefore = fleet_.toWorkerClock(start.worker_, std::min(start.deadline_, *permit));
+    if (!target || !startBefore) {
+        lease_.endStart();
+        return refuse(start.task_, start.worker_, "the worker is gone");
+    }
+    const WorkerAnswer answer = workers_.start(target->address_, target->epoch_, start.task_, *startBefore, monotonicNow() + commandTime);
+    lease_.endStart();
+    std::visit(Overloaded {
+                   [&](const WorkerDone&) { report(start.task_, start.worker_, TaskState::Running); },
+                   [&](const WorkerRefused& refused) { refuse(start.task_, start.worker_, refused.message_); },
+                   [&](const WorkerNotReached& unreached) { refuse(start.task_, start.worker_, unreached.message_); },
+                   [](const WorkerFenced&) {},
+                   // The start is idempotent and expires by the worker's clock.
+                   [&](const WorkerSilent&) {
+                       if (monotonicNow() < std::min(start.deadline_, *permit))
+                           commands_.post(monotonicNow() + retryTime, [this, start] { issueStart(start); });
+                   },
+               },
+        answer);
+}
+
+void DataCentreScheduler::issueStop(const StopTask& stop)
+{
+    const std::optional<WorkerTarget> target = fleet_.target(stop.worker_);
+    if (!target)
+        return;
+    const WorkerAnswer answer = workers_.stop(target->address_, target->epoch_, stop.task_, monotonicNow() + commandTime);
+    if (std::holds_alternative<WorkerDone>(answer))
+        report(stop.task_, stop.worker_, TaskState::Stopped);
+    else if (!std::holds_alternative<WorkerFenced>(answer))
+        commands_.post(monotonicNow() + retryTime, [this, stop] { issueStop(stop); });
+}
+
+void DataCentreScheduler::issueCheckpoint(const CheckpointTask& checkpoint)
+{
+    const std::optional<WorkerTarget> target = fleet_.target(checkpoint.worker_);
+    const std::optional<std::int64_t> deadline = fleet_.toWorkerClock(checkpoint.worker_, checkpoint.deadline_);
+    if (!target || !deadline)
+        return;
+    const WorkerAnswer answer = workers_.checkpoint(target->address_, target->epoch_, checkpoint.task_, *deadline, monotonicNow() + commandTime);
+    const bool isUnanswered = std::holds_alternative<WorkerSilent>(answer) || std::holds_alternative<WorkerNotReached>(answer);
+    if (isUnanswered && monotonicNow() < checkpoint.deadline_)
+        commands_.post(monotonicNow() + retryTime, [this, checkpoint] { issueCheckpoint(checkpoint); });
+}
+
+void DataCentreScheduler::issueThrottle(const ThrottleTask& throttle)
+{
+    if (const std::optional<WorkerTarget> target = fleet_.target(throttle.worker_))
+        workers_.throttle(target->address_, target->epoch_, throttle.task_, monotonicNow() + commandTime);
+}
+
+void DataCentreScheduler::issueOffer(const OfferJob& offer)
+{
+    std::optional<StoredJob> job;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        const auto found = jobs_.find(offer.job_);
+        if (found != jobs_.end())
+            job = found->second;
+    }
+    const std::optional<DataCentreId> other = job ? chooser_(job->record_.spec_) : std::nullopt;
+    if (!other)
+        return;
+    const Result<RecordOutcome> outcome = store_.move(*job, *other, fence(), monotonicNow() + storeTime);
+    if (!outcome || !std::holds_alternative<Recorded>(*outcome))
+        return;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        jobs_.erase(offer.job_);
+    }
+    post(JobMoved { offer.job_ });
+}
+
+void DataCentreScheduler::refuse(const TaskKey& task, const WorkerId& worker, const std::string& reason)
+{
+    post(TaskRefused { task, worker, reason });
+}
+
+void DataCentreScheduler::report(const TaskKey& task, const WorkerId& worker, TaskState state)
+{
+    TaskReported reported;
+    reported.task_ = task;
+    reported.worker_ = worker;
+    reported.state_ = state;
+    post(std::move(reported));
+}
+
+// Durable records
+
+void DataCentreScheduler::writeRecords()
+{
+    while (!isStopping_) {
+        std::vector<JobId> jobs;
+        std::vector<JobChange> changes;
+        {
+            std::unique_lock<std::mutex> lock(mutex_);
+            recordsAdded_.wait_for(lock, idleTime, [this] { return isStopping_ || (isActive_ && sequencer_.hasRecordsToTake()); });
+            if (isActive_)
+                changes = takeChanges(jobs);
+        }
+        if (changes.empty())
+            continue;
+        const Time begin = monotonicNow();
+        const Result<RecordOutcome> outcome = store_.record(changes, fence(), wallClockMillis(), begin + storeTime);
+        recordTime_.record(monotonicNow() - begin);
+        takeOutcome(jobs, outcome);
+        if (!outcome)
+            sleepUntil(monotonicNow() + retryTime, isStopping_);
+    }
+}
+
+/** Called with the decision lock held. */
+std::vector<JobChange> DataCentreScheduler::takeChanges(std::vector<JobId>& jobs)
+{
+    std::vector<JobChange> changes;
+    for (const RecordJob& record : sequencer_.takeRecords(recordsPerCommit)) {
+        const auto found = jobs_.find(record.job_);
+        if (found == jobs_.end()) {
+            carryOut(sequencer_.committed(record.job_));
+            continue;
+        }
+        JobChange change;
+        change.current_ = found->second;
+        change.state_ = record.state_;
+        change.attempt_ = record.attempt_;
+        change.placement_ = record.placement_;
+        change.checkpointedShare_ = record.checkpointedShare_;
+        change.reason_ = record.reason_;
+        change.clearsCancellation_ = isFinal(record.state_);
+        jobs.push_back(record.job_);
+        changes.push_back(std::move(change));
+    }
+    return changes;
+}
+
+void DataCentreScheduler::takeOutcome(const std::vector<JobId>& jobs, const Result<RecordOutcome>& outcome)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto* recorded = outcome ? std::get_if<Recorded>(&*outcome) : nullptr;
+    if (!recorded) {
+        // Fenced: the lease watcher stands down. Otherwise the same records are
+        // written again; the store takes repetitions without harm.
+        recordFailures_.add();
+        for (const JobId& job : jobs)
+            sequencer_.putBack(job);
+        if (!outcome || !std::holds_alternative<JobsDiffer>(*outcome))
+            return;
+        logStateChange("scheduler", "a job's row is not as it was written", { { "jobs", std::to_string(jobs.size()) } }, LogLevel::Error);
+        return;
+    }
+    records_.add(jobs.size());
+    for (const StoredJob& job : recorded->jobs_) {
+        const JobId& id = job.record_.spec_.id_;
+        if (isFinal(job.record_.state_))
+            jobs_.erase(id);
+        else
+            jobs_[id] = job;
+        carryOut(sequencer_.committed(id));
+    }
+    posted_.notify_one();
+}
+
+// Inbox
+
+void DataCentreScheduler::watchInbox()
+{
+    while (!isStopping_) {
+        if (isActive_)
+            takeInbox();
+        sleepUntil(monotonicNow() + inboxPollTime, isStopping_);
+    }
+}
+
+bool DataCentreScheduler::takeInbox()
+{
+    const Result<Inbox> inbox = store_.readInbox(dataCentre_, monotonicNow() + storeTime);
+    if (!inbox || inbox->isEmpty())
+        return false;
+    Inbox taken;
+    for (const JobId& id : inbox->submitted_) {
+        if (specOf(id)) {
+            taken.submitted_.push_back(id);
+            continue;
+        }
+        const Result<std::optional<StoredJob>> job = store_.find(id, { dataCentre_ }, monotonicNow() + storeTime);
+        if (!job)
+            return false;
+        taken.submitted_.push_back(id);
+        if (!*job || isFinal((*job)->record_.state_))
+            continue;
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            jobs_.emplace(id, **job);
+        }
+        post(submittedEvent((*job)->record_, monotonicNow()));
+    }
+    for (const JobId& id : inbox->cancelled_) {
+        // The row goes with the record that answers it; until then it stays,
+        // so that a successor sees it too.
+        if (specOf(id))
+            post(JobCancelled { id });
+        else
+            taken.cancelled_.push_back(id);
+    }
+    if (!taken.isEmpty())
+        store_.clearInbox(dataCentre_, taken, monotonicNow() + storeTime);
+    return true;
+}
+
+bool DataCentreScheduler::isSettled(const TaskKey& task) const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!isActive_)
+        return false;
+    const auto found = jobs_.find(task.job_);
+    if (found == jobs_.end())
+        return true;
+    const JobRecord& record = found->second.record_;
+    if (task.attempt_ < record.attempt_)
+        return true;
+    const bool hasEnded = record.state_ == JobState::Queued || record.state_ == JobState::Submitted || record.state_ == JobState::Checkpointed;
+    return task.attempt_ == record.attempt_ && hasEnded;
+}
+
+std::optional<JobSpec> DataCentreScheduler::specOf(const JobId& job) const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto found = jobs_.find(job);
+    if (found == jobs_.end())
+        return std::nullopt;
+    return found->second.record_.spec_;
+}
+
+LeaseFence DataCentreScheduler::fence() const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return fence_;
+}
+
+}
--- a/src/libfescuecleat/json/json.cpp
+++ b/src/libfescuecleat/json/json.cpp
@@ -205,6 +205,13 @@
     return value;
 }
 
+void addMember(JsonValue& parent, const std::string& name, JsonValue member)
+{
+    JsonValue& added = parent.addMember(name);
+    added = std::move(member);
+    added.setName(name);
+}
+
 JsonValue jsonArray()
 {
     JsonValue value;
--- a/src/libfescuecleat/json/json.h
+++ b/src/libfescuecleat/json/json.h
@@ -34,6 +34,9 @@
 /** An empty JSON object. */
 JsonValue jsonObject();
 
+/** Adds a whole value to an object under a name, or to an array under none. */
+void addMember(JsonValue& parent, const std::string& name, JsonValue member);
+
 /** An empty JSON array. */
 JsonValue jsonArray();
 
--- a/src/libfescuecleat/worker/httpworkerclient.cpp
+++ b/src/libfescuecleat/worker/httpworkerclient.cpp
@@ -20,13 +20,6 @@
         return body;
     }
 
-    void addMember(JsonValue& object, const std::string& name, JsonValue member)
-    {
-        JsonValue& added = object.addMember(name);
-        added = std::move(member);
-        added.setName(name);
-    }
-
     JsonValue taskCommand(std::uint64_t epoch, const TaskKey& task)
     {
         JsonValue body = commandBody(epoch);
