--- /dev/null
+++ b/src/libfescuecleat/daemon/daemon.cpp
@@ -0,0 +1,230 @@
+#include "daemon/daemon.h"
+
+#include "control/configurationcontrol.h"
+#include "control/datacentrecontrol.h"
+#include "control/leaseservice.h"
+#include "daemon/callerhandler.h"
+#include "daemon/configurationwatcher.h"
+#include "daemon/datacentrescheduler.h"
+#include "daemon/identitysource.h"
+#include "daemon/jobservice.h"
+#include "daemon/operatorhandler.h"
+#include "daemon/wallclock.h"
+#include "http/cxxtoolshttpclient.h"
+#include "http/httpserver.h"
+#include "platform/httpinstancelist.h"
+#include "platform/httpobjectstore.h"
+#include "platform/httptable.h"
+#include "routing/requestrouter.h"
+#include "telemetry/log.h"
+#include "worker/httpworkerclient.h"
+
+#include <atomic>
+#include <thread>
+
+namespace fescuecleat {
+
+namespace {
+
+    constexpr Duration instancePollTime = std::chrono::milliseconds(500);
+    constexpr Duration confirmPollTime = std::chrono::milliseconds(100);
+    constexpr Duration stopPollTime = std::chrono::milliseconds(10);
+    constexpr Duration storeTime = std::chrono::seconds(2);
+    constexpr Duration handOverTime = std::chrono::seconds(2);
+    constexpr unsigned operatorThreads = 8;
+    /** Platform and worker connections that are kept idle per address. */
+    constexpr std::size_t idleConnections = 16;
+
+    HttpServerLimits limits(const Settings& settings, unsigned threads)
+    {
+        HttpServerLimits limits;
+        limits.threads_ = threads;
+        limits.tlsCertificate_ = settings.tlsCertificate_;
+        limits.tlsPrivateKey_ = settings.tlsPrivateKey_;
+        return limits;
+    }
+
+}
+
+struct Daemon::Impl {
+    explicit Impl(const Settings& settings)
+        : settings_(settings)
+        , platformClient_(idleConnections)
+        , workerClient_(2)
+        , minionClient_(idleConnections)
+        , table_(platformClient_, settings.platformAddress_)
+        , objects_(platformClient_, settings.platformAddress_)
+        , list_(platformClient_, settings.platformAddress_)
+        , writeIds_(settings.instance_.value())
+        , lease_(table_, writeIds_, settings.instance_, settings.dataCentre_)
+        , store_(table_, writeIds_)
+        , control_(table_, writeIds_)
+        , configurations_(table_, writeIds_)
+        , workers_(workerClient_)
+        , jobs_(store_, control_, settings.instance_, settings.dataCentre_, settings.dataCentres_)
+        , identities_(Keyring(settings.bootstrapOperatorKeyHashes_))
+        , scheduler_(settings.dataCentre_, lease_, store_, workers_, metrics_, [this](const JobSpec&) { return jobs_.otherInService(); })
+        , router_(minionClient_, table_, objects_, { settings.instance_, settings.dataCentre_, static_cast<std::uint64_t>(wallClockMillis()) })
+        , watcher_(configurations_, settings.dataCentre_, [this](std::uint64_t, const Configuration& configuration) { apply(configuration); })
+        , callerHandler_(settings.instance_, identities_, jobs_, scheduler_, router_, metrics_)
+        , operatorHandler_(identities_, control_, configurations_, watcher_, metrics_, settings.dataCentres_, hooks())
+        , callerServer_(settings.callerAddress_, callerHandler_, limits(settings, static_cast<unsigned>(settings.callerThreads_)))
+        , operatorServer_(settings.operatorAddress_, operatorHandler_, limits(settings, operatorThreads))
+        , instanceThread_([this] { watchInstances(); })
+        , confirmThread_([this] { confirmConfiguration(); })
+    {
+        logStateChange("daemon", "started", { { "instance", settings.instance_.value() }, { "data_centre", settings.dataCentre_.value() } });
+    }
+
+    ~Impl()
+    {
+        isEnding_ = true;
+        instanceThread_.join();
+        confirmThread_.join();
+    }
+
+    Impl(const Impl&) = delete;
+    Impl& operator=(const Impl&) = delete;
+
+    void apply(const Configuration& configuration)
+    {
+        identities_.replace(Keyring(configuration));
+        router_.configure(configuration.services_);
+        scheduler_.setConfiguration(configuration);
+    }
+
+    OperatorHooks hooks()
+    {
+        OperatorHooks hooks;
+        hooks.whyNotReady_ = [this] { return whyNotReady(); };
+        hooks.dump_ = [this] { return dump(); };
+        hooks.cut_ = [](const std::vector<InstanceId>&) -> Result<void> { return failure(ErrorKind::Unsupported, "cutting connections is not enabled", "enable it in the settings of a test"); };
+        return hooks;
+    }
+
+    std::string whyNotReady() const
+    {
+        if (isStopping_)
+            return "the instance is stopping";
+        if (!watcher_.isCurrent())
+            return "the newest configuration isn't known or not in force yet";
+        return {};
+    }
+
+    JsonValue dump() const
+    {
+        JsonValue state = jsonObject();
+        state.addValue("instance", settings_.instance_.value());
+        state.addValue("data_centre", settings_.dataCentre_.value());
+        state.addValue("stopping", isStopping_.load());
+        state.addValue("configuration_version", watcher_.version());
+        state.addValue("requests_in_progress", router_.inProgress());
+        addMember(state, "scheduler", scheduler_.dump());
+        addMember(state, "router", router_.dump());
+        return state;
+    }
+
+    void watchInstances()
+    {
+        while (!isEnding_) {
+            const Result<std::vector<ListedInstance>> listed = list_.instances(monotonicNow() + storeTime);
+            if (listed)
+                take(*listed);
+            pause(instancePollTime);
+        }
+    }
+
+    void take(const std::vector<ListedInstance>& listed)
+    {
+        router_.setMinions(listed);
+        std::vector<ListedInstance> own;
+        for (const ListedInstance& instance : listed) {
+            if (instance.dataCentre_ == settings_.dataCentre_)
+                own.push_back(instance);
+        }
+        scheduler_.setWorkers(own);
+    }
+
+    /** The holder of the lease tells the table which version its data centre has in force. */
+    void confirmConfiguration()
+    {
+        std::uint64_t confirmed = 0;
+        while (!isEnding_) {
+            pause(confirmPollTime);
+            const ControlStatus status = lease_.status(monotonicNow());
+            const std::uint64_t version = watcher_.version();
+            if (!status.isHeld_ || version == confirmed)
+                continue;
+            if (configurations_.confirm(version, status.fence_, monotonicNow() + storeTime))
+                confirmed = version;
+        }
+    }
+
+    void pause(Duration time)
+    {
+        const Time until = monotonicNow() + time;
+        while (!isEnding_ && monotonicNow() < until)
+            std::this_thread::sleep_for(stopPollTime);
+    }
+
+    bool isBusy() const
+    {
+        return callerServer_.requestsInProgress() > 0 || router_.inProgress() > 0;
+    }
+
+    bool stop(Time deadline)
+    {
+        isStopping_ = true;
+        logStateChange("daemon", "stopping");
+        callerHandler_.beginStop();
+        router_.beginStop();
+        while (isBusy() && monotonicNow() < deadline)
+            std::this_thread::sleep_for(stopPollTime);
+        const bool isClean = !isBusy();
+        lease_.handOver(monotonicNow() + handOverTime);
+        logStateChange("daemon", isClean ? "stopped" : "stopped with work in progress", {}, isClean ? LogLevel::Info : LogLevel::Warn);
+        return isClean;
+    }
+
+    const Settings settings_;
+    std::atomic<bool> isStopping_ { false };
+    std::atomic<bool> isEnding_ { false };
+    Metrics metrics_;
+    CxxtoolsHttpClient platformClient_;
+    CxxtoolsHttpClient workerClient_;
+    CxxtoolsHttpClient minionClient_;
+    HttpTable table_;
+    HttpObjectStore objects_;
+    HttpInstanceList list_;
+    WriteIds writeIds_;
+    LeaseService lease_;
+    JobStore store_;
+    DataCentreControl control_;
+    ConfigurationControl configurations_;
+    HttpWorkerClient workers_;
+    JobService jobs_;
+    IdentitySource identities_;
+    DataCentreScheduler scheduler_;
+    RequestRouter router_;
+    ConfigurationWatcher watcher_;
+    CallerHandler callerHandler_;
+    OperatorHandler operatorHandler_;
+    HttpServer callerServer_;
+    HttpServer operatorServer_;
+    std::thread instanceThread_;
+    std::thread confirmThread_;
+};
+
+Daemon::Daemon(const Settings& settings)
+    : impl_(std::make_unique<Impl>(settings))
+{
+}
+
+Daemon::~Daemon() = default;
+
+bool Daemon::stop(Time deadline)
+{
+    return impl_->stop(deadline);
+}
+
+}
--- /dev/null
+++ b/src/libfescuecleat/daemon/operatorhandler.cpp
@@ -0,0 +1,328 @@
+#include "daemon/operatorhandler.h"
+
+#include "api/configurationsubmission.h"
+#include "api/drainrequest.h"
+#include "api/errorresponse.h"
+#include "daemon/requestpath.h"
+#include "daemon/wallclock.h"
+#include "telemetry/processmetrics.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdlib>
+#include <thread>
+#include <utility>
+
+namespace fescuecleat {
+
+namespace {
+
+    constexpr Duration storeTime = std::chrono::seconds(3);
+    constexpr Duration pollTime = std::chrono::milliseconds(100);
+    constexpr std::int64_t mostWaitMillis = 20'000;
+    constexpr std::int64_t usualWaitMillis = 6'000;
+    constexpr int statusConflict = 409;
+
+    HttpResponse notFound(const std::string& path)
+    {
+        return writeError({ ErrorKind::NotFound, "there is nothing at " + path, "see docs/API.md for the paths", {} });
+    }
+
+    /** Until when the call may wait for completion: ?wait_ms=, or the usual time. */
+    Time waitDeadline(const HttpRequest& request)
+    {
+        const auto found = request.query_.find("wait_ms");
+        const std::int64_t millis = found == request.query_.end() ? usualWaitMillis : std::strtoll(found->second.c_str(), nullptr, 10);
+        return monotonicNow() + std::chrono::milliseconds(std::clamp<std::int64_t>(millis, 0, mostWaitMillis));
+    }
+
+    std::string nameOf(const HttpRequest& request)
+    {
+        const auto found = request.headers_.find("x-operator");
+        return found == request.headers_.end() ? "operator" : found->second;
+    }
+
+    JsonValue writeService(const DataCentreId& dataCentre, const ServiceStatus& status)
+    {
+        JsonValue service = jsonObject();
+        service.addValue("data_centre", dataCentre.value());
+        service.addValue("in_service", status.record_.isInService_);
+        service.addValue("status", std::string(status.progress_ == ServiceProgress::Pending ? "pending" : "done"));
+        service.addValue("acknowledged", status.isAcknowledged_);
+        service.addValue("by", status.record_.by_);
+        service.addValue("reason", status.record_.reason_);
+        service.addValue("changed_at_ms", status.record_.changedAt_);
+        service.addValue("version", status.version_);
+        return service;
+    }
+
+    JsonValue writeProgress(const ConfigurationProgress& progress)
+    {
+        const std::uint64_t version = progress.head_.version_;
+        JsonValue answer = jsonObject();
+        answer.addValue("version", version);
+        answer.addValue("status", std::string(progress.isAccepted(version) ? "accepted" : "pending"));
+        answer.addValue("by", progress.head_.by_);
+        answer.addValue("changed_at_ms", progress.head_.changedAt_);
+        JsonValue& missing = answer.addMember("missing");
+        missing.setCategory(JsonValue::Array);
+        for (const DataCentreId& dataCentre : progress.missing(version))
+            missing.addMember().setValue(dataCentre.value());
+        JsonValue& inForce = answer.addMember("in_force");
+        inForce.setCategory(JsonValue::Object);
+        for (const auto& [dataCentre, confirmed] : progress.inForce_)
+            inForce.addValue(dataCentre.value(), confirmed);
+        return answer;
+    }
+
+    JsonValue parsedOr(const std::string& text)
+    {
+        const Result<JsonValue> value = parseJson(text);
+        return value ? *value : jsonObject();
+    }
+
+}
+
+OperatorHandler::OperatorHandler(IdentitySource& identities, DataCentreControl& control, ConfigurationControl& configurations, ConfigurationWatcher& watcher, Metrics& metrics, std::vector<DataCentreId> dataCentres, OperatorHooks hooks)
+    : identities_(identities)
+    , control_(control)
+    , configurations_(configurations)
+    , watcher_(watcher)
+    , metrics_(metrics)
+    , dataCentres_(std::move(dataCentres))
+    , hooks_(std::move(hooks))
+{
+}
+
+HttpResponse OperatorHandler::handle(const HttpRequest& request)
+{
+    const std::vector<std::string> path = splitPath(request.path_);
+    if (request.path_ == "/health")
+        return writeAnswer(jsonObject());
+    if (request.path_ == "/ready")
+        return ready();
+    if (request.path_ == "/metrics")
+        return metrics();
+    const Identity identity = identities_.identify(request.headers_);
+    if (std::holds_alternative<Unauthenticated>(identity))
+        return writeError({ ErrorKind::Unauthenticated, "there is no valid key", "send Authorization: Bearer KEY with an operator's key", {} });
+    if (!std::holds_alternative<Operator>(identity))
+        return writeError({ ErrorKind::Forbidden, "an organisation's key doesn't administer", "use an operator's key", {} });
+    return routeForOperators(request, path);
+}
+
+HttpResponse OperatorHandler::ready()
+{
+    const std::string why = hooks_.whyNotReady_();
+    if (why.empty())
+        return writeAnswer(jsonObject());
+    return writeError({ ErrorKind::Unavailable, why, "wait, or use another instance", {} });
+}
+
+HttpResponse OperatorHandler::metrics()
+{
+    updateProcessMetrics(metrics_);
+    HttpResponse response;
+    response.headers_["content-type"] = Metrics::expositionContentType();
+    response.body_ = metrics_.exposition();
+    return response;
+}
+
+HttpResponse OperatorHandler::routeForOperators(const HttpRequest& request, const std::vector<std::string>& path)
+{
+    if (path.size() < 2 || path[0] != "v1")
+        return notFound(request.path_);
+    if (path[1] == "state" && path.size() == 2)
+        return writeAnswer(hooks_.dump_());
+    if (path[1] == "data-centres")
+        return routeDataCentres(request, path);
+    if (path[1] == "configuration")
+        return routeConfiguration(request, path);
+    if (path[1] == "cut" && request.method_ == "POST")
+        return cut(request);
+    return notFound(request.path_);
+}
+
+HttpResponse OperatorHandler::routeDataCentres(const HttpRequest& request, const std::vector<std::string>& path)
+{
+    if (path.size() == 2 && request.method_ == "GET")
+        return listDataCentres();
+    if (path.size() != 4 || request.method_ != "POST")
+        return notFound(request.path_);
+    const DataCentreId dataCentre(path[2]);
+    if (std::find(dataCentres_.begin(), dataCentres_.end(), dataCentre) == dataCentres_.end())
+        return writeError({ ErrorKind::NotFound, "there is no data centre " + path[2], "list them with GET /v1/data-centres", {} });
+    if (path[3] == "out")
+        return takeOut(request, dataCentre);
+    if (path[3] == "return")
+        return bringBack(request, dataCentre);
+    return notFound(request.path_);
+}
+
+HttpResponse OperatorHandler::listDataCentres()
+{
+    JsonValue answer = jsonObject();
+    JsonValue& list = answer.addMember("data_centres");
+    list.setCategory(JsonValue::Array);
+    for (const DataCentreId& dataCentre : dataCentres_) {
+        const Result<ServiceStatus> status = control_.status(dataCentre, monotonicNow() + storeTime);
+        if (!status)
+            return writeError(status.error());
+        addMember(list, {}, writeService(dataCentre, *status));
+    }
+    return writeAnswer(answer);
+}
+
+HttpResponse OperatorHandler::takeOut(const HttpRequest& request, const DataCentreId& dataCentre)
+{
+    const Time now = monotonicNow();
+    const Result<JsonValue> body = parseJson(request.body_, "body");
+    if (!body)
+        return writeError(body.error());
+    const Checked<DrainRequest> drain = parseDrainRequest(*body, now);
+    if (!drain)
+        return writeErrors(drain.error());
+    ServiceWish wish;
+    wish.dataCentre_ = dataCentre;
+    wish.isInService_ = false;
+    wish.by_ = nameOf(request);
+    wish.drain_ = remaining(drain->deadline_, now);
+    return changeService(wish, waitDeadline(request));
+}
+
+HttpResponse OperatorHandler::bringBack(const HttpRequest& request, const DataCentreId& dataCentre)
+{
+    ServiceWish wish;
+    wish.dataCentre_ = dataCentre;
+    wish.by_ = nameOf(request);
+    return changeService(wish, waitDeadline(request));
+}
+
+HttpResponse OperatorHandler::changeService(const ServiceWish& wish, Time until)
+{
+    const Result<ServiceOutcome> outcome = control_.change(wish, wallClockMillis(), monotonicNow() + storeTime);
+    if (!outcome)
+        return writeError(outcome.error());
+    if (const auto* raced = std::get_if<ServiceRaced>(&*outcome))
+        return writeError({ ErrorKind::Conflict, "another operator, " + raced->winner_.by_ + ", changed it first", "look at its state, then ask again", {} });
+    while (true) {
+        const Result<ServiceStatus> status = control_.status(wish.dataCentre_, monotonicNow() + storeTime);
+        if (!status)
+            return writeError(status.error());
+        if (status->progress_ != ServiceProgress::Pending || monotonicNow() >= until)
+            return writeAnswer(writeService(wish.dataCentre_, *status));
+        std::this_thread::sleep_for(pollTime);
+    }
+}
+
+HttpResponse OperatorHandler::routeConfiguration(const HttpRequest& request, const std::vector<std::string>& path)
+{
+    if (path.size() == 3 && path[2] == "history")
+        return history();
+    if (path.size() != 2)
+        return notFound(request.path_);
+    if (request.method_ == "PUT")
+        return applyConfiguration(request);
+    return showConfiguration();
+}
+
+HttpResponse OperatorHandler::showConfiguration()
+{
+    const Result<ConfigurationProgress> progress = configurations_.progress(dataCentres_, monotonicNow() + storeTime);
+    if (!progress)
+        return writeError(progress.error());
+    JsonValue answer = writeProgress(*progress);
+    if (progress->head_.version_ == 0)
+        return writeAnswer(answer);
+    const Result<ConfigurationVersion> version = configurations_.load(progress->head_.version_, monotonicNow() + storeTime);
+    if (!version)
+        return writeError(version.error());
+    addMember(answer, "base", parsedOr(version->base_));
+    JsonValue& overlays = answer.addMember("overlays");
+    overlays.setCategory(JsonValue::Object);
+    for (const auto& [dataCentre, text] : version->overlays_)
+        addMember(overlays, dataCentre.value(), parsedOr(text));
+    return writeAnswer(answer);
+}
+
+HttpResponse OperatorHandler::applyConfiguration(const HttpRequest& request)
+{
+    const Result<JsonValue> body = parseJson(request.body_, "body");
+    if (!body)
+        return writeError(body.error());
+    const Checked<ConfigurationSubmission> submission = parseConfigurationSubmission(*body);
+    if (!submission)
+        return writeErrors(submission.error());
+    const auto deployment = parseDeployment(submission->base_, submission->overlays_);
+    if (!deployment)
+        return writeErrors(deployment.error());
+    ConfigurationWish wish;
+    wish.basedOn_ = submission->expectedVersion_;
+    wish.by_ = submission->who_;
+    wish.base_ = writeJson(submission->base_);
+    for (const auto& [dataCentre, overlay] : submission->overlays_)
+        wish.overlays_[dataCentre] = writeJson(overlay);
+    const Result<ConfigurationOutcome> outcome = configurations_.apply(wish, wallClockMillis(), monotonicNow() + storeTime);
+    if (!outcome)
+        return writeError(outcome.error());
+    if (const auto* raced = std::get_if<ConfigurationRaced>(&*outcome)) {
+        HttpResponse response = writeError({ ErrorKind::Conflict, "version " + std::to_string(raced->winner_.version_) + " by " + raced->winner_.by_ + " came first", "look at it, then apply on top of it", {} });
+        response.status_ = statusConflict;
+        return response;
+    }
+    const std::uint64_t version = std::get<ConfigurationWritten>(*outcome).version_;
+    watcher_.heardOf(version);
+    const Time until = waitDeadline(request);
+    while (true) {
+        const Result<ConfigurationProgress> progress = configurations_.progress(dataCentres_, monotonicNow() + storeTime);
+        // Written is written: an unreadable progress only means that nothing is confirmed yet.
+        ConfigurationProgress known = progress ? *progress : ConfigurationProgress {};
+        if (!progress) {
+            known.head_.version_ = version;
+            for (const DataCentreId& dataCentre : dataCentres_)
+                known.inForce_[dataCentre] = 0;
+        }
+        const bool isAccepted = progress && progress->isAccepted(version);
+        if (isAccepted || monotonicNow() >= until)
+            return writeAnswer(writeProgress(known));
+        std::this_thread::sleep_for(pollTime);
+    }
+}
+
+HttpResponse OperatorHandler::history()
+{
+    const Result<std::vector<ConfigurationVersion>> versions = configurations_.history(monotonicNow() + storeTime);
+    if (!versions)
+        return writeError(versions.error());
+    JsonValue answer = jsonObject();
+    JsonValue& list = answer.addMember("versions");
+    list.setCategory(JsonValue::Array);
+    for (const ConfigurationVersion& version : *versions) {
+        JsonValue& entry = list.addMember();
+        entry.setCategory(JsonValue::Object);
+        entry.addValue("version", version.head_.version_);
+        entry.addValue("by", version.head_.by_);
+        entry.addValue("reason", version.reason_);
+        entry.addValue("changed_at_ms", version.head_.changedAt_);
+    }
+    return writeAnswer(answer);
+}
+
+HttpResponse OperatorHandler::cut(const HttpRequest& request)
+{
+    const Result<JsonValue> body = parseJson(request.body_, "body");
+    if (!body)
+        return writeError(body.error());
+    std::vector<InstanceId> instances;
+    if (const JsonValue* list = body->findMember("instances")) {
+        for (const JsonValue& member : *list) {
+            std::string id;
+            member.getValue(id);
+            instances.emplace_back(id);
+        }
+    }
+    const Result<void> done = hooks_.cut_(instances);
+    return done ? writeAnswer(jsonObject()) : writeError(done.error());
+}
+
+}
--- /dev/null
+++ b/src/libfescuecleat/daemon/operatorhandler.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "control/configurationcontrol.h"
+#include "control/datacentrecontrol.h"
+#include "daemon/configurationwatcher.h"
+#include "daemon/identitysource.h"
+#include "http/httphandler.h"
+#include "telemetry/metrics.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace fescuecleat {
+
+/** What the operators' edge needs from the daemon around it. */
+struct OperatorHooks {
+    /** Empty if ready, else why not. */
+    std::function<std::string()> whyNotReady_;
+    /** The whole state of the process. */
+    std::function<JsonValue()> dump_;
+    /** Instances to cut the connection to, for tests; refused unless enabled. */
+    std::function<Result<void>(const std::vector<InstanceId>&)> cut_;
+};
+
+/** The operators' edge: health, metrics, state, data centres and configuration. */
+class OperatorHandler : public HttpHandler {
+public:
+    /** All references outlive the handler. */
+    OperatorHandler(IdentitySource&, DataCentreControl&, ConfigurationControl&, ConfigurationWatcher&, Metrics&, std::vector<DataCentreId>, OperatorHooks);
+
+    HttpResponse handle(const HttpRequest&) override;
+
+private:
+    HttpResponse ready();
+    HttpResponse metrics();
+    HttpResponse routeForOperators(const HttpRequest&, const std::vector<std::string>& path);
+    HttpResponse routeDataCentres(const HttpRequest&, const std::vector<std::string>& path);
+    HttpResponse routeConfiguration(const HttpRequest&, const std::vector<std::string>& path);
+    HttpResponse listDataCentres();
+    HttpResponse takeOut(const HttpRequest&, const DataCentreId&);
+    HttpResponse bringBack(const HttpRequest&, const DataCentreId&);
+    HttpResponse changeService(const ServiceWish&, Time until);
+    HttpResponse showConfiguration();
+    HttpResponse applyConfiguration(const HttpRequest&);
+    HttpResponse history();
+    HttpResponse cut(const HttpRequest&);
+
+    IdentitySource& identities_;
+    DataCentreControl& control_;
+    ConfigurationControl& configurations_;
+    ConfigurationWatcher& watcher_;
+    Metrics& metrics_;
+    const std::vector<DataCentreId> dataCentres_;
+    const OperatorHooks hooks_;
+};
+
+}
