Add the platform client, durable jobs, lease, permits and configuration

Cause: nothing could be made durable, and no instance could be sure that it alone decides for its data centre. Change: table, object store and instance list over HTTP, where a commit repeats its write id until the deadline and is never reported as failed when it may have taken effect; job records with a versioned format; submission by idempotency key, changes fenced by the lease row, moves between data centres; scheduler lease with heartbeat row, start permit, worker deadlines, take-out and return of a data centre, configuration by compare-and-set with history.

--- /dev/null
+++ b/src/libfescuecleat/control/appliedconfiguration.cpp
@@ -0,0 +1,27 @@
+#include "control/appliedconfiguration.h"
+
+#include <algorithm>
+
+namespace fescuecleat {
+
+void AppliedConfiguration::heardOf(std::uint64_t version)
+{
+    highestKnown_ = std::max(highestKnown_, version);
+}
+
+bool AppliedConfiguration::apply(std::uint64_t version)
+{
+    heardOf(version);
+    if (version <= version_)
+        return false;
+    version_ = version;
+    return true;
+}
+
+std::uint64_t versionInForce(const std::vector<std::uint64_t>& ofInstances)
+{
+    const auto lowest = std::min_element(ofInstances.begin(), ofInstances.end());
+    return lowest == ofInstances.end() ? 0 : *lowest;
+}
+
+}
--- /dev/null
+++ b/tests/control/configurationcontroltest.cpp
@@ -0,0 +1,99 @@
+#include "control/configurationcontrol.h"
+
+#include "control/appliedconfiguration.h"
+#include "control/controlrecords.h"
+#include "state/rowkeys.h"
+#include "support/faketable.h"
+#include "support/property.h"
+
+using namespace fescuecleat;
+
+namespace {
+
+const Time noDeadline = Time::max();
+
+ConfigurationWish wishBy(const std::string& by, std::uint64_t basedOn)
+{
+    return { basedOn, by, "because", "{ // base\n}", { { DataCentreId("catania"), "{}" } } };
+}
+
+}
+
+/** Configuration changes under races, lost answers and late news. */
+class ConfigurationControlTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(ConfigurationControlTest);
+    CPPUNIT_TEST(showsTheWinnerOfARace);
+    CPPUNIT_TEST(findsItsWishAfterALostAnswer);
+    CPPUNIT_TEST(isAcceptedWhenAllConfirmed);
+    CPPUNIT_TEST(keepsTheNewestVersions);
+    CPPUNIT_TEST(neverReverts);
+    CPPUNIT_TEST_SUITE_END();
+
+    FakeTable table_;
+    WriteIds writeIds_ { "test" };
+    ConfigurationControl control_ { table_, writeIds_ };
+
+    std::uint64_t written(const ConfigurationWish& wish)
+    {
+        return std::get<ConfigurationWritten>(*control_.apply(wish, 1000, noDeadline)).version_;
+    }
+
+    void showsTheWinnerOfARace()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 1 }, written(wishBy("anna", 0)));
+        const ConfigurationOutcome outcome = *control_.apply(wishBy("bruno", 0), 1000, noDeadline);
+        CPPUNIT_ASSERT_EQUAL(std::string("anna"), std::get<ConfigurationRaced>(outcome).winner_.by_);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 2 }, written(wishBy("bruno", 1)));
+        CPPUNIT_ASSERT_EQUAL(std::string("anna"), control_.history(noDeadline)->front().head_.by_);
+    }
+
+    void findsItsWishAfterALostAnswer()
+    {
+        table_.loseAnswers(1);
+        CPPUNIT_ASSERT(control_.apply(wishBy("anna", 0), 1000, noDeadline).error().kind_ == ErrorKind::OutcomeUnknown);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 1 }, written(wishBy("anna", 0)));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 1 }, control_.head(noDeadline)->version_);
+    }
+
+    void isAcceptedWhenAllConfirmed()
+    {
+        const DataCentreId catania("catania");
+        const DataCentreId palermo("palermo");
+        written(wishBy("anna", 0));
+        const Transaction lease { "lease", {}, { { rowkeys::lease(catania), writeLeaseRecord({}) }, { rowkeys::lease(palermo), writeLeaseRecord({}) } } };
+        const std::uint64_t revision = std::get<Committed>(*table_.commit(lease, noDeadline)).revision_;
+        CPPUNIT_ASSERT(control_.confirm(1, { catania, 0, revision }, noDeadline));
+        CPPUNIT_ASSERT(control_.progress({ catania, palermo }, noDeadline)->missing(1) == std::vector<DataCentreId> { palermo });
+        CPPUNIT_ASSERT(!control_.confirm(1, { palermo, 0, revision + 1 }, noDeadline));
+        CPPUNIT_ASSERT(control_.confirm(1, { palermo, 0, revision }, noDeadline));
+        CPPUNIT_ASSERT(control_.progress({ catania, palermo }, noDeadline)->isAccepted(1));
+        CPPUNIT_ASSERT(!control_.progress({ catania, palermo }, noDeadline)->isAccepted(2));
+    }
+
+    void keepsTheNewestVersions()
+    {
+        for (std::uint64_t version = 0; version < 12; ++version)
+            written(wishBy("anna", version));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 9 }, *control_.compact(3, noDeadline));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 10 }, control_.history(noDeadline)->front().head_.version_);
+        CPPUNIT_ASSERT(control_.load(12, noDeadline));
+    }
+
+    void neverReverts()
+    {
+        CHECK_PROPERTY("the version in force only goes up", [](const std::vector<std::uint8_t>& news) {
+            AppliedConfiguration applied;
+            std::uint64_t highest = 0;
+            for (const std::uint8_t version : news) {
+                const bool isNewer = version > highest;
+                RC_ASSERT(applied.apply(version) == isNewer);
+                highest = std::max<std::uint64_t>(highest, version);
+                RC_ASSERT(applied.version() == highest);
+            }
+        });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 3 }, versionInForce({ 5, 3, 4 }));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 0 }, versionInForce({}));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ConfigurationControlTest);
