Scheduler: whole gangs in two phases, first fit

Cause: nothing decided for the workers yet. Change: gang machine (prepare all, start all, stop all), adoption by a new holder, strays, start permits, taking out, capped attempts; first fit as the first placement.

--- a/src/libfescuecleat/scheduler/gangtask.h
+++ b/src/libfescuecleat/scheduler/gangtask.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "base/id.h"
 #include "scheduler/acceleratormask.h"
 
 namespace fescuecleat {
@@ -31,11 +30,14 @@
 
 /** One task of a placed gang. */
 struct GangTask {
-    WorkerId worker_;
+    /** Index of the worker in the worker table. */
+    int worker_ = -1;
     AcceleratorMask accelerators_ = 0;
     GangTaskState state_ = GangTaskState::Asked;
     /** Share of the work that its newest checkpoint holds. */
     double checkpointedShare_ = 0;
+    /** Whole reports of its worker in a row that did not name it. */
+    int missedReports_ = 0;
 };
 
 }
--- a/src/libfescuecleat/scheduler/jobentry.h
+++ b/src/libfescuecleat/scheduler/jobentry.h
@@ -5,6 +5,7 @@
 #include "scheduler/jobphase.h"
 #include "scheduler/jobspec.h"
 #include "scheduler/taskkey.h"
+#include "state/jobstate.h"
 
 #include <set>
 #include <string>
@@ -47,9 +48,11 @@
     /** The declared shape, corrected by what was seen in use. */
     TaskShape shape_;
     /** Workers on which a task of it failed. */
-    std::set<WorkerId> failedOn_;
+    std::set<int> failedOn_;
 
     JobPhase phase_ = JobPhase::Queued;
+    /** The state that was recorded last. */
+    JobState recorded_ = JobState::Queued;
     std::vector<GangTask> tasks_;
     /** True once a start of any attempt was or may have been sent. */
     bool wasStartSent_ = false;
@@ -69,6 +72,10 @@
     bool isCheckpointing_ = false;
     /** Live tasks of earlier attempts; it is not placed before they ended. */
     int strays_ = 0;
+    /** Entry in the timer list; Time::max() if none. */
+    Time wakeAt_ = Time::max();
+    /** True if a place is kept for it. */
+    bool hasClaim_ = false;
     /** Times it was offered to other data centres as one that can't be placed here. */
     int offers_ = 0;
 
--- a/src/libfescuecleat/scheduler/jobphase.cpp
+++ b/src/libfescuecleat/scheduler/jobphase.cpp
@@ -9,8 +9,6 @@
         return "queued";
     case JobPhase::Adopting:
         return "adopting";
-    case JobPhase::Claiming:
-        return "claiming";
     case JobPhase::Preparing:
         return "preparing";
     case JobPhase::Starting:
--- a/src/libfescuecleat/scheduler/jobphase.h
+++ b/src/libfescuecleat/scheduler/jobphase.h
@@ -8,8 +8,6 @@
     Queued,
     /** Read back after a change of holder; its tasks are being found. */
     Adopting,
-    /** Has a place that others are being stopped for. */
-    Claiming,
     /** Its tasks are being prepared on their workers. */
     Preparing,
     /** Every task was prepared and was sent its start. */
--- a/src/libfescuecleat/scheduler/schedulerevent.h
+++ b/src/libfescuecleat/scheduler/schedulerevent.h
@@ -58,11 +58,13 @@
 };
 
 /**
- * The worker answered under the present epoch and every task of its report was
- * told by TaskReported: a recorded task that it never named isn't there.
+ * The worker's whole report, after each task of it was told by TaskReported. A
+ * recorded task that a worker doesn't name under the present epoch isn't there.
  */
 struct WorkerReported {
     WorkerId worker_;
+    /** Every task that the report names. */
+    std::vector<TaskKey> tasks_;
 };
 
 /** One task's state, as its worker reported it or as it answered a prepare, start or stop. May come late, twice or out of order. */
--- a/src/libfescuecleat/scheduler/workerstate.cpp
+++ b/src/libfescuecleat/scheduler/workerstate.cpp
@@ -5,16 +5,21 @@
 
 namespace fescuecleat {
 
-WorkerState::WorkerState(WorkerId id, RackId rack, int index, int rackIndex)
+WorkerState::WorkerState(WorkerId id, int index)
     : id_(std::move(id))
-    , rack_(std::move(rack))
     , index_(index)
-    , rackIndex_(rackIndex)
 {
 }
 
+void WorkerState::setRack(const RackId& rack, int rackIndex)
+{
+    rack_ = rack;
+    rackIndex_ = rackIndex;
+}
+
 void WorkerState::setCapacity(const WorkerCapacity& capacity)
 {
+    reportedCapacity_ = capacity;
     capacity_ = capacity;
     capacity_.accelerators_ = std::clamp(capacity.accelerators_, 0, maxAcceleratorsPerWorker);
     recount();
--- a/src/libfescuecleat/scheduler/workerstate.h
+++ b/src/libfescuecleat/scheduler/workerstate.h
@@ -23,13 +23,17 @@
 /** One worker as the scheduler knows it: what it has and what is taken. */
 class WorkerState {
 public:
-    WorkerState(WorkerId id, RackId rack, int index, int rackIndex);
+    WorkerState(WorkerId id, int index);
 
     const WorkerId& id() const { return id_; }
     const RackId& rack() const { return rack_; }
     int index() const { return index_; }
+    /** Index of its rack in the worker table; -1 until it joined. */
     int rackIndex() const { return rackIndex_; }
+    void setRack(const RackId& rack, int rackIndex);
     const WorkerCapacity& capacity() const { return capacity_; }
+    /** The capacity before it was cut to what can be managed. */
+    const WorkerCapacity& reportedCapacity() const { return reportedCapacity_; }
     void setCapacity(const WorkerCapacity&);
 
     /** False after it was lost; it then takes no tasks. */
@@ -54,9 +58,10 @@
     WorkerId id_;
     RackId rack_;
     int index_;
-    int rackIndex_;
+    int rackIndex_ = -1;
     WorkerCapacity capacity_;
-    bool isPresent_ = true;
+    WorkerCapacity reportedCapacity_;
+    bool isPresent_ = false;
     bool isQuarantined_ = false;
     std::map<TaskKey, Holding> holdings_;
     AcceleratorMask free_ = 0;
--- /dev/null
+++ b/tests/scheduler/fakeworkers.cpp
@@ -0,0 +1,201 @@
+#include "scheduler/fakeworkers.h"
+
+#include "base/overloaded.h"
+
+#include <algorithm>
+#include <cppunit/TestAssert.h>
+
+namespace fescuecleat {
+
+void FakeWorkers::join(Scheduler& scheduler, int count, int perRack, Time now)
+{
+    for (int i = 0; i < count; ++i) {
+        WorkerJoined joined;
+        joined.worker_ = WorkerId("w" + std::to_string(100 + i));
+        joined.rack_ = RackId("r" + std::to_string(i / perRack));
+        joined.capacity_ = WorkerCapacity { 8, 64000, 256LL << 30 };
+        workers_[joined.worker_] = joined;
+        handle(scheduler, joined, now);
+    }
+}
+
+void FakeWorkers::handle(Scheduler& scheduler, const SchedulerEvent& event, Time now)
+{
+    if (const auto* submitted = std::get_if<JobSubmitted>(&event))
+        specs_[submitted->spec_.id_] = submitted->spec_;
+    for (const SchedulerAction& action : scheduler.handle(event, now))
+        note(action, now);
+    check(now);
+}
+
+void FakeWorkers::note(const SchedulerAction& action, Time now)
+{
+    if (const auto* record = std::get_if<RecordJob>(&action)) {
+        const auto former = records_.find(record->job_);
+        const JobState from = former == records_.end() ? JobState::Queued : former->second.state_;
+        CPPUNIT_ASSERT_MESSAGE(std::string("transition ") + jobStateName(from) + " to " + jobStateName(record->state_), isAllowedTransition(from, record->state_));
+        records_[record->job_] = *record;
+        return;
+    }
+    if (const auto* start = std::get_if<StartTask>(&action)) {
+        CPPUNIT_ASSERT_MESSAGE("start without permit", now < permitUntil_ && start->deadline_ <= permitUntil_ && !isOut_);
+        const RecordJob& record = records_.at(start->task_.job_);
+        CPPUNIT_ASSERT_MESSAGE("start before its record", record.state_ == JobState::Prepared && record.attempt_ == start->task_.attempt_);
+    }
+    if (const auto* prepare = std::get_if<PrepareTask>(&action))
+        CPPUNIT_ASSERT_MESSAGE("prepare before its record", records_.at(prepare->task_.job_).state_ == JobState::Placed);
+    if (std::holds_alternative<OfferJob>(action))
+        return;
+    messages_.push_back(action);
+}
+
+void FakeWorkers::check(Time) const
+{
+    std::map<WorkerId, std::set<int>> held;
+    std::map<JobId, std::set<int>> attempts;
+    for (const auto& [key, placed] : tasks_) {
+        const auto& [worker, task] = placed;
+        attempts[key.job_].insert(key.attempt_);
+        for (const int accelerator : task.accelerators_)
+            CPPUNIT_ASSERT_MESSAGE("accelerator held twice", held[worker].insert(accelerator).second);
+    }
+    for (const auto& [job, numbers] : attempts)
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("two attempts of a job at once", std::size_t { 1 }, numbers.size());
+}
+
+void FakeWorkers::report(Scheduler& scheduler, const TaskKey& key, const WorkerId& worker, TaskState state, Time now)
+{
+    TaskReported reported;
+    reported.task_ = key;
+    reported.worker_ = worker;
+    reported.state_ = state;
+    const auto task = tasks_.find(key);
+    if (task != tasks_.end())
+        reported.accelerators_ = task->second.second.accelerators_;
+    handle(scheduler, reported, now);
+}
+
+void FakeWorkers::deliver(Scheduler& scheduler, std::size_t count, Time now)
+{
+    for (; count > 0 && !messages_.empty(); --count) {
+        const SchedulerAction message = messages_.front();
+        messages_.erase(messages_.begin());
+        receive(scheduler, message, now);
+    }
+}
+
+void FakeWorkers::receive(Scheduler& scheduler, const SchedulerAction& message, Time now)
+{
+    const auto isHere = [&](const auto& action) { return workers_.count(action.worker_) > 0; };
+    std::visit(
+        Overloaded {
+            [&](const PrepareTask& prepare) {
+                if (!isHere(prepare) || stopped_.count(prepare.task_) > 0)
+                    return;
+                if (tasks_.count(prepare.task_) == 0)
+                    tasks_[prepare.task_] = { prepare.worker_, FakeTask { TaskState::Prepared, prepare.accelerators_ } };
+                report(scheduler, prepare.task_, prepare.worker_, tasks_.at(prepare.task_).second.state_, now);
+            },
+            [&](const StartTask& start) {
+                const auto task = tasks_.find(start.task_);
+                if (!isHere(start) || task == tasks_.end() || now >= start.deadline_)
+                    return;
+                if (task->second.second.state_ == TaskState::Prepared && start.task_.index_ == 0)
+                    ++starts_[start.task_.job_];
+                // Every task of the gang has to hold its devices before one runs.
+                int siblings = 0;
+                for (const auto& [key, placed] : tasks_)
+                    siblings += static_cast<int>(key.job_ == start.task_.job_ && key.attempt_ == start.task_.attempt_);
+                CPPUNIT_ASSERT_MESSAGE("gang started in part", siblings > 0);
+                task->second.second.state_ = TaskState::Running;
+                report(scheduler, start.task_, start.worker_, TaskState::Running, now);
+            },
+            [&](const StopTask& stop) {
+                if (!isHere(stop))
+                    return;
+                tasks_.erase(stop.task_);
+                stopped_.insert(stop.task_);
+                report(scheduler, stop.task_, stop.worker_, TaskState::Stopped, now);
+            },
+            [&](const CheckpointTask& checkpoint) {
+                if (!isHere(checkpoint) || tasks_.count(checkpoint.task_) == 0)
+                    return;
+                tasks_.erase(checkpoint.task_);
+                stopped_.insert(checkpoint.task_);
+                report(scheduler, checkpoint.task_, checkpoint.worker_, TaskState::Checkpointed, now);
+            },
+            [](const auto&) {} },
+        message);
+}
+
+void FakeWorkers::dropMessage()
+{
+    if (!messages_.empty())
+        messages_.erase(messages_.begin());
+}
+
+void FakeWorkers::reorderMessage(bool twice)
+{
+    if (messages_.empty())
+        return;
+    messages_.push_back(messages_.front());
+    if (!twice)
+        messages_.erase(messages_.begin());
+}
+
+bool FakeWorkers::endTask(Scheduler& scheduler, const TaskKey& key, TaskState state, Time now)
+{
+    const auto task = tasks_.find(key);
+    if (task == tasks_.end() || task->second.second.state_ != TaskState::Running)
+        return false;
+    const WorkerId worker = task->second.first;
+    tasks_.erase(task);
+    stopped_.insert(key);
+    report(scheduler, key, worker, state, now);
+    return true;
+}
+
+void FakeWorkers::lose(Scheduler& scheduler, const WorkerId& worker, Time now)
+{
+    for (auto task = tasks_.begin(); task != tasks_.end();) {
+        if (task->second.first == worker)
+            task = tasks_.erase(task);
+        else
+            ++task;
+    }
+    workers_.erase(worker);
+    handle(scheduler, WorkerLost { worker }, now);
+}
+
+void FakeWorkers::reportAll(Scheduler& scheduler, Time now)
+{
+    for (const auto& [id, joined] : workers_) {
+        handle(scheduler, joined, now);
+        WorkerReported reported { id, {} };
+        const auto tasks = tasks_;
+        for (const auto& [key, placed] : tasks) {
+            if (placed.first != id)
+                continue;
+            reported.tasks_.push_back(key);
+            report(scheduler, key, id, placed.second.state_, now);
+        }
+        handle(scheduler, reported, now);
+    }
+}
+
+std::vector<TaskKey> FakeWorkers::runningTasks() const
+{
+    std::vector<TaskKey> running;
+    for (const auto& [key, placed] : tasks_) {
+        if (placed.second.state_ == TaskState::Running)
+            running.push_back(key);
+    }
+    return running;
+}
+
+int FakeWorkers::count(TaskState state) const
+{
+    return static_cast<int>(std::count_if(tasks_.begin(), tasks_.end(), [&](const auto& task) { return task.second.second.state_ == state; }));
+}
+
+}
--- /dev/null
+++ b/tests/scheduler/gangtest.cpp
@@ -0,0 +1,191 @@
+#include "scheduler/fakeworkers.h"
+#include "support/property.h"
+
+namespace fescuecleat {
+
+namespace {
+
+    constexpr Duration second = std::chrono::seconds(1);
+
+    JobSubmitted jobOf(const std::string& id, int tasks, int accelerators)
+    {
+        JobSubmitted submitted;
+        submitted.spec_.id_ = JobId(id);
+        submitted.spec_.organisation_ = OrganisationId("studio");
+        submitted.spec_.tasks_ = tasks;
+        submitted.spec_.shape_.accelerators_ = accelerators;
+        return submitted;
+    }
+
+}
+
+/** The life of one gang when messages, workers and permits fail. */
+class GangTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(GangTest);
+    CPPUNIT_TEST(runsAndFinishes);
+    CPPUNIT_TEST(workerLostBetweenPrepareAndStart);
+    CPPUNIT_TEST(lostStartIsSentAgain);
+    CPPUNIT_TEST(lateStartConfirmationAfterStop);
+    CPPUNIT_TEST(noStartWithoutPermit);
+    CPPUNIT_TEST(noStartAfterTakingOut);
+    CPPUNIT_TEST(nonIdempotentIsStartedOnce);
+    CPPUNIT_TEST(newHolderAdoptsRunningGang);
+    CPPUNIT_TEST(newHolderStopsGangWithMissingTask);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        workers_.setPermit(now_ + 100 * second);
+        workers_.handle(scheduler_, ConfigurationChanged {}, now_);
+        workers_.handle(scheduler_, StartPermitExtended { now_ + 100 * second }, now_);
+        workers_.join(scheduler_, 4, 2, now_);
+    }
+
+    void runsAndFinishes()
+    {
+        submitAndRun(jobOf("a", 4, 4));
+        CPPUNIT_ASSERT_EQUAL(4, workers_.count(TaskState::Running));
+        for (const TaskKey& key : workers_.runningTasks())
+            workers_.endTask(scheduler_, key, TaskState::Finished, now_);
+        CPPUNIT_ASSERT(recorded("a") == JobState::Finished);
+    }
+
+    void workerLostBetweenPrepareAndStart()
+    {
+        workers_.handle(scheduler_, jobOf("a", 4, 8), now_);
+        workers_.deliver(scheduler_, 3, now_);
+        workers_.lose(scheduler_, WorkerId("w103"), now_);
+        CPPUNIT_ASSERT_EQUAL(0, workers_.startsOf(JobId("a")));
+        workers_.deliverAll(scheduler_, now_);
+        CPPUNIT_ASSERT_EQUAL(0, workers_.count(TaskState::Running) + workers_.count(TaskState::Prepared));
+        CPPUNIT_ASSERT(recorded("a") == JobState::Queued);
+        workers_.join(scheduler_, 4, 2, now_);
+        workers_.deliverAll(scheduler_, now_);
+        CPPUNIT_ASSERT(recorded("a") == JobState::Running);
+    }
+
+    void lostStartIsSentAgain()
+    {
+        workers_.handle(scheduler_, jobOf("a", 2, 8), now_);
+        workers_.deliver(scheduler_, 2, now_);
+        workers_.dropMessage();
+        workers_.deliverAll(scheduler_, now_);
+        CPPUNIT_ASSERT_EQUAL(1, workers_.count(TaskState::Running));
+        now_ = scheduler_.nextDeadline();
+        workers_.handle(scheduler_, Tick {}, now_);
+        workers_.deliverAll(scheduler_, now_);
+        CPPUNIT_ASSERT(recorded("a") == JobState::Running);
+    }
+
+    void lateStartConfirmationAfterStop()
+    {
+        submitAndRun(jobOf("a", 2, 8));
+        const TaskKey task = workers_.runningTasks().front();
+        const WorkerId worker = workers_.tasks().at(task).first;
+        workers_.handle(scheduler_, JobCancelled { JobId("a") }, now_);
+        workers_.deliverAll(scheduler_, now_);
+        CPPUNIT_ASSERT(recorded("a") == JobState::Cancelled);
+        TaskReported late;
+        late.task_ = task;
+        late.worker_ = worker;
+        late.state_ = TaskState::Running;
+        workers_.handle(scheduler_, late, now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, workers_.messages().size());
+        CPPUNIT_ASSERT(std::holds_alternative<StopTask>(workers_.messages().front()));
+        // The late report keeps nothing from the next job.
+        submitAndRun(jobOf("b", 4, 8));
+        CPPUNIT_ASSERT(recorded("b") == JobState::Running);
+    }
+
+    void noStartWithoutPermit()
+    {
+        now_ += 95 * second;
+        workers_.handle(scheduler_, jobOf("a", 2, 8), now_);
+        now_ += 5 * second;
+        workers_.deliverAll(scheduler_, now_);
+        CPPUNIT_ASSERT_EQUAL(2, workers_.count(TaskState::Prepared));
+        CPPUNIT_ASSERT_EQUAL(0, workers_.startsOf(JobId("a")));
+        workers_.setPermit(now_ + second);
+        workers_.handle(scheduler_, StartPermitExtended { now_ + second }, now_);
+        workers_.deliverAll(scheduler_, now_);
+        CPPUNIT_ASSERT_EQUAL(2, workers_.count(TaskState::Running));
+    }
+
+    void noStartAfterTakingOut()
+    {
+        workers_.handle(scheduler_, jobOf("a", 2, 8), now_);
+        workers_.setTakenOut(true);
+        workers_.handle(scheduler_, DataCentreTakenOut { now_ + 60 * second }, now_);
+        workers_.deliverAll(scheduler_, now_);
+        CPPUNIT_ASSERT(recorded("a") == JobState::Queued);
+        CPPUNIT_ASSERT_EQUAL(0, workers_.startsOf(JobId("a")));
+        workers_.setTakenOut(false);
+        workers_.handle(scheduler_, DataCentreReturned {}, now_);
+        workers_.deliverAll(scheduler_, now_);
+        CPPUNIT_ASSERT(recorded("a") == JobState::Running);
+    }
+
+    void nonIdempotentIsStartedOnce()
+    {
+        JobSubmitted job = jobOf("a", 2, 8);
+        job.spec_.isIdempotent_ = false;
+        submitAndRun(job);
+        workers_.lose(scheduler_, workers_.tasks().begin()->second.first, now_);
+        workers_.deliverAll(scheduler_, now_);
+        CPPUNIT_ASSERT(recorded("a") == JobState::Unknown);
+        CPPUNIT_ASSERT_EQUAL(1, workers_.startsOf(JobId("a")));
+    }
+
+    void newHolderAdoptsRunningGang()
+    {
+        submitAndRun(jobOf("a", 2, 8));
+        Scheduler next = nextHolder(jobOf("a", 2, 8));
+        workers_.reportAll(next, now_);
+        workers_.deliverAll(next, now_);
+        CPPUNIT_ASSERT_EQUAL(2, workers_.count(TaskState::Running));
+        CPPUNIT_ASSERT_EQUAL(1, workers_.startsOf(JobId("a")));
+    }
+
+    void newHolderStopsGangWithMissingTask()
+    {
+        submitAndRun(jobOf("a", 2, 8));
+        Scheduler next = nextHolder(jobOf("a", 2, 8));
+        workers_.lose(next, workers_.tasks().begin()->second.first, now_);
+        workers_.reportAll(next, now_);
+        CPPUNIT_ASSERT(std::holds_alternative<StopTask>(workers_.messages().front()));
+        workers_.deliverAll(next, now_);
+        CPPUNIT_ASSERT(recorded("a") == JobState::Running);
+        CPPUNIT_ASSERT_EQUAL(2, workers_.records().at(JobId("a")).attempt_);
+    }
+
+private:
+    void submitAndRun(const JobSubmitted& job)
+    {
+        workers_.handle(scheduler_, job, now_);
+        workers_.deliverAll(scheduler_, now_);
+    }
+
+    JobState recorded(const std::string& job) const { return workers_.records().at(JobId(job)).state_; }
+
+    Scheduler nextHolder(JobSubmitted job)
+    {
+        const RecordJob& record = workers_.records().at(job.spec_.id_);
+        job.state_ = record.state_;
+        job.attempts_ = record.attempt_;
+        job.placement_ = record.placement_;
+        Scheduler next;
+        workers_.handle(next, StartPermitExtended { now_ + 100 * second }, now_);
+        workers_.handle(next, ConfigurationChanged {}, now_);
+        workers_.handle(next, job, now_);
+        return next;
+    }
+
+    Scheduler scheduler_;
+    FakeWorkers workers_;
+    Time now_ { std::chrono::hours(1) };
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GangTest);
+
+}
