--- /dev/null
+++ b/src/libfescuecleat/routing/retrybudget.cpp
@@ -0,0 +1,20 @@
+#include "routing/retrybudget.h"
+
+#include <algorithm>
+
+namespace fescuecleat {
+
+void RetryBudget::addSuccess()
+{
+    available_ = std::min(largestReserve, available_ + retriesPerSuccess);
+}
+
+bool RetryBudget::tryTake()
+{
+    if (available_ < 1)
+        return false;
+    available_ -= 1;
+    return true;
+}
+
+}
