--- a/src/libfescuecleat/http/cxxtoolshttpclient.cpp
+++ b/src/libfescuecleat/http/cxxtoolshttpclient.cpp
@@ -27,6 +27,8 @@
     constexpr Duration idleTime = std::chrono::seconds(1);
     constexpr std::size_t chunkBytes = 16384;
     constexpr int noContent = 204;
+    /** Echoed by peers that answer requests with an id. */
+    constexpr const char* idField = "x-request-id";
 
     /** One connection with the state of its exchange. */
     class Connection : public cxxtools::Connectable {
@@ -44,6 +46,8 @@
         tl::expected<HttpResponse, TransportError> exchange(const HttpRequest& request, Time deadline)
         {
             begin();
+            const auto id = request.headers_.find(idField);
+            requestId_ = id == request.headers_.end() ? std::string() : id->second;
             try {
                 const cxxtools::http::Request raw = converted(request);
                 client_.beginExecute(raw);
@@ -123,7 +127,10 @@
             if (hasLength && header.contentLength() != body_.size())
                 return lost("answer is shorter than its Content-Length");
             response.body_ = std::move(body_);
-            isReusable_ = header.keepAlive();
+            // A crossed or repeated answer leaves another one behind on the connection.
+            const auto echo = response.headers_.find(idField);
+            const bool isCrossed = !requestId_.empty() && (echo == response.headers_.end() || echo->second != requestId_);
+            isReusable_ = header.keepAlive() && !isCrossed;
             return response;
         }
 
@@ -162,6 +169,7 @@
         bool isSent_ = false;
         bool isFinished_ = false;
         bool isReusable_ = false;
+        std::string requestId_;
         std::string fault_;
         std::string body_;
         Time idleDeadline_;
--- a/src/libfescuecleat/routing/claim.cpp
+++ b/src/libfescuecleat/routing/claim.cpp
@@ -96,6 +96,8 @@
     value.addMember("id") <<= claim.id_;
     value.addMember("instance") <<= claim.instance_;
     value.addMember("digest") <<= claim.digest_;
+    if (claim.isUnknown_)
+        value.addMember("unknown") <<= true;
     if (claim.answer_) {
         JsonValue& answer = value.addMember("answer");
         answer.setCategory(JsonValue::Object);
@@ -123,6 +125,7 @@
     claim.id_ = reader.string("id");
     claim.instance_ = reader.string("instance");
     claim.digest_ = reader.string("digest");
+    claim.isUnknown_ = reader.booleanOr("unknown", false);
     if (const JsonValue* answer = reader.object("answer", false))
         claim.answer_ = parseAnswer(*answer, errors);
     reader.finish();
--- a/src/libfescuecleat/routing/claim.h
+++ b/src/libfescuecleat/routing/claim.h
@@ -28,6 +28,8 @@
     /** Digest of service, kind and body: a key stands for one request only. */
     std::string digest_;
     std::optional<RecordedAnswer> answer_;
+    /** The request was sent and no answer will come any more. */
+    bool isUnknown_ = false;
 };
 
 /** Key of the claim row of an organisation's idempotency key. */
--- a/src/libfescuecleat/routing/claimstore.cpp
+++ b/src/libfescuecleat/routing/claimstore.cpp
@@ -68,6 +68,18 @@
             return;
     }
     claim.answer_ = std::move(recorded);
+    rewrite(taken, claim, now);
+}
+
+void ClaimStore::recordUnknown(const ClaimTaken& taken, Time now)
+{
+    Claim claim = taken.claim_;
+    claim.isUnknown_ = true;
+    rewrite(taken, claim, now);
+}
+
+void ClaimStore::rewrite(const ClaimTaken& taken, const Claim& claim, Time now)
+{
     committer_.writeLater({ { taken.key_, taken.version_ }, { taken.key_, writeClaim(claim) } }, now + backgroundTime);
 }
 
@@ -85,6 +97,8 @@
         return ClaimTaken { mine, row.key_, row.version_ };
     if (existing->digest_ != mine.digest_)
         return ClaimMismatch {};
+    if (existing->isUnknown_)
+        return ClaimUnknown {};
     if (!existing->answer_)
         return ClaimInProgress { existing->instance_ };
     Answered answer { existing->answer_->status_, existing->answer_->headers_, existing->answer_->body_ };
--- a/src/libfescuecleat/routing/claimstore.h
+++ b/src/libfescuecleat/routing/claimstore.h
@@ -28,6 +28,10 @@
     std::string instance_;
 };
 
+/** The request was dispatched before and whether it ran will never be known here. */
+struct ClaimUnknown {
+};
+
 /** The key stands for another request. */
 struct ClaimMismatch {
 };
@@ -37,7 +41,7 @@
     std::string reason_;
 };
 
-using ClaimResult = std::variant<ClaimTaken, ClaimAnswered, ClaimInProgress, ClaimMismatch, ClaimImpossible>;
+using ClaimResult = std::variant<ClaimTaken, ClaimAnswered, ClaimInProgress, ClaimUnknown, ClaimMismatch, ClaimImpossible>;
 
 /** Claims of non-idempotent requests in the platform's table. Thread-safe. */
 class ClaimStore {
@@ -54,6 +58,9 @@
     /** Records the answer in the background. */
     void record(const ClaimTaken&, const Answered&, Time now);
 
+    /** Records in the background that no answer will come. */
+    void recordUnknown(const ClaimTaken&, Time now);
+
     /** Gives up a claim whose request did not run, in the background. */
     void release(const ClaimTaken&, Time now);
 
@@ -61,13 +68,14 @@
     std::size_t pending() const { return committer_.pending(); }
 
 private:
+    void rewrite(const ClaimTaken&, const Claim&, Time now);
     ClaimResult judgeExisting(const Row&, const Claim& mine, Time deadline);
     ClaimResult readBack(const std::string& key, const Claim& mine, Time deadline);
 
     Table& table_;
     ObjectStore& objects_;
-    const std::string instance_;
-    const std::string uniqueName_;
+    std::string instance_;
+    std::string uniqueName_;
     std::atomic<std::uint64_t> claims_ { 0 };
     GroupCommitter committer_;
 };
--- a/src/libfescuecleat/routing/groupcommitter.h
+++ b/src/libfescuecleat/routing/groupcommitter.h
@@ -57,7 +57,7 @@
     bool tryAgain(const EntryPointer&);
 
     Table& table_;
-    const std::string writeIdPrefix_;
+    std::string writeIdPrefix_;
     mutable std::mutex mutex_;
     std::condition_variable wake_;
     std::condition_variable settled_;
--- a/src/libfescuecleat/routing/requestrouter.cpp
+++ b/src/libfescuecleat/routing/requestrouter.cpp
@@ -172,9 +172,11 @@
     return std::visit(Overloaded {
                           [&](const ClaimTaken& taken) -> RequestOutcome {
                               ++counters_.claimsTaken_;
-                              const RequestOutcome outcome = dispatchOnce(service, request);
+                              RequestOutcome outcome = dispatchOnce(service, request);
                               if (const auto* answered = std::get_if<Answered>(&outcome))
                                   claims_.record(taken, *answered, monotonicNow());
+                              if (std::holds_alternative<OutcomeUnknown>(outcome))
+                                  claims_.recordUnknown(taken, monotonicNow());
                               if (std::holds_alternative<NotRun>(outcome))
                                   claims_.release(taken, monotonicNow());
                               return outcome;
@@ -183,6 +185,9 @@
                               ++counters_.claimsRepeated_;
                               return recorded.answer_;
                           },
+                          [](const ClaimUnknown&) -> RequestOutcome {
+                              return OutcomeUnknown { "the request was sent before and its answer was lost; whether it ran is not known" };
+                          },
                           [&](const ClaimInProgress&) { return waitForRecord(request); },
                           [&](const ClaimMismatch&) -> RequestOutcome { return notRun("the idempotency key stands for another request"); },
                           [&](const ClaimImpossible& impossible) -> RequestOutcome {
@@ -227,6 +232,8 @@
             ++counters_.claimsRepeated_;
             return recorded->answer_;
         }
+        if (std::holds_alternative<ClaimUnknown>(result))
+            break;
     }
     return OutcomeUnknown { "the request was dispatched before and has no recorded answer yet; repeat it later with the same idempotency key" };
 }
--- a/src/libfescuecleat/routing/requestrouter.h
+++ b/src/libfescuecleat/routing/requestrouter.h
@@ -98,7 +98,7 @@
     void tick();
 
     HttpClient& client_;
-    const RouterIdentity identity_;
+    RouterIdentity identity_;
     ClaimStore claims_;
     RouterCounters counters_;
     std::atomic<bool> isStopping_ { false };
--- a/src/libfescuecleat/routing/serviceshard.cpp
+++ b/src/libfescuecleat/routing/serviceshard.cpp
@@ -57,12 +57,12 @@
     return dispatcher_.minionSummaries(monotonicNow());
 }
 
-void ServiceShard::deliver(std::vector<DispatchAction> actions)
+void ServiceShard::deliver(const std::vector<DispatchAction>& actions)
 {
-    for (DispatchAction& action : actions) {
+    for (const DispatchAction& action : actions) {
         std::visit(Overloaded {
-                       [&](SendToMinion& send) { settle(send.ticket_, std::move(send)); },
-                       [&](RefuseRequest& refusal) { settle(refusal.ticket_, std::move(refusal)); },
+                       [&](const SendToMinion& send) { settle(send.ticket_, send); },
+                       [&](const RefuseRequest& refusal) { settle(refusal.ticket_, refusal); },
                        [&](const MinionConditionChanged& changed) {
                            if (changed.condition_ == "ejected")
                                ++counters_.ejections_;
--- a/src/libfescuecleat/routing/serviceshard.h
+++ b/src/libfescuecleat/routing/serviceshard.h
@@ -41,7 +41,7 @@
         std::optional<SlotDecision> decision_;
     };
 
-    void deliver(std::vector<DispatchAction>);
+    void deliver(const std::vector<DispatchAction>&);
     void settle(Ticket, SlotDecision);
 
     RouterCounters& counters_;
