--- a/src/libfescuecleat/load/expectedanswer.cpp
+++ b/src/libfescuecleat/load/expectedanswer.cpp
@@ -43,7 +43,7 @@
     const std::uint64_t value = digest(kind + "\n" + body);
     std::ostringstream out;
     out << "answer to " << requestTag(body) << " of kind " << kind << " digest " << value << "\n"
-        << std::string(smallestFiller + value % fillerSpan, 'a' + static_cast<char>(value % 26)) << "\nend\n";
+        << std::string(smallestFiller + value % fillerSpan, static_cast<char>('a' + static_cast<int>(value % 26))) << "\nend\n";
     return out.str();
 }
 
--- a/src/standins/common/registration.cpp
+++ b/src/standins/common/registration.cpp
@@ -1,9 +1,7 @@
 #include "standins/common/registration.h"
 
-#include <chrono>
-#include <cxxtools/http/client.h>
-#include <cxxtools/http/request.h>
-#include <exception>
+#include "http/cxxtoolshttpclient.h"
+
 #include <iostream>
 #include <thread>
 
@@ -11,26 +9,21 @@
 
 namespace {
 
-    constexpr int mostAttempts = 50;
-    constexpr auto retryInterval = std::chrono::milliseconds(200);
-    constexpr int timeoutMilliseconds = 2000;
+    constexpr Duration registrationTime = std::chrono::seconds(10);
+    constexpr Duration retryInterval = std::chrono::milliseconds(200);
     constexpr int statusOk = 200;
 
-    bool post(const Address& address, const std::string& body, std::string& failure)
+    HttpRequest registration(const JsonValue& instances)
     {
-        try {
-            cxxtools::http::Client client(address.ip_, address.port_);
-            cxxtools::http::Request request("/instances");
-            request.method("POST");
-            request.body() << body;
-            const cxxtools::Milliseconds timeout(timeoutMilliseconds);
-            const int status = client.execute(request, timeout, timeout).httpReturnCode();
-            failure = "status " + std::to_string(status);
-            return status == statusOk;
-        } catch (const std::exception& error) {
-            failure = error.what();
-            return false;
-        }
+        JsonValue body = jsonObject();
+        JsonValue& list = body.addMember("instances");
+        list = instances;
+        list.setName("instances");
+        HttpRequest request;
+        request.method_ = "POST";
+        request.path_ = "/instances";
+        request.body_ = writeJson(body);
+        return request;
     }
 
 }
@@ -49,18 +42,16 @@
 
 bool registerInstances(const Address& platformFaultPort, const JsonValue& instances)
 {
-    JsonValue body = jsonObject();
-    JsonValue& list = body.addMember("instances");
-    list = instances;
-    list.setName("instances");
-    const std::string text = writeJson(body);
-    std::string failure;
-    for (int attempt = 0; attempt < mostAttempts; ++attempt) {
-        if (post(platformFaultPort, text, failure))
+    const HttpRequest request = registration(instances);
+    const Time deadline = monotonicNow() + registrationTime;
+    CxxtoolsHttpClient client;
+    while (monotonicNow() < deadline) {
+        const auto response = client.send(platformFaultPort, request, deadline, false);
+        if (response && response->status_ == statusOk)
             return true;
         std::this_thread::sleep_for(retryInterval);
     }
-    std::cerr << "registration at the platform stand-in failed: " << failure << "\n";
+    std::cerr << "registration at the platform stand-in failed; start it at the address given\n";
     return false;
 }
 
--- a/src/standins/worker/workerendpoint.cpp
+++ b/src/standins/worker/workerendpoint.cpp
@@ -10,7 +10,6 @@
 namespace {
 
     constexpr std::int64_t most = std::numeric_limits<std::int64_t>::max();
-    constexpr std::int64_t longestMilliseconds = 86400000;
     constexpr std::array<const char*, 6> paths { "/v1/lease", "/v1/prepare", "/v1/start", "/v1/checkpoint", "/v1/stop", "/v1/throttle" };
 
     bool isKnown(const std::string& path)
@@ -61,7 +60,7 @@
 
 HttpResponse WorkerEndpoint::renew(ObjectReader& reader, std::vector<Error>& errors, Time now)
 {
-    const std::int64_t permit = reader.integer("lease_ms", 0, longestMilliseconds);
+    const std::int64_t until = reader.integer("until_us", 0, most);
     std::vector<TaskKey> forgotten;
     if (const JsonValue* list = reader.array("forget", false)) {
         for (const JsonValue& item : *list)
@@ -70,7 +69,8 @@
     reader.finish();
     if (!errors.empty())
         return badRequest(errors.front());
-    model_.renew(std::chrono::milliseconds(permit), now);
+    model_.renew(until);
+    model_.advance(now);
     for (const TaskKey& key : forgotten)
         model_.forget(key);
     return jsonResponse(200, model_.report(now));
@@ -87,14 +87,14 @@
     if (const JsonValue* task = reader.object("task"))
         key = parseTaskKey(*task, "task", errors);
     const std::int64_t startBefore = path == "/v1/start" ? reader.integer("start_before_us", 0, most) : 0;
-    const std::int64_t deadline = path == "/v1/checkpoint" ? reader.integer("deadline_ms", 0, longestMilliseconds) : 0;
+    const std::int64_t deadline = path == "/v1/checkpoint" ? reader.integer("deadline_us", 0, most) : 0;
     reader.finish();
     if (!errors.empty())
         return {};
     if (path == "/v1/start")
         return model_.start(key, startBefore, now);
     if (path == "/v1/checkpoint")
-        return model_.checkpoint(key, std::chrono::milliseconds(deadline), now);
+        return model_.checkpoint(key, deadline, now);
     if (path == "/v1/throttle")
         return model_.throttle(key);
     model_.stop(key, now);
--- a/src/standins/worker/workermodel.cpp
+++ b/src/standins/worker/workermodel.cpp
@@ -47,6 +47,11 @@
     return true;
 }
 
+void WorkerModel::renew(std::int64_t until)
+{
+    permitUntil_ = std::max(permitUntil_, machineTime(until));
+}
+
 void WorkerModel::forget(const TaskKey& key)
 {
     const WorkerTask* task = find(key);
@@ -101,7 +106,7 @@
     return {};
 }
 
-WorkerRefusal WorkerModel::checkpoint(const TaskKey& key, Duration deadline, Time now)
+WorkerRefusal WorkerModel::checkpoint(const TaskKey& key, std::int64_t deadline, Time now)
 {
     WorkerTask* task = find(key);
     if (!task)
@@ -112,7 +117,7 @@
         end(*task, TaskState::Stopped, "stopped before its start", now);
         return {};
     }
-    task->killed_ = now + deadline;
+    task->killed_ = machineTime(deadline);
     if (task->request_.behaviour_.writesCheckpoints_)
         task->checkpointDone_ = now + times_.checkpoint_;
     return {};
--- a/src/standins/worker/workermodel.h
+++ b/src/standins/worker/workermodel.h
@@ -54,12 +54,14 @@
     /** False for an epoch lower than one seen before. */
     bool admitEpoch(std::uint64_t epoch);
 
-    void renew(Duration permit, Time now) { permitUntil_ = now + permit; }
+    /** Extends the run permit to a value of the worker's own clock; never shortens it. */
+    void renew(std::int64_t until);
     void forget(const TaskKey&);
     WorkerRefusal prepare(const PrepareRequest&, Time now);
     /** `startBefore` is a value of the worker's own clock, in microseconds. */
     WorkerRefusal start(const TaskKey&, std::int64_t startBefore, Time now);
-    WorkerRefusal checkpoint(const TaskKey&, Duration deadline, Time now);
+    /** `deadline` is a value of the worker's own clock, in microseconds. */
+    WorkerRefusal checkpoint(const TaskKey&, std::int64_t deadline, Time now);
     void stop(const TaskKey&, Time now);
     WorkerRefusal throttle(const TaskKey&);
 
@@ -72,6 +74,7 @@
     void end(WorkerTask&, TaskState, const std::string& reason, Time now);
     double doneShare(const WorkerTask&, Time now) const;
     void note(Time now, const std::string& event, const TaskKey&, const std::string& reason);
+    Time machineTime(std::int64_t clock) const { return Time(Duration(clock) - identity_.clockOffset_); }
     std::int64_t clock(Time now) const { return (now.time_since_epoch() + identity_.clockOffset_).count(); }
 
     WorkerIdentity identity_;
