--- a/src/libfescuecleat/daemon/operatorhandler.h
+++ b/src/libfescuecleat/daemon/operatorhandler.h
@@ -6,6 +6,7 @@
 #include "daemon/identitysource.h"
 #include "http/httphandler.h"
 #include "telemetry/metrics.h"
+#include "json/json.h"
 
 #include <functional>
 #include <string>
