--- /dev/null
+++ b/src/libfescuecleat/cli/commandarguments.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "base/time.h"
+
+#include <string>
+#include <vector>
+
+namespace fescuecleat {
+
+/** How results are printed. */
+enum class OutputFormat {
+    Text,
+    Json,
+};
+
+/** Everything that options and operands of a command line say. */
+struct CommandArguments {
+    /** What follows the command and its options. */
+    std::vector<std::string> operands_;
+    OutputFormat output_ = OutputFormat::Text;
+    std::string callerAddress_ = "127.0.0.1:7100";
+    std::string operatorAddress_ = "127.0.0.1:7101";
+    /** Key of the caller; empty: none is sent. */
+    std::string key_;
+    /** File with lines "OWNER KEY". */
+    std::string keyFile_;
+    /** Whose key is taken from the file. */
+    std::string owner_;
+    /** How long the whole command may take. */
+    std::string timeout_ = "30s";
+
+    /** submit */
+    std::string file_;
+    int tasks_ = 1;
+    int accelerators_ = 1;
+    long processorMillis_ = 1000;
+    long memoryBytes_ = 0;
+    std::string runTime_ = "1h";
+    std::string adjacency_ = "any";
+    bool isUrgent_ = false;
+    bool isNotIdempotent_ = false;
+    bool isNotCheckpointable_ = false;
+    std::string idempotencyKey_;
+    std::string payload_;
+    bool shallWait_ = false;
+
+    /** request */
+    std::string kind_;
+    std::string body_;
+    std::string bodyFile_;
+
+    /** data-centre out */
+    std::string drainTime_ = "60s";
+
+    /** config apply; -1: the version that is in force now. */
+    long expectedVersion_ = -1;
+    std::string who_;
+
+    /** key new */
+    std::string overlayFile_;
+    bool isPeerKey_ = false;
+};
+
+}
--- /dev/null
+++ b/src/libfescuecleat/cli/requestcommand.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "cli/commandarguments.h"
+#include "cli/commandcontext.h"
+#include "cli/exitcode.h"
+
+namespace fescuecleat {
+
+/** Sends one request to a service and prints its whole answer. */
+ExitCode requestCommand(const CommandArguments&, const CommandContext&);
+
+}
