--- a/src/libfescuecleat/control/controltiming.h
+++ b/src/libfescuecleat/control/controltiming.h
@@ -16,6 +16,10 @@
     Duration startPermit_ { std::chrono::milliseconds(3000) };
     /** Time a worker goes on without a renewal. */
     Duration runPermit_ { std::chrono::seconds(20) };
+    /** A worker takes a renewal only so long after it was sent. */
+    Duration renewalWindow_ { std::chrono::seconds(2) };
+    /** An instance that hears neither holder nor table for so long renews by itself. */
+    Duration renewalSilence_ { std::chrono::seconds(5) };
     /** Longest time an instance renews running work without word from the table or the holder. */
     Duration unconfirmedRenewal_ { std::chrono::hours(12) };
 };
