--- a/src/libfescuecleat/worker/workerfleet.cpp
+++ b/src/libfescuecleat/worker/workerfleet.cpp
@@ -231,6 +231,7 @@
 {
     const WorkerId& worker = renewal.worker_;
     bool isJoining = false;
+    bool isJoined = false;
     std::vector<TaskKey> known;
     {
         const std::lock_guard<std::mutex> lock(shard.mutex_);
@@ -244,10 +245,14 @@
             if (hasEnded(task.state_))
                 entry.ended_.push_back(task.task_);
         }
-        isJoining = !entry.isJoined_;
-        entry.isJoined_ = true;
+        // Without a run permit it would refuse every task.
+        isJoining = !entry.isJoined_ && renewal.plan_.untilMicros_ > 0;
+        entry.isJoined_ = entry.isJoined_ || isJoining;
         entry.isLost_ = false;
+        isJoined = entry.isJoined_;
     }
+    if (!isJoined)
+        return;
     if (isJoining)
         sink_(WorkerJoined { worker, report.rack_, report.capacity_ });
     for (const TaskReported& task : report.tasks_) {
--- a/src/libfescuecleat/worker/workerlink.cpp
+++ b/src/libfescuecleat/worker/workerlink.cpp
@@ -34,6 +34,7 @@
 RenewalPlan WorkerLink::plan(Time now)
 {
     nextRenewal_ = now + policy_.renewInterval_;
+    hasExtended_ = false;
     RenewalPlan plan;
     plan.deadline_ = now + answerTime;
     if (!clock_ || !isReachable(now))
@@ -41,6 +42,7 @@
     const Time until = now + policy_.permitTime_;
     plan.untilMicros_ = *toWorkerClock(until);
     permitUntil_ = std::max(permitUntil_, until);
+    hasExtended_ = true;
     return plan;
 }
 
@@ -52,6 +54,9 @@
         // before reaches no further than one permit from now.
         permitUntil_ = std::min(permitUntil_, received + waitToCover(policy_.permitTime_));
     }
+    // A worker that answers a mere question gets its permit without delay.
+    if (!hasExtended_)
+        nextRenewal_ = received;
     lastHeard_ = std::max(lastHeard_, received);
     clock_ = ClockSample { clockMicros, received };
 }
--- a/src/libfescuecleat/worker/workerlink.h
+++ b/src/libfescuecleat/worker/workerlink.h
@@ -62,6 +62,8 @@
     Time nextRenewal_;
     Time lastHeard_;
     bool wasReached_ = false;
+    /** The newest renewal extended the permit. */
+    bool hasExtended_ = false;
     std::optional<ClockSample> clock_;
 };
 
