--- a/src/fescuecleat/command.cpp
+++ b/src/fescuecleat/command.cpp
@@ -53,7 +53,7 @@
                 with(operatorOptions, { "expected-version", "who" }),
                 { "fescuecleat config apply base.json catania=catania.json palermo=palermo.json --who anna" }, applyConfigCommand },
             { "config show", "", "Shows the configuration that is in force.", operatorOptions, { "fescuecleat config show --output json" }, showConfigCommand },
-            { "config history", "", "Lists the versions, newest first.", operatorOptions, { "fescuecleat config history" }, configHistoryCommand },
+            { "config history", "", "Lists the versions with who applied them.", operatorOptions, { "fescuecleat config history" }, configHistoryCommand },
             { "state", "", "Dumps the whole state of one process.", operatorOptions, { "fescuecleat state --operator 10.0.0.5:7101" }, stateCommand },
             { "key new", "[OWNER...]", "Creates a key and its hash; with owners (organisations or \"operators\") one line OWNER KEY for each. Needs no daemon.",
                 { "overlay", "peer" },
