--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -27,8 +27,7 @@
         return()
     endif()
     add_executable(test_${subject} ${sources} ${CMAKE_SOURCE_DIR}/tests/support/main.cpp)
-    target_link_libraries(test_${subject} PRIVATE fescuecleat_options libfescuecleat cppunit_tests rapidcheck_tests)
-    target_include_directories(test_${subject} PRIVATE ${CMAKE_SOURCE_DIR}/tests)
+    target_link_libraries(test_${subject} PRIVATE fescuecleat_options test_support)
     add_test(NAME ${subject} COMMAND test_${subject})
     set_tests_properties(${subject} PROPERTIES
         ENVIRONMENT "RC_PARAMS=seed=20261203;FESCUECLEAT_BIN=${CMAKE_BINARY_DIR}/bin;FESCUECLEAT_SOURCE=${CMAKE_SOURCE_DIR}"
--- a/src/libfescuecleat/daemon/callerhandler.cpp
+++ b/src/libfescuecleat/daemon/callerhandler.cpp
@@ -113,6 +113,10 @@
 
 HttpResponse CallerHandler::handle(const HttpRequest& request)
 {
+    if (!identities_.isConfigured()) {
+        notRun_.add();
+        return writeNotRun({ "no configuration is in force on this instance yet", monotonicNow() + std::chrono::seconds(1) });
+    }
     const Identity identity = identities_.identify(request.headers_);
     const auto* organisation = std::get_if<OrganisationId>(&identity);
     if (!organisation) {
--- a/src/libfescuecleat/daemon/datacentrescheduler.cpp
+++ b/src/libfescuecleat/daemon/datacentrescheduler.cpp
@@ -127,7 +127,9 @@
     while (!isStopping_) {
         const ControlStatus status = lease_.status(monotonicNow());
         const bool isSame = status.fence_.epoch_ == fence().epoch_;
-        if (isActive_ && (!status.isHeld_ || !isSame))
+        if (isActive_ && mustReload_)
+            logStateChange("scheduler", "job rows differ from what is known here; loading them again", {}, LogLevel::Error);
+        if (isActive_ && (!status.isHeld_ || !isSame || mustReload_))
             standDown();
         if (!isActive_ && status.isHeld_)
             takeOver(status);
@@ -156,6 +158,7 @@
         fence_ = status.fence_;
         serviceVersion_ = 0;
         isTakenOut_ = false;
+        mustReload_ = false;
         if (configuration_)
             queue_.emplace_back(ConfigurationChanged { *configuration_ });
         for (const StoredJob& job : *live) {
@@ -402,12 +405,26 @@
         }
         if (changes.empty())
             continue;
+        takeOutcome(jobs, write(changes));
+    }
+}
+
+/** Writes until it is known whether the changes are durable; only the very same call may be repeated. */
+Result<RecordOutcome> DataCentreScheduler::write(const std::vector<JobChange>& changes)
+{
+    const std::int64_t wallClock = wallClockMillis();
+    const LeaseFence fence = this->fence();
+    while (true) {
         const Time begin = monotonicNow();
-        const Result<RecordOutcome> outcome = store_.record(changes, fence(), wallClockMillis(), begin + storeTime);
+        Result<RecordOutcome> outcome = store_.record(changes, fence, wallClock, begin + storeTime);
         recordTime_.record(monotonicNow() - begin);
-        takeOutcome(jobs, outcome);
-        if (!outcome)
-            sleepUntil(monotonicNow() + retryTime, isStopping_);
+        if (outcome)
+            return outcome;
+        recordFailures_.add();
+        sleepUntil(monotonicNow() + retryTime, isStopping_);
+        const bool isUndecided = outcome.error().kind_ == ErrorKind::OutcomeUnknown;
+        if (!isUndecided || isStopping_ || !isActive_)
+            return outcome;
     }
 }
 
@@ -440,14 +457,12 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     const auto* recorded = outcome ? std::get_if<Recorded>(&*outcome) : nullptr;
     if (!recorded) {
-        // Fenced: the lease watcher stands down. Otherwise the same records are
-        // written again; the store takes repetitions without harm.
-        recordFailures_.add();
         for (const JobId& job : jobs)
             sequencer_.putBack(job);
-        if (!outcome || !std::holds_alternative<JobsDiffer>(*outcome))
-            return;
-        logStateChange("scheduler", "a job's row is not as it was written", { { "jobs", std::to_string(jobs.size()) } }, LogLevel::Error);
+        // Fenced off: the lease watcher stands down by itself. Rows that differ
+        // mean that what this instance knows is wrong, so it loads all again.
+        if (outcome && std::holds_alternative<JobsDiffer>(*outcome))
+            mustReload_ = true;
         return;
     }
     records_.add(jobs.size());
--- a/src/libfescuecleat/daemon/datacentrescheduler.h
+++ b/src/libfescuecleat/daemon/datacentrescheduler.h
@@ -76,6 +76,7 @@
 
     void writeRecords();
     std::vector<JobChange> takeChanges(std::vector<JobId>& jobs);
+    Result<RecordOutcome> write(const std::vector<JobChange>&);
     void takeOutcome(const std::vector<JobId>& jobs, const Result<RecordOutcome>&);
 
     void watchInbox();
@@ -99,6 +100,7 @@
 
     std::atomic<bool> isStopping_ { false };
     std::atomic<bool> isActive_ { false };
+    std::atomic<bool> mustReload_ { false };
 
     mutable std::mutex mutex_;
     std::condition_variable posted_;
--- a/src/libfescuecleat/daemon/identitysource.h
+++ b/src/libfescuecleat/daemon/identitysource.h
@@ -2,6 +2,7 @@
 
 #include "auth/keyring.h"
 
+#include <atomic>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -27,14 +28,20 @@
         return keyring->identify(bearerKey(headers));
     }
 
+    /** False until a configuration is in force: organisations' keys aren't known yet. */
+    bool isConfigured() const { return isConfigured_; }
+
+    /** Takes the keys of a configuration. */
     void replace(Keyring keyring)
     {
         auto next = std::make_shared<const Keyring>(std::move(keyring));
         const std::lock_guard<std::mutex> lock(mutex_);
         keyring_ = std::move(next);
+        isConfigured_ = true;
     }
 
 private:
+    std::atomic<bool> isConfigured_ { false };
     mutable std::mutex mutex_;
     std::shared_ptr<const Keyring> keyring_;
 };
