Fence the clearing of the inbox; join the peers

Ruled out: the adoption of the running gang, which finished each time. Change: clearInbox carries the lease fence. The daemon runs membership: peers tell versions, leaving minions and who schedules; why-questions are passed on. Conclusion: whatever removes a row on behalf of the scheduler needs its fence.

--- a/src/libfescuecleat/daemon/callerhandler.cpp
+++ b/src/libfescuecleat/daemon/callerhandler.cpp
@@ -96,10 +96,10 @@
 
 }
 
-CallerHandler::CallerHandler(const InstanceId& instance, IdentitySource& identities, JobService& jobs, const DataCentreScheduler& scheduler, RequestRouter& router, Metrics& metrics)
+CallerHandler::CallerHandler(const InstanceId& instance, IdentitySource& identities, JobService& jobs, const JobExplanations& explanations, RequestRouter& router, Metrics& metrics)
     : identities_(identities)
     , jobs_(jobs)
-    , scheduler_(scheduler)
+    , explanations_(explanations)
     , router_(router)
     , requestPrefix_(instance.value() + "-" + std::to_string(wallClockMillis()) + "-" + std::to_string(randombytes_uniform(1'000'000)) + "-")
     , answered_(metrics.counter("fescuecleat_requests_total", "Requests to services by outcome", { { "outcome", "answered" } }))
@@ -155,7 +155,7 @@
     if (path.size() == 4 && path[3] == "cancel")
         return isPost ? cancel(job, organisation) : wrongMethod(request.method_);
     if (path.size() == 4 && path[3] == "why")
-        return isGet ? why(job, organisation) : wrongMethod(request.method_);
+        return isGet ? why(request, job, organisation) : wrongMethod(request.method_);
     return notFound(request.path_);
 }
 
@@ -211,15 +211,13 @@
     return writeAnswer(writeJob(found->record_), statusAccepted);
 }
 
-HttpResponse CallerHandler::why(const JobId& job, const OrganisationId& organisation)
+HttpResponse CallerHandler::why(const HttpRequest& request, const JobId& job, const OrganisationId& organisation)
 {
     const Result<StoredJob> found = jobs_.find(job, organisation, monotonicNow() + storeTime);
     if (!found)
         return writeError(found.error());
     JsonValue answer = writeJob(found->record_);
-    const std::optional<std::string> explanation = isFinal(found->record_.state_) ? std::nullopt : scheduler_.explain(job);
-    answer.addValue("explanation", explanation.value_or("ask an instance that schedules " + found->record_.dataCentre_.value()));
-    answer.addValue("explained", explanation.has_value());
+    answer.addValue("explanation", explanations_.explain(found->record_, request));
     return writeAnswer(answer);
 }
 
--- a/src/libfescuecleat/daemon/callerhandler.h
+++ b/src/libfescuecleat/daemon/callerhandler.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "daemon/datacentrescheduler.h"
 #include "daemon/identitysource.h"
+#include "daemon/jobexplanations.h"
 #include "daemon/jobservice.h"
 #include "http/httphandler.h"
 #include "routing/requestrouter.h"
@@ -17,7 +17,7 @@
 class CallerHandler : public HttpHandler {
 public:
     /** All references outlive the handler. */
-    CallerHandler(const InstanceId&, IdentitySource&, JobService&, const DataCentreScheduler&, RequestRouter&, Metrics&);
+    CallerHandler(const InstanceId&, IdentitySource&, JobService&, const JobExplanations&, RequestRouter&, Metrics&);
 
     HttpResponse handle(const HttpRequest&) override;
 
@@ -31,12 +31,12 @@
     HttpResponse status(const HttpRequest&, const JobId&, const OrganisationId&);
     HttpResponse list(const OrganisationId&);
     HttpResponse cancel(const JobId&, const OrganisationId&);
-    HttpResponse why(const JobId&, const OrganisationId&);
+    HttpResponse why(const HttpRequest&, const JobId&, const OrganisationId&);
     HttpResponse request(const HttpRequest&, const ServiceId&, const OrganisationId&);
 
     IdentitySource& identities_;
     JobService& jobs_;
-    const DataCentreScheduler& scheduler_;
+    const JobExplanations& explanations_;
     RequestRouter& router_;
     const std::string requestPrefix_;
     std::atomic<std::uint64_t> requestCount_ { 0 };
--- a/src/libfescuecleat/daemon/daemon.cpp
+++ b/src/libfescuecleat/daemon/daemon.cpp
@@ -7,8 +7,10 @@
 #include "daemon/configurationwatcher.h"
 #include "daemon/datacentrescheduler.h"
 #include "daemon/identitysource.h"
+#include "daemon/jobexplanations.h"
 #include "daemon/jobservice.h"
 #include "daemon/operatorhandler.h"
+#include "daemon/peercoordinator.h"
 #include "daemon/wallclock.h"
 #include "http/cxxtoolshttpclient.h"
 #include "http/httpserver.h"
@@ -52,6 +54,7 @@
         , platformClient_(idleConnections)
         , workerClient_(2)
         , minionClient_(idleConnections)
+        , forwardClient_(0)
         , table_(platformClient_, settings.platformAddress_)
         , objects_(platformClient_, settings.platformAddress_)
         , list_(platformClient_, settings.platformAddress_)
@@ -66,7 +69,9 @@
         , scheduler_(settings.dataCentre_, lease_, store_, workers_, metrics_, [this](const JobSpec&) { return jobs_.otherInService(); })
         , router_(minionClient_, table_, objects_, { settings.instance_, settings.dataCentre_, static_cast<std::uint64_t>(wallClockMillis()) })
         , watcher_(configurations_, settings.dataCentre_, [this](std::uint64_t, const Configuration& configuration) { apply(configuration); })
-        , callerHandler_(settings.instance_, identities_, jobs_, scheduler_, router_, metrics_)
+        , peers_(settings, watcher_, router_, lease_)
+        , explanations_(scheduler_, peers_, forwardClient_)
+        , callerHandler_(settings.instance_, identities_, jobs_, explanations_, router_, metrics_)
         , operatorHandler_(identities_, control_, configurations_, watcher_, metrics_, settings.dataCentres_, hooks())
         , callerServer_(settings.callerAddress_, callerHandler_, limits(settings, static_cast<unsigned>(settings.callerThreads_)))
         , operatorServer_(settings.operatorAddress_, operatorHandler_, limits(settings, operatorThreads))
@@ -98,10 +103,18 @@
         OperatorHooks hooks;
         hooks.whyNotReady_ = [this] { return whyNotReady(); };
         hooks.dump_ = [this] { return dump(); };
-        hooks.cut_ = [](const std::vector<InstanceId>&) -> Result<void> { return failure(ErrorKind::Unsupported, "cutting connections is not enabled", "enable it in the settings of a test"); };
+        hooks.cut_ = [this](const std::vector<InstanceId>& instances) { return cut(instances); };
         return hooks;
     }
 
+    Result<void> cut(const std::vector<InstanceId>& instances)
+    {
+        if (!settings_.areTestCutsAllowed_)
+            return failure(ErrorKind::Forbidden, "cutting connections is for tests", "set instance.test_cuts in the settings of a test");
+        peers_.setCut({ instances.begin(), instances.end() });
+        return {};
+    }
+
     std::string whyNotReady() const
     {
         if (isStopping_)
@@ -121,6 +134,7 @@
         state.addValue("requests_in_progress", router_.inProgress());
         addMember(state, "scheduler", scheduler_.dump());
         addMember(state, "router", router_.dump());
+        addMember(state, "membership", peers_.dump());
         return state;
     }
 
@@ -137,6 +151,7 @@
     void take(const std::vector<ListedInstance>& listed)
     {
         router_.setMinions(listed);
+        peers_.setListed(listed);
         std::vector<ListedInstance> own;
         for (const ListedInstance& instance : listed) {
             if (instance.dataCentre_ == settings_.dataCentre_)
@@ -152,7 +167,7 @@
         while (!isEnding_) {
             pause(confirmPollTime);
             const ControlStatus status = lease_.status(monotonicNow());
-            const std::uint64_t version = watcher_.version();
+            const std::uint64_t version = peers_.versionInForceHere();
             if (!status.isHeld_ || version == confirmed)
                 continue;
             if (configurations_.confirm(version, status.fence_, monotonicNow() + storeTime))
@@ -176,6 +191,7 @@
     {
         isStopping_ = true;
         logStateChange("daemon", "stopping");
+        peers_.announceLeave();
         callerHandler_.beginStop();
         router_.beginStop();
         while (isBusy() && monotonicNow() < deadline)
@@ -193,6 +209,7 @@
     CxxtoolsHttpClient platformClient_;
     CxxtoolsHttpClient workerClient_;
     CxxtoolsHttpClient minionClient_;
+    CxxtoolsHttpClient forwardClient_;
     HttpTable table_;
     HttpObjectStore objects_;
     HttpInstanceList list_;
@@ -207,6 +224,8 @@
     DataCentreScheduler scheduler_;
     RequestRouter router_;
     ConfigurationWatcher watcher_;
+    PeerCoordinator peers_;
+    JobExplanations explanations_;
     CallerHandler callerHandler_;
     OperatorHandler operatorHandler_;
     HttpServer callerServer_;
--- a/src/libfescuecleat/daemon/datacentrescheduler.cpp
+++ b/src/libfescuecleat/daemon/datacentrescheduler.cpp
@@ -490,6 +490,7 @@
 
 bool DataCentreScheduler::takeInbox()
 {
+    const LeaseFence fence = this->fence();
     const Result<Inbox> inbox = store_.readInbox(dataCentre_, monotonicNow() + storeTime);
     if (!inbox || inbox->isEmpty())
         return false;
@@ -520,7 +521,7 @@
             taken.cancelled_.push_back(id);
     }
     if (!taken.isEmpty())
-        store_.clearInbox(dataCentre_, taken, monotonicNow() + storeTime);
+        store_.clearInbox(fence, taken, monotonicNow() + storeTime);
     return true;
 }
 
--- a/src/libfescuecleat/settings/settings.h
+++ b/src/libfescuecleat/settings/settings.h
@@ -43,6 +43,8 @@
     std::vector<std::string> acceptedPeerKeys_;
     /** Time a planned stop gives to requests in progress. */
     Duration stopTime_ { std::chrono::seconds(30) };
+    /** Operators may cut the connections to peers; for tests of partitions only. */
+    bool areTestCutsAllowed_ = false;
     /** Hashes that are accepted from operators until a configuration is in force. */
     std::vector<std::string> bootstrapOperatorKeyHashes_;
 };
--- a/src/libfescuecleat/settings/settingsparser.cpp
+++ b/src/libfescuecleat/settings/settingsparser.cpp
@@ -55,6 +55,7 @@
                 settings_.instance_ = InstanceId(readName(reader, "id", errors_));
             if (isWhole || reader.has("data_centre"))
                 settings_.dataCentre_ = DataCentreId(readName(reader, "data_centre", errors_));
+            settings_.areTestCutsAllowed_ = reader.booleanOr("test_cuts", false);
             if (isWhole || reader.has("caller_address"))
                 settings_.callerAddress_ = readAddress(reader, "caller_address");
             if (isWhole || reader.has("operator_address"))
--- a/src/libfescuecleat/state/jobstore.cpp
+++ b/src/libfescuecleat/state/jobstore.cpp
@@ -282,12 +282,14 @@
     return inbox;
 }
 
-Result<void> JobStore::clearInbox(const DataCentreId& dataCentre, const Inbox& inbox, Time deadline)
+Result<void> JobStore::clearInbox(const LeaseFence& fence, const Inbox& inbox, Time deadline)
 {
     if (inbox.isEmpty())
         return {};
+    const DataCentreId& dataCentre = fence.dataCentre_;
     Transaction transaction;
     transaction.writeId_ = writeIds_.next();
+    transaction.conditions_.push_back(fenceCondition(fence));
     for (const JobId& job : inbox.submitted_)
         transaction.writes_.push_back({ rowkeys::submission(dataCentre, job), std::nullopt });
     for (const JobId& job : inbox.cancelled_)
--- a/src/libfescuecleat/state/jobstore.h
+++ b/src/libfescuecleat/state/jobstore.h
@@ -109,8 +109,12 @@
 
     Result<Inbox> readInbox(const DataCentreId&, Time deadline);
 
-    /** Removes what the holder has taken from the inbox; it is only a hint, so no fence is needed. */
-    Result<void> clearInbox(const DataCentreId&, const Inbox&, Time deadline);
+    /**
+     * Removes what the holder has taken from the inbox. Fenced: a former holder
+     * that was paused must not remove what its successor has not seen. Nothing
+     * is removed if the fence is out of date.
+     */
+    Result<void> clearInbox(const LeaseFence&, const Inbox&, Time deadline);
 
     /** Notes that the caller has the final state wholly. Errors besides: NotFound, Conflict. */
     Result<void> markDelivered(const StoredJob&, std::int64_t wallClock, Time deadline);
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -200,6 +200,20 @@
     return state;
 }
 
+std::string Deployment::describe(const Address& to, const std::vector<std::string>& jobs)
+{
+    std::string text;
+    for (const std::string& job : jobs)
+        text += call(to, "GET", "/v1/jobs/" + job + "/why").body_ + "\n";
+    for (const LogEntry& entry : workerLog(0)) {
+        text += std::to_string(entry.timeMicros_) + " " + entry.instance_ + " " + entry.event_;
+        for (const auto& [name, value] : entry.fields_)
+            text += " " + name + "=" + value;
+        text += "\n";
+    }
+    return text;
+}
+
 bool Deployment::waitForEnd(const Address& to, const std::vector<std::string>& jobs, Duration longest)
 {
     const Time deadline = monotonicNow() + longest;
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -65,6 +65,8 @@
     const std::string& submissionAnswer() const { return submissionAnswer_; }
     /** The state of a job; empty if nothing is known. */
     std::string stateOf(const Address&, const std::string& job);
+    /** Everything that the system says of the jobs, for the message of a failed check. */
+    std::string describe(const Address&, const std::vector<std::string>& jobs);
     /** Waits until each job has ended; false if the time is up. */
     bool waitForEnd(const Address&, const std::vector<std::string>& jobs, Duration longest);
 
--- a/tests/system/recoverytest.cpp
+++ b/tests/system/recoverytest.cpp
@@ -88,7 +88,8 @@
         CPPUNIT_ASSERT(waitUntil([&] { return deployment.holder(0) == other; }, 20 * second));
         jobs.push_back(deployment.submit(deployment.caller(0, other), gang(500)));
         deployment.daemon(0, holder).signal(SIGCONT);
-        CPPUNIT_ASSERT(deployment.waitForEnd(deployment.caller(0, other), jobs, 40 * second));
+        const bool haveEnded = deployment.waitForEnd(deployment.caller(0, other), jobs, 40 * second);
+        CPPUNIT_ASSERT_MESSAGE(deployment.describe(deployment.caller(0, other), jobs), haveEnded);
         for (const std::string& job : jobs)
             CPPUNIT_ASSERT_EQUAL(std::string("finished"), deployment.stateOf(deployment.caller(0, other), job));
         assertNoViolations(deployment);
