Check the whole deployment of a change; refuse bad wait times

Cause: a data centre without an overlay was never checked, so a written version could be one that it can't read; wait_ms took any text. Change: parseDeployment takes the deployment's data centres, checks the base alone where there is no overlay and refuses overlays of others; parseWaitTime in both handlers; the command line names the operator (x-operator). Conclusion: tests/api holds both.

--- a/benchmarks/configuration.cpp
+++ b/benchmarks/configuration.cpp
@@ -32,8 +32,11 @@
 {
     const std::string base = baseText();
     std::string overlays;
-    for (int i = 0; i < dataCentres; ++i)
+    std::vector<DataCentreId> all;
+    for (int i = 0; i < dataCentres; ++i) {
+        all.emplace_back("dc-" + std::to_string(i));
         overlays += (i == 0 ? "" : ",") + ("\"dc-" + std::to_string(i)) + R"(": {"data_centre": {"workers": 217}, "organisations": {"organisation-3": {"weight": 4}}})";
+    }
     const std::string body = R"({"expected_version": 1, "who": "benchmark", "base": )" + base + R"(, "overlays": {)" + overlays + "}}";
 
     const auto begin = std::chrono::steady_clock::now();
@@ -41,7 +44,7 @@
     for (int i = 0; i < rounds; ++i) {
         const Result<JsonValue> value = parseJson(body);
         const auto submission = parseConfigurationSubmission(*value);
-        const auto deployment = parseDeployment(submission->base_, submission->overlays_);
+        const auto deployment = parseDeployment(submission->base_, submission->overlays_, all);
         accepted += deployment ? deployment->size() : 0;
     }
     const double milliseconds = std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - begin).count() / rounds;
--- a/src/fescuecleat/command.cpp
+++ b/src/fescuecleat/command.cpp
@@ -44,9 +44,9 @@
     {
         return {
             { "data-centre list", "", "Lists the data centres and whether they are in service.", operatorOptions, { "fescuecleat data-centre list" }, listDataCentresCommand },
-            { "data-centre out", "NAME", "Takes a data centre out; running work has --drain-time to end.", with(operatorOptions, { "drain-time" }),
+            { "data-centre out", "NAME", "Takes a data centre out; running work has --drain-time to end.", with(operatorOptions, { "drain-time", "who" }),
                 { "fescuecleat data-centre out palermo --drain-time 10min --timeout 30s" }, takeDataCentreOutCommand },
-            { "data-centre return", "NAME", "Brings a data centre back.", operatorOptions, { "fescuecleat data-centre return palermo" }, returnDataCentreCommand },
+            { "data-centre return", "NAME", "Brings a data centre back.", with(operatorOptions, { "who" }), { "fescuecleat data-centre return palermo" }, returnDataCentreCommand },
             { "config check", "BASE OVERLAY...", "Shows the merged document, or every error at once. Needs no daemon.", {},
                 { "fescuecleat config check examples/pietralogica/base.json examples/pietralogica/catania.json" }, checkConfigCommand },
             { "config apply", "BASE... NAME=OVERLAY...", "Applies base files and an overlay for each data centre as one version.",
--- a/src/libfescuecleat/api/configurationsubmission.cpp
+++ b/src/libfescuecleat/api/configurationsubmission.cpp
@@ -5,6 +5,7 @@
 #include "settings/merge.h"
 #include "json/objectreader.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace fescuecleat {
@@ -69,12 +70,17 @@
     return value;
 }
 
-Checked<std::map<DataCentreId, Configuration>> parseDeployment(const JsonValue& base, const std::map<DataCentreId, JsonValue>& overlays)
+Checked<std::map<DataCentreId, Configuration>> parseDeployment(const JsonValue& base, const std::map<DataCentreId, JsonValue>& overlays, const std::vector<DataCentreId>& dataCentres)
 {
     std::map<DataCentreId, Configuration> configurations;
     std::vector<Error> errors;
-    for (const auto& [dataCentre, overlay] : overlays) {
-        Checked<Configuration> configuration = parseConfiguration(merge(base, overlay));
+    for (const auto& overlay : overlays) {
+        if (std::find(dataCentres.begin(), dataCentres.end(), overlay.first) == dataCentres.end())
+            errors.push_back({ ErrorKind::UnknownReference, "there is no data centre \"" + overlay.first.value() + "\"", "name one of the settings' data_centres", "overlays." + overlay.first.value() });
+    }
+    for (const DataCentreId& dataCentre : dataCentres) {
+        const auto overlay = overlays.find(dataCentre);
+        Checked<Configuration> configuration = parseConfiguration(overlay == overlays.end() ? base : merge(base, overlay->second));
         if (configuration) {
             configurations.emplace(dataCentre, std::move(*configuration));
             continue;
--- a/src/libfescuecleat/api/configurationsubmission.h
+++ b/src/libfescuecleat/api/configurationsubmission.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace fescuecleat {
 
@@ -28,9 +29,11 @@
 JsonValue toJson(const ConfigurationSubmission&);
 
 /**
- * The configuration of each data centre: the base merged with its overlay.
- * Reports every error of every data centre, with "DATA_CENTRE: " before its path.
+ * The configuration of each data centre of the deployment: the base merged with
+ * its overlay, or the base alone if it has none. Reports every error of every
+ * data centre, with "DATA_CENTRE: " before its path, and overlays of data
+ * centres that aren't there.
  */
-Checked<std::map<DataCentreId, Configuration>> parseDeployment(const JsonValue& base, const std::map<DataCentreId, JsonValue>& overlays);
+Checked<std::map<DataCentreId, Configuration>> parseDeployment(const JsonValue& base, const std::map<DataCentreId, JsonValue>& overlays, const std::vector<DataCentreId>& dataCentres);
 
 }
--- a/src/libfescuecleat/cli/apiclient.cpp
+++ b/src/libfescuecleat/cli/apiclient.cpp
@@ -40,18 +40,17 @@
     return error;
 }
 
-ApiClient::ApiClient(HttpClient& client, Address address, std::string key, Time deadline)
+ApiClient::ApiClient(HttpClient& client, Address address, HttpHeaders headers, Time deadline)
     : client_(client)
     , address_(std::move(address))
-    , key_(std::move(key))
+    , headers_(std::move(headers))
     , deadline_(deadline)
 {
 }
 
 Result<HttpResponse> ApiClient::send(HttpRequest request) const
 {
-    if (!key_.empty())
-        request.headers_["authorization"] = "Bearer " + key_;
+    request.headers_.insert(headers_.begin(), headers_.end());
     auto response = client_.send(address_, request, deadline_, isReading(request));
     if (response)
         return std::move(*response);
--- a/src/libfescuecleat/cli/apiclient.h
+++ b/src/libfescuecleat/cli/apiclient.h
@@ -13,8 +13,8 @@
 /** Calls the HTTP API of a daemon. Each call is sent once. */
 class ApiClient {
 public:
-    /** `key` may be empty; every call ends by the deadline. */
-    ApiClient(HttpClient&, Address, std::string key, Time deadline);
+    /** The header fields go with every call; every call ends by the deadline. */
+    ApiClient(HttpClient&, Address, HttpHeaders, Time deadline);
 
     /** The answer whatever its status. Errors: Unavailable, not sent; OutcomeUnknown, sent without an answer. */
     Result<HttpResponse> send(HttpRequest) const;
@@ -28,12 +28,12 @@
     Time deadline() const { return deadline_; }
 
     /** The same client with an earlier deadline. */
-    ApiClient until(Time deadline) const { return { client_, address_, key_, std::min(deadline, deadline_) }; }
+    ApiClient until(Time deadline) const { return { client_, address_, headers_, std::min(deadline, deadline_) }; }
 
 private:
     HttpClient& client_;
     Address address_;
-    std::string key_;
+    HttpHeaders headers_;
     Time deadline_;
 };
 
--- a/src/libfescuecleat/cli/commandsupport.cpp
+++ b/src/libfescuecleat/cli/commandsupport.cpp
@@ -6,6 +6,7 @@
 
 #include <fstream>
 #include <sstream>
+#include <utility>
 
 namespace fescuecleat {
 
@@ -18,7 +19,7 @@
         return keyOfOwner(arguments.keyFile_, arguments.owner_);
     }
 
-    Result<ApiClient> makeClient(const CommandArguments& arguments, const CommandContext& context, const std::string& addressText)
+    Result<ApiClient> makeClient(const CommandArguments& arguments, const CommandContext& context, const std::string& addressText, HttpHeaders headers)
     {
         const Result<Address> address = parseAddress(addressText);
         if (!address)
@@ -29,7 +30,9 @@
         const Result<std::string> key = keyOf(arguments);
         if (!key)
             return tl::make_unexpected(key.error());
-        return ApiClient(context.client_, *address, *key, monotonicNow() + *timeout);
+        if (!key->empty())
+            headers["authorization"] = "Bearer " + *key;
+        return ApiClient(context.client_, *address, std::move(headers), monotonicNow() + *timeout);
     }
 
 }
@@ -51,12 +54,12 @@
 
 Result<ApiClient> callerClient(const CommandArguments& arguments, const CommandContext& context)
 {
-    return makeClient(arguments, context, arguments.callerAddress_);
+    return makeClient(arguments, context, arguments.callerAddress_, {});
 }
 
 Result<ApiClient> operatorClient(const CommandArguments& arguments, const CommandContext& context)
 {
-    return makeClient(arguments, context, arguments.operatorAddress_);
+    return makeClient(arguments, context, arguments.operatorAddress_, { { "x-operator", arguments.who_ } });
 }
 
 Result<std::string> readFile(const std::string& name)
--- a/src/libfescuecleat/daemon/callerhandler.cpp
+++ b/src/libfescuecleat/daemon/callerhandler.cpp
@@ -3,12 +3,11 @@
 #include "api/errorresponse.h"
 #include "api/jobsubmission.h"
 #include "api/requestoptions.h"
+#include "api/waittime.h"
 #include "base/overloaded.h"
 #include "daemon/requestpath.h"
 #include "daemon/wallclock.h"
 
-#include <algorithm>
-#include <cstdlib>
 #include <sodium.h>
 #include <utility>
 
@@ -17,8 +16,8 @@
 namespace {
 
     constexpr Duration storeTime = std::chrono::seconds(3);
-    /** Longest time that one call may wait for the end of a job. */
-    constexpr std::int64_t mostWaitMillis = 30'000;
+    /** How long a call waits for the end of a job: not at all unless ?wait_ms= says so. */
+    constexpr WaitTimes waitTimes { Duration(0), std::chrono::seconds(30) };
     constexpr int statusAccepted = 202;
     constexpr int statusUnknownOutcome = 504;
 
@@ -53,13 +52,6 @@
         return job;
     }
 
-    Time waitDeadline(const HttpRequest& request)
-    {
-        const auto found = request.query_.find("wait_ms");
-        const std::int64_t millis = found == request.query_.end() ? 0 : std::strtoll(found->second.c_str(), nullptr, 10);
-        return monotonicNow() + std::chrono::milliseconds(std::clamp<std::int64_t>(millis, 0, mostWaitMillis));
-    }
-
     HttpResponse withOutcome(HttpResponse response, const char* outcome)
     {
         response.headers_["x-outcome"] = outcome;
@@ -180,7 +172,10 @@
 
 HttpResponse CallerHandler::status(const HttpRequest& request, const JobId& job, const OrganisationId& organisation)
 {
-    const Result<StoredJob> found = jobs_.wait(job, organisation, waitDeadline(request));
+    const Result<Duration> wait = parseWaitTime(request, waitTimes);
+    if (!wait)
+        return writeError(wait.error());
+    const Result<StoredJob> found = jobs_.wait(job, organisation, monotonicNow() + *wait);
     if (!found)
         return writeError(found.error());
     return writeAnswer(writeJob(found->record_));
--- a/src/libfescuecleat/daemon/operatorhandler.cpp
+++ b/src/libfescuecleat/daemon/operatorhandler.cpp
@@ -3,13 +3,13 @@
 #include "api/configurationsubmission.h"
 #include "api/drainrequest.h"
 #include "api/errorresponse.h"
+#include "api/waittime.h"
 #include "daemon/requestpath.h"
 #include "daemon/wallclock.h"
 #include "telemetry/processmetrics.h"
 
 #include <algorithm>
 #include <chrono>
-#include <cstdlib>
 #include <thread>
 #include <utility>
 
@@ -19,8 +19,8 @@
 
     constexpr Duration storeTime = std::chrono::seconds(3);
     constexpr Duration pollTime = std::chrono::milliseconds(100);
-    constexpr std::int64_t mostWaitMillis = 20'000;
-    constexpr std::int64_t usualWaitMillis = 6'000;
+    /** How long a call waits for completion unless ?wait_ms= says otherwise. */
+    constexpr WaitTimes waitTimes { std::chrono::seconds(6), std::chrono::seconds(20) };
     constexpr int statusConflict = 409;
 
     HttpResponse notFound(const std::string& path)
@@ -28,14 +28,6 @@
         return writeError({ ErrorKind::NotFound, "there is nothing at " + path, "see docs/API.md for the paths", {} });
     }
 
-    /** Until when the call may wait for completion: ?wait_ms=, or the usual time. */
-    Time waitDeadline(const HttpRequest& request)
-    {
-        const auto found = request.query_.find("wait_ms");
-        const std::int64_t millis = found == request.query_.end() ? usualWaitMillis : std::strtoll(found->second.c_str(), nullptr, 10);
-        return monotonicNow() + std::chrono::milliseconds(std::clamp<std::int64_t>(millis, 0, mostWaitMillis));
-    }
-
     std::string nameOf(const HttpRequest& request)
     {
         const auto found = request.headers_.find("x-operator");
@@ -182,20 +174,26 @@
     const Checked<DrainRequest> drain = parseDrainRequest(*body, now);
     if (!drain)
         return writeErrors(drain.error());
+    const Result<Duration> wait = parseWaitTime(request, waitTimes);
+    if (!wait)
+        return writeError(wait.error());
     ServiceWish wish;
     wish.dataCentre_ = dataCentre;
     wish.isInService_ = false;
     wish.by_ = nameOf(request);
     wish.drain_ = remaining(drain->deadline_, now);
-    return changeService(wish, waitDeadline(request));
+    return changeService(wish, now + *wait);
 }
 
 HttpResponse OperatorHandler::bringBack(const HttpRequest& request, const DataCentreId& dataCentre)
 {
+    const Result<Duration> wait = parseWaitTime(request, waitTimes);
+    if (!wait)
+        return writeError(wait.error());
     ServiceWish wish;
     wish.dataCentre_ = dataCentre;
     wish.by_ = nameOf(request);
-    return changeService(wish, waitDeadline(request));
+    return changeService(wish, monotonicNow() + *wait);
 }
 
 HttpResponse OperatorHandler::changeService(const ServiceWish& wish, Time until)
@@ -247,13 +245,16 @@
 
 HttpResponse OperatorHandler::applyConfiguration(const HttpRequest& request)
 {
+    const Result<Duration> wait = parseWaitTime(request, waitTimes);
+    if (!wait)
+        return writeError(wait.error());
     const Result<JsonValue> body = parseJson(request.body_, "body");
     if (!body)
         return writeError(body.error());
     const Checked<ConfigurationSubmission> submission = parseConfigurationSubmission(*body);
     if (!submission)
         return writeErrors(submission.error());
-    const auto deployment = parseDeployment(submission->base_, submission->overlays_);
+    const auto deployment = parseDeployment(submission->base_, submission->overlays_, dataCentres_);
     if (!deployment)
         return writeErrors(deployment.error());
     ConfigurationWish wish;
@@ -272,7 +273,7 @@
     }
     const std::uint64_t version = std::get<ConfigurationWritten>(*outcome).version_;
     watcher_.heardOf(version);
-    const Time until = waitDeadline(request);
+    const Time until = monotonicNow() + *wait;
     while (true) {
         const Result<ConfigurationProgress> progress = configurations_.progress(dataCentres_, monotonicNow() + storeTime);
         // Written is written: an unreadable progress only means that nothing is confirmed yet.
--- a/tests/api/apitest.cpp
+++ b/tests/api/apitest.cpp
@@ -3,6 +3,8 @@
 #include "api/errorresponse.h"
 #include "api/jobsubmission.h"
 #include "api/requestoptions.h"
+#include "api/waittime.h"
+#include "settings/merge.h"
 #include "support/property.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -20,6 +22,7 @@
     CPPUNIT_TEST(refusesBadRequestOptions);
     CPPUNIT_TEST(checksEveryDataCentre);
     CPPUNIT_TEST(refusesBadBodies);
+    CPPUNIT_TEST(readsWaitTimes);
     CPPUNIT_TEST(answersErrors);
     CPPUNIT_TEST_SUITE_END();
 
@@ -107,10 +110,15 @@
             + R"(, "overlays": {"catania": {}, "palermo": {"data_centre": {"workers": 4}}}})"));
         CPPUNIT_ASSERT(submission);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 3 }, submission->expectedVersion_);
-        const auto deployment = parseDeployment(submission->base_, submission->overlays_);
+        const std::vector<DataCentreId> both { DataCentreId("catania"), DataCentreId("palermo") };
+        const auto deployment = parseDeployment(submission->base_, submission->overlays_, both);
         CPPUNIT_ASSERT(!deployment);
         CPPUNIT_ASSERT(deployment.error().front().kind_ == ErrorKind::GuaranteeDoesNotFit);
         CPPUNIT_ASSERT_EQUAL(std::string("palermo: organisations"), deployment.error().front().location_);
+        // A data centre without an overlay has the base alone, and that is checked too.
+        CPPUNIT_ASSERT(parseDeployment(submission->base_, {}, both));
+        CPPUNIT_ASSERT(!parseDeployment(merge(submission->base_, *parseJson(R"({"data_centre": null})")), {}, both));
+        CPPUNIT_ASSERT(parseDeployment(submission->base_, submission->overlays_, { both[0] }).error().front().kind_ == ErrorKind::UnknownReference);
         CPPUNIT_ASSERT_EQUAL(writeJson(toJson(*submission)), writeJson(toJson(*parseConfigurationSubmission(toJson(*submission)))));
     }
 
@@ -123,6 +131,21 @@
             CPPUNIT_ASSERT_MESSAGE(text, !parseDrainRequest(*parseJson(text), {}));
     }
 
+    void readsWaitTimes()
+    {
+        const WaitTimes times { std::chrono::seconds(6), std::chrono::seconds(20) };
+        HttpRequest request;
+        CPPUNIT_ASSERT(parseWaitTime(request, times) == times.usual_);
+        request.query_["wait_ms"] = "1500";
+        CPPUNIT_ASSERT(parseWaitTime(request, times) == Duration(1500000));
+        request.query_["wait_ms"] = "900000";
+        CPPUNIT_ASSERT(parseWaitTime(request, times) == times.most_);
+        for (const char* text : { "", "-1", "1s", "99999999999999999999" }) {
+            request.query_["wait_ms"] = text;
+            CPPUNIT_ASSERT_MESSAGE(text, parseWaitTime(request, times).error().kind_ == ErrorKind::OutOfRange);
+        }
+    }
+
     void answersErrors()
     {
         const HttpResponse refusal = writeError({ ErrorKind::Overloaded, "queue is full", "come back later", {} });
--- a/tests/cli/clitest.cpp
+++ b/tests/cli/clitest.cpp
@@ -225,7 +225,8 @@
     void reportsPendingChanges()
     {
         handler_.script({ good(R"({"status": "pending"})"), good(R"({"status": "done"})") });
-        assertOutcome(call("data-centre out palermo --drain-time 10min"), 0, "status: done");
+        assertOutcome(call("data-centre out palermo --drain-time 10min --who anna"), 0, "status: done");
+        CPPUNIT_ASSERT_EQUAL(std::string("anna"), handler_.requests().at(0).headers_.at("x-operator"));
         CPPUNIT_ASSERT_EQUAL(std::string("/v1/data-centres/palermo/out"), handler_.requests().at(1).path_);
         handler_.script({ good(R"({"status": "pending"})") });
         assertOutcome(call("data-centre return palermo --timeout 200ms"), 6, "status: pending");
