Keep the names of lists in the scheduler's dump

Cause: assigning an array to a new member dropped the member's name, so the state dump was no JSON. Change: set the category instead. Conclusion: tests/http parses the dump of a running daemon.

--- a/src/libfescuecleat/scheduler/schedulerdump.cpp
+++ b/src/libfescuecleat/scheduler/schedulerdump.cpp
@@ -34,7 +34,7 @@
         value.addMember("borrower") <<= entry.isBorrower_;
         value.addMember("checkpointed_share") <<= entry.checkpointedShare_;
         JsonValue& workers = value.addMember("workers");
-        workers = jsonArray();
+        workers.setCategory(JsonValue::Array);
         for (const GangTask& task : entry.tasks_)
             workers.addMember() <<= state.workers_.at(task.worker_).id().value();
     }
@@ -49,14 +49,14 @@
     value.addMember("queued") <<= static_cast<std::int64_t>(state.queue_.size());
     value.addMember("strays") <<= static_cast<std::int64_t>(state.strays_.size());
     JsonValue& workers = value.addMember("workers");
-    workers = jsonArray();
+    workers.setCategory(JsonValue::Array);
     for (int index = 0; index < state.workers_.size(); ++index)
         dumpWorker(state.workers_.at(index), workers.addMember());
     std::map<JobId, const JobEntry*> ordered;
     for (const auto& [id, entry] : state.jobs_)
         ordered.emplace(id, &entry);
     JsonValue& jobs = value.addMember("jobs");
-    jobs = jsonArray();
+    jobs.setCategory(JsonValue::Array);
     for (const auto& [id, entry] : ordered)
         dumpJob(*entry, state, jobs.addMember());
     return value;
