Refuse what the JSON library guesses; bad input against a running daemon

Cause: the library reads "tru" as null, which an overlay takes as removal, takes "1e" as a number and passes over a comma before the end; nothing tested the running daemon with bad input.

--- a/src/libfescuecleat/json/json.cpp
+++ b/src/libfescuecleat/json/json.cpp
@@ -42,10 +42,11 @@
                 } else if (isBlank(c) || c == '/') {
                     skipBlank();
                     continue;
+                } else if (isScalar(c)) {
+                    takeScalar();
                 } else {
                     ++position_;
-                    if (depth == 0 && position_ < text_.size() && isScalar(text_[position_]))
-                        continue;
+                    checkComma(c);
                 }
                 if (depth <= 0)
                     break;
@@ -53,6 +54,12 @@
             return deepest;
         }
 
+        /** What is wrong with the value so far, found by depthOfFirstValue(); empty if nothing is. */
+        const std::string& fault() const { return fault_; }
+
+        /** Line of that fault. */
+        int faultLine() const { return faultLine_; }
+
         /** True if only blanks and comments follow. */
         bool isAtEnd()
         {
@@ -64,6 +71,66 @@
         static bool isBlank(char c) { return c == ' ' || c == '\t' || c == '\n' || c == '\r'; }
         static bool isScalar(char c) { return !isBlank(c) && std::string_view("{}[],:\"/").find(c) == std::string_view::npos; }
 
+        void report(const std::string& fault)
+        {
+            if (!fault_.empty())
+                return;
+            fault_ = fault;
+            faultLine_ = line_;
+        }
+
+        /** The library takes parts of words and of numbers, and reads "tru" as null. */
+        void takeScalar()
+        {
+            const std::size_t begin = position_;
+            while (position_ < text_.size() && isScalar(text_[position_]))
+                ++position_;
+            const std::string_view token = text_.substr(begin, position_ - begin);
+            constexpr std::size_t longestShown = 40;
+            if (token != "true" && token != "false" && token != "null" && !isNumber(token))
+                report("\"" + std::string(token.substr(0, longestShown)) + "\" is no value");
+        }
+
+        void checkComma(char c)
+        {
+            if (c != ',')
+                return;
+            skipBlank();
+            if (position_ < text_.size() && (text_[position_] == '}' || text_[position_] == ']'))
+                report("a comma stands before the end");
+        }
+
+        static std::string_view withoutDigits(std::string_view text)
+        {
+            const std::size_t end = text.find_first_not_of("0123456789");
+            return end == std::string_view::npos ? std::string_view() : text.substr(end);
+        }
+
+        /** By the grammar of RFC 8259. */
+        static bool isNumber(std::string_view text)
+        {
+            if (!text.empty() && text.front() == '-')
+                text.remove_prefix(1);
+            std::string_view rest = withoutDigits(text);
+            const std::size_t wholeDigits = text.size() - rest.size();
+            if (wholeDigits == 0 || (wholeDigits > 1 && text.front() == '0'))
+                return false;
+            if (!rest.empty() && rest.front() == '.') {
+                const std::string_view fraction = rest.substr(1);
+                rest = withoutDigits(fraction);
+                if (rest.size() == fraction.size())
+                    return false;
+            }
+            if (rest.empty())
+                return true;
+            if (rest.front() != 'e' && rest.front() != 'E')
+                return false;
+            rest.remove_prefix(1);
+            if (!rest.empty() && (rest.front() == '+' || rest.front() == '-'))
+                rest.remove_prefix(1);
+            return !rest.empty() && withoutDigits(rest).empty();
+        }
+
         bool startsWith(std::string_view prefix) const { return text_.substr(position_, prefix.size()) == prefix; }
 
         void advance()
@@ -114,6 +181,8 @@
         std::string_view text_;
         std::size_t position_ = 0;
         int line_ = 1;
+        std::string fault_;
+        int faultLine_ = 0;
     };
 
     std::string joinedPath(const std::string& path, const std::string& name)
@@ -171,6 +240,8 @@
         return failure(ErrorKind::InvalidSyntax, "JSON text is empty", syntaxRemedy, location);
     if (scanner.depthOfFirstValue() > limits.depth_)
         return failure(ErrorKind::TooDeep, "JSON text is nested deeper than " + std::to_string(limits.depth_) + " levels", "send a flatter text", located(location, "line " + std::to_string(scanner.line())));
+    if (!scanner.fault().empty())
+        return failure(ErrorKind::InvalidSyntax, scanner.fault(), syntaxRemedy, located(location, "line " + std::to_string(scanner.faultLine())));
     if (!scanner.isAtEnd())
         return failure(ErrorKind::InvalidSyntax, "text follows the JSON value", "remove everything after the first value", located(location, "line " + std::to_string(scanner.line())));
 
--- a/tests/json/jsontest.cpp
+++ b/tests/json/jsontest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(refusesTrailingText);
     CPPUNIT_TEST(refusesDeepNesting);
     CPPUNIT_TEST(refusesTruncatedText);
+    CPPUNIT_TEST(refusesWhatTheLibraryGuesses);
     CPPUNIT_TEST(writesWhatItReads);
     CPPUNIT_TEST(reportsEveryError);
     CPPUNIT_TEST_SUITE_END();
@@ -59,6 +60,20 @@
             refusal(text);
     }
 
+    /** The library reads "tru" as null, "1e" as a number and passes over a comma before the end. */
+    void refusesWhatTheLibraryGuesses()
+    {
+        for (const char* token : { "tru", "nul", "falsey", "truefalse", "TRUE", "1e", "1e+", ".", ".5", "5.", "-", "+1", "01", "-01", "0x1", "1-2", "1_000", "NaN", "Infinity" }) {
+            CPPUNIT_ASSERT_MESSAGE(token, refusal(std::string("{\"a\": ") + token + "}") == ErrorKind::InvalidSyntax);
+            CPPUNIT_ASSERT_MESSAGE(token, refusal(token) == ErrorKind::InvalidSyntax);
+        }
+        for (const char* token : { "0", "-0", "10", "1.5", "-1.25e+10", "1E5", "0.1", "true", "false", "null" })
+            CPPUNIT_ASSERT_MESSAGE(token, parseJson(std::string("[1, /* x */ ") + token + "]"));
+        CPPUNIT_ASSERT(refusal("{\"a\": 1,}") == ErrorKind::InvalidSyntax);
+        CPPUNIT_ASSERT(refusal("[1, 2 , // three\n ]") == ErrorKind::InvalidSyntax);
+        CPPUNIT_ASSERT_EQUAL(std::string("file: line 2"), parseJson("{\n\"a\": tru}", "file").error().location_);
+    }
+
     void writesWhatItReads()
     {
         const std::string text = "{\"a\":[1,-2,2.5],\"b\":{\"c\":\"x\\\"y\"},\"d\":true}";
--- /dev/null
+++ b/tests/support/runningdaemon.h
@@ -0,0 +1,156 @@
+#pragma once
+
+#include "auth/keyhash.h"
+#include "http/cxxtoolshttpclient.h"
+#include "settings/settings.h"
+#include "support/ports.h"
+#include "support/process.h"
+#include "json/json.h"
+
+#include <cstdio>
+#include <cxxtools/net/tcpsocket.h>
+#include <fstream>
+#include <memory>
+#include <string>
+
+namespace fescuecleat::test {
+
+/** A platform stand-in and one fescuecleatd with a configuration of two organisations. */
+class RunningDaemon {
+public:
+    RunningDaemon()
+        : operatorKey_(createKey())
+        , duomoKey_(createKey())
+        , studioKey_(createKey())
+        , callers_(freeAddress())
+        , operators_(freeAddress())
+        , settingsName_("runningdaemon-" + std::to_string(callers_.port_) + ".json")
+    {
+        const Address platform = freeAddress();
+        std::ofstream(settingsName_) << settingsText(platform);
+        platform_ = std::make_unique<Process>("fescuecleat-standin-platform", std::vector<std::string> { "--address", toString(platform), "--fault-address", toString(freeAddress()) });
+        if (!waitUntil([&] { return isListening(platform); }))
+            throw std::runtime_error("the platform stand-in did not start");
+        daemon_ = std::make_unique<Process>("fescuecleatd", std::vector<std::string> { "--settings", settingsName_ });
+        if (!waitUntilReady(operators_, "/health"))
+            throw std::runtime_error("the daemon did not start");
+        configure();
+    }
+
+    ~RunningDaemon() { std::remove(settingsName_.c_str()); }
+
+    RunningDaemon(const RunningDaemon&) = delete;
+    RunningDaemon& operator=(const RunningDaemon&) = delete;
+
+    const Address& callers() const { return callers_; }
+    const Address& operators() const { return operators_; }
+    const std::string& operatorKey() const { return operatorKey_.key_; }
+    const std::string& duomoKey() const { return duomoKey_.key_; }
+    const std::string& studioKey() const { return studioKey_.key_; }
+
+    /** Exit status of a planned stop. */
+    int stop() { return daemon_->stop(); }
+
+    HttpResponse send(const Address& address, const std::string& method, const std::string& path, const std::string& key, const std::string& body = {}) const
+    {
+        HttpRequest request;
+        request.method_ = method;
+        request.path_ = path;
+        if (!key.empty())
+            request.headers_["authorization"] = "Bearer " + key;
+        request.body_ = body;
+        CxxtoolsHttpClient client;
+        const auto response = client.send(address, request, monotonicNow() + std::chrono::seconds(10), false);
+        if (!response)
+            throw std::runtime_error("no answer to " + method + " " + path + ": " + response.error().message_);
+        return *response;
+    }
+
+private:
+    static bool isListening(const Address& address)
+    {
+        try {
+            const cxxtools::net::TcpSocket socket(address.ip_, address.port_);
+            return true;
+        } catch (const std::exception&) {
+            return false;
+        }
+    }
+
+    std::string configurationText() const
+    {
+        return R"("data_centre": {"workers": 2, "workers_per_rack": 2, "accelerators_per_worker": 8}, "operators": {"keys": [")" + toString(operatorKey_.hash_)
+            + R"("]}, "organisations": {"duomo": {"keys": [")" + toString(duomoKey_.hash_) + R"("]}, "studio": {"keys": [")" + toString(studioKey_.hash_) + R"("]}}, "services": {"rilievo": {}})";
+    }
+
+    std::string settingsText(const Address& platform) const
+    {
+        return R"({"instance": {"id": "entry-1", "data_centre": "catania", "caller_address": ")" + toString(callers_) + R"(", "operator_address": ")" + toString(operators_)
+            + R"(", "peer_address": ")" + toString(freeAddress()) + R"(", "caller_threads": 8, "stop_time": "5s"}, "platform": {"address": ")" + toString(platform)
+            + R"("}, "data_centres": ["catania"], "log": {"level": "error"}, )" + configurationText() + "}";
+    }
+
+    void configure()
+    {
+        const HttpResponse response = send(operators_, "PUT", "/v1/configuration", operatorKey(), R"({"expected_version": 0, "who": "test", "base": {)" + configurationText() + R"(}, "overlays": {"catania": {}}})");
+        if (response.status_ != 200 || response.body_.find("accepted") == std::string::npos)
+            throw std::runtime_error("the configuration was not accepted: " + response.body_);
+    }
+
+    NewKey operatorKey_;
+    NewKey duomoKey_;
+    NewKey studioKey_;
+    Address callers_;
+    Address operators_;
+    std::string settingsName_;
+    std::unique_ptr<Process> platform_;
+    std::unique_ptr<Process> daemon_;
+};
+
+/** A connection that sends bytes as they are. */
+class RawConnection {
+public:
+    explicit RawConnection(const Address& address)
+        : socket_(address.ip_, address.port_)
+    {
+        socket_.setTimeout(cxxtools::Milliseconds(15000));
+    }
+
+    void send(const std::string& bytes)
+    {
+        try {
+            std::size_t sent = 0;
+            while (sent < bytes.size())
+                sent += socket_.write(bytes.data() + sent, bytes.size() - sent);
+        } catch (const std::exception&) {
+            // The server may have closed; what it answered can still be read.
+        }
+    }
+
+    /** What comes until the server closes the connection. */
+    std::string readAll()
+    {
+        std::string answer;
+        char buffer[4096];
+        try {
+            while (const std::size_t got = socket_.read(buffer, sizeof buffer))
+                answer.append(buffer, got);
+        } catch (const std::exception&) {
+            // A reset ends the answer as well.
+        }
+        return answer;
+    }
+
+private:
+    cxxtools::net::TcpSocket socket_;
+};
+
+/** Sends bytes on a connection of their own and returns the answer. */
+inline std::string rawExchange(const Address& address, const std::string& bytes)
+{
+    RawConnection connection(address);
+    connection.send(bytes);
+    return connection.readAll();
+}
+
+}
