Drive experiments: open-loop arrivals, steps, measures, comparison, report

Change: fescuecleat-load plays callers, operators and the balancer over the HTTP edges, sets fault ports, audits and measures; experiments and mixes are JSON, read strictly; arrivals are drawn from a recorded seed; results can be compared beyond their spread and shown as one page with inline plots.

--- /dev/null
+++ b/src/fescuecleat-load/main.cpp
@@ -0,0 +1,198 @@
+#include "load/comparison.h"
+#include "load/htmlreport.h"
+#include "json/json.h"
+
+#include <exception>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <popt.h>
+#include <sstream>
+#include <string>
+#include <vector>
+
+using namespace fescuecleat;
+
+namespace {
+
+/** Exit statuses. */
+constexpr int promisesBroken = 1;
+constexpr int usageError = 2;
+constexpr int runFailed = 3;
+
+/** Values of the command line. */
+struct Options {
+    const char* testbed_ = "testbed.json";
+    char* mix_ = nullptr;
+    char* result_ = nullptr;
+    char* report_ = nullptr;
+    int repeats_ = 0;
+    long seed_ = -1;
+    std::vector<std::string> words_;
+};
+
+/** Ends the program with what is wrong in a file. */
+struct InputError {
+    std::string message_;
+};
+
+Options parse(int argc, const char** argv)
+{
+    Options options;
+    const poptOption table[] = {
+        { "testbed", 't', POPT_ARG_STRING | POPT_ARGFLAG_SHOW_DEFAULT, &options.testbed_, 0, "Where everything is, as scripts/testbed wrote it", "FILE" },
+        { "mix", 'm', POPT_ARG_STRING, &options.mix_, 0, "What the users of the deployment do", "FILE" },
+        { "result", 'o', POPT_ARG_STRING, &options.result_, 0, "Write the result as JSON", "FILE" },
+        { "report", 'r', POPT_ARG_STRING, &options.report_, 0, "Write a page with plots", "FILE" },
+        { "repeats", 0, POPT_ARG_INT, &options.repeats_, 0, "Repeats, instead of the experiment's", "N" },
+        { "seed", 0, POPT_ARG_LONG, &options.seed_, 0, "Seed of the first repeat, instead of the experiment's", "N" },
+        POPT_AUTOHELP
+            POPT_TABLEEND
+    };
+    poptContext context = poptGetContext(nullptr, argc, argv, table, 0);
+    poptSetOtherOptionHelp(context, "run EXPERIMENT | check EXPERIMENT | compare BEFORE AFTER | report RESULT\n\nDrives daemons and stand-ins that scripts/testbed started, audits and measures them.");
+    const int result = poptGetNextOpt(context);
+    if (result < -1)
+        throw InputError { std::string(poptBadOption(context, 0)) + ": " + poptStrerror(result) };
+    while (const char* word = poptGetArg(context))
+        options.words_.emplace_back(word);
+    poptFreeContext(context);
+    return options;
+}
+
+std::string readFile(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file)
+        throw InputError { path + ": can't be read; give the path of a file" };
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+void writeFile(const char* path, const std::string& text)
+{
+    if (!path)
+        return;
+    std::ofstream file(path);
+    file << text;
+    if (!file.flush())
+        throw InputError { std::string(path) + ": can't be written; choose another place" };
+}
+
+template <typename Value>
+Value parseFile(const std::string& path, Checked<Value> (*parseValue)(const JsonValue&))
+{
+    JsonLimits limits;
+    limits.bytes_ = std::size_t { 256 } << 20U;
+    const Result<JsonValue> json = parseJson(readFile(path), path, limits);
+    if (!json)
+        throw InputError { describe(json.error()) };
+    const Checked<Value> value = parseValue(*json);
+    if (value)
+        return *value;
+    std::string message;
+    for (const Error& error : value.error())
+        message += path + ": " + describe(error) + "\n";
+    throw InputError { message };
+}
+
+void printViolations(const RepeatResult& repeat)
+{
+    for (const Violation& violation : repeat.violations_) {
+        std::cout << "BROKEN " << violationKindName(violation.kind_) << " " << violation.item_ << ": " << violation.what_ << "\n";
+        for (const std::string& line : violation.trace_)
+            std::cout << "    " << line << "\n";
+    }
+}
+
+void printTable(const ExperimentResult& result)
+{
+    std::cout << std::left << std::setw(52) << "measure" << std::right << std::setw(14) << "mean" << std::setw(14) << "least" << std::setw(14) << "most"
+              << "\n";
+    for (const auto& [name, summary] : summarise(result))
+        std::cout << std::left << std::setw(52) << name << std::right << std::setw(14) << summary.mean_ << std::setw(14) << summary.least_ << std::setw(14) << summary.most_ << "\n";
+}
+
+int run(const Options& options)
+{
+    if (!options.mix_)
+        throw InputError { "--mix is missing; give the mix of the deployment" };
+    Experiment experiment = parseFile(options.words_[1], parseExperiment);
+    const Testbed testbed = parseFile(options.testbed_, parseTestbed);
+    const Mix mix = parseFile(options.mix_, parseMix);
+    if (options.repeats_ > 0)
+        experiment.repeats_ = options.repeats_;
+    if (options.seed_ >= 0)
+        experiment.seed_ = static_cast<std::uint64_t>(options.seed_);
+    ExperimentResult result { experiment.name_, testbed.deployment_, {} };
+    std::size_t broken = 0;
+    for (int repeat = 0; repeat < experiment.repeats_; ++repeat) {
+        const std::uint64_t seed = experiment.seed_ + static_cast<std::uint64_t>(repeat);
+        // Keys of an earlier run would be taken for repeated calls.
+        const std::string prefix = experiment.name_ + "-" + std::to_string(seed) + "-" + std::to_string(monotonicNow().time_since_epoch().count());
+        const ArrivalPlan plan = planArrivals(experiment, mix, testbed.organisations_.size(), seed, prefix);
+        const std::string name = experiment.name_ + " repeat " + std::to_string(repeat + 1) + "/" + std::to_string(experiment.repeats_) + " seed " + std::to_string(seed);
+        const Result<RepeatRecord> record = runRepeat(testbed, experiment, plan, seed, [&name](const std::string& line) { std::cerr << name << ", " << line << "\n"; });
+        if (!record) {
+            std::cerr << describe(record.error()) << "\n";
+            return runFailed;
+        }
+        RepeatResult& repeated = result.repeats_.emplace_back(RepeatResult { seed, measure(testbed, *record), audit(record->evidence_) });
+        printViolations(repeated);
+        broken += repeated.violations_.size();
+    }
+    printTable(result);
+    writeFile(options.result_, writeJson(toJson(result)));
+    writeFile(options.report_, htmlReport(result));
+    std::cout << "audit: " << broken << " promises broken in " << result.repeats_.size() << " repeats\n";
+    return broken ? promisesBroken : 0;
+}
+
+int compareResults(const Options& options)
+{
+    const ExperimentResult before = parseFile(options.words_[1], parseResult);
+    const ExperimentResult after = parseFile(options.words_[2], parseResult);
+    bool isWorse = false;
+    for (const MeasureComparison& comparison : compare(before, after)) {
+        isWorse = isWorse || comparison.verdict_ == Verdict::Worse;
+        std::cout << std::left << std::setw(14) << verdictName(comparison.verdict_) << std::setw(52) << comparison.measure_ << comparison.before_.mean_ << " [" << comparison.before_.least_ << ", " << comparison.before_.most_ << "] -> "
+                  << comparison.after_.mean_ << " [" << comparison.after_.least_ << ", " << comparison.after_.most_ << "]\n";
+    }
+    return isWorse ? promisesBroken : 0;
+}
+
+int dispatch(const Options& options)
+{
+    const std::size_t count = options.words_.size();
+    const std::string command = count ? options.words_[0] : "";
+    if (command == "run" && count == 2)
+        return run(options);
+    if (command == "compare" && count == 3)
+        return compareResults(options);
+    if (command == "check" && count == 2) {
+        parseFile(options.words_[1], parseExperiment);
+        return 0;
+    }
+    if (command == "report" && count == 2 && options.report_) {
+        writeFile(options.report_, htmlReport(parseFile(options.words_[1], parseResult)));
+        return 0;
+    }
+    throw InputError { "no such command; see --help" };
+}
+
+}
+
+/** The load and experiment tool. */
+int main(int argc, const char** argv)
+{
+    try {
+        return dispatch(parse(argc, argv));
+    } catch (const InputError& error) {
+        std::cerr << error.message_ << "\n";
+        return usageError;
+    } catch (const std::exception& error) {
+        std::cerr << "fescuecleat-load: " << error.what() << "\n";
+        return runFailed;
+    }
+}
--- a/src/libfescuecleat/load/audit.cpp
+++ b/src/libfescuecleat/load/audit.cpp
@@ -242,6 +242,16 @@
     return "incomplete_log";
 }
 
+std::optional<ViolationKind> violationKind(const std::string& name)
+{
+    for (int position = 0; position <= static_cast<int>(ViolationKind::IncompleteLog); ++position) {
+        const auto kind = static_cast<ViolationKind>(position);
+        if (name == violationKindName(kind))
+            return kind;
+    }
+    return std::nullopt;
+}
+
 std::vector<Violation> audit(const Evidence& evidence, const AuditLimits& limits)
 {
     Violations found;
--- a/src/libfescuecleat/load/audit.h
+++ b/src/libfescuecleat/load/audit.h
@@ -2,6 +2,7 @@
 
 #include "load/evidence.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,9 @@
 /** Stable name of a kind. */
 const char* violationKindName(ViolationKind);
 
+/** The kind of that name, if there is one. */
+std::optional<ViolationKind> violationKind(const std::string& name);
+
 /** One broken promise and the log lines that show it. */
 struct Violation {
     ViolationKind kind_ = ViolationKind::RanTwice;
--- /dev/null
+++ b/src/libfescuecleat/load/operatorplayer.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "http/httpclient.h"
+#include "load/balancer.h"
+#include "load/experiment.h"
+#include "load/jobtracker.h"
+#include "load/recorder.h"
+#include "load/testbed.h"
+
+#include <atomic>
+#include <string>
+
+namespace fescuecleat {
+
+/** Plays operators and whatever breaks things: carries out the steps of an experiment. */
+class OperatorPlayer {
+public:
+    OperatorPlayer(const Testbed&, HttpClient&, JobTracker&, Recorder&);
+
+    /** Carries out a step; returns when it took effect, or when stop() was called. */
+    void play(const Step&);
+
+    /** Asks every instance which configuration is in force there. */
+    void sampleConfigurations();
+
+    /** Ends steps that wait for an effect. */
+    void stop() { isStopped_ = true; }
+
+    /** Takes all faults and cuts back. */
+    void repair();
+
+private:
+    using Response = tl::expected<HttpResponse, TransportError>;
+
+    void playStep(const SetFaultsStep&);
+    void playStep(const TakeOutStep&);
+    void playStep(const ReturnStep&);
+    void playStep(const LeaveMinionsStep&);
+    void playStep(const CutOffStep&);
+    void playStep(const JoinStep&);
+    void playStep(const ConfigureStep&);
+    void playStep(const CancelWaveStep&);
+
+    const TestbedDataCentre& dataCentre(int position) const;
+    Response callOperators(const Address&, const std::string& method, const std::string& path, const std::string& body) const;
+    /** Calls one instance after the other until one answers with a status below 500. */
+    Response callAnyInstance(const std::string& method, const std::string& path, const std::string& body) const;
+    void postToFaultPort(const Address&, const std::string& path, const std::string& body) const;
+    void cut(const TestbedEntry&, const std::vector<std::string>& instances) const;
+
+    const Testbed& testbed_;
+    HttpClient& client_;
+    JobTracker& jobs_;
+    Recorder& recorder_;
+    std::atomic<bool> isStopped_ { false };
+};
+
+}
--- /dev/null
+++ b/src/libfescuecleat/load/recorder.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "load/evidence.h"
+
+#include <mutex>
+#include <utility>
+
+namespace fescuecleat {
+
+/** Collects evidence from the threads of a run. Thread-safe. */
+class Recorder {
+public:
+    /** Calls with the evidence while no other thread changes it. */
+    template <typename Function>
+    auto with(Function&& function)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return function(evidence_);
+    }
+
+    void add(SentRequest request)
+    {
+        with([&](Evidence& evidence) { evidence.requests_.push_back(std::move(request)); });
+    }
+    void add(SentJob job)
+    {
+        with([&](Evidence& evidence) { evidence.jobs_.push_back(std::move(job)); });
+    }
+    void add(const AcceptedConfiguration& accepted)
+    {
+        with([&](Evidence& evidence) { evidence.accepted_.push_back(accepted); });
+    }
+    void add(const ShownConfiguration& shown)
+    {
+        with([&](Evidence& evidence) { evidence.shown_.push_back(shown); });
+    }
+
+private:
+    std::mutex mutex_;
+    Evidence evidence_;
+};
+
+}
--- /dev/null
+++ b/src/libfescuecleat/load/repeat.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "base/result.h"
+#include "load/arrivalplan.h"
+#include "load/evidence.h"
+#include "load/experiment.h"
+#include "load/testbed.h"
+
+#include <functional>
+#include <string>
+
+namespace fescuecleat {
+
+/** What one repeat of an experiment left behind. */
+struct RepeatRecord {
+    std::uint64_t seed_ = 0;
+    Time start_ { Duration::zero() };
+    Time end_ { Duration::zero() };
+    Evidence evidence_;
+};
+
+/** Called about once a second with a line on how far the repeat is. */
+using Progress = std::function<void(const std::string&)>;
+
+/** Runs one repeat against the testbed in real time. Errors: Unavailable. */
+Result<RepeatRecord> runRepeat(const Testbed&, const Experiment&, const ArrivalPlan&, std::uint64_t seed, const Progress&);
+
+}
--- a/src/standins/common/commandline.cpp
+++ b/src/standins/common/commandline.cpp
@@ -8,7 +8,6 @@
 namespace {
 
     constexpr int usageError = 2;
-    constexpr long lastPort = 65535;
 
     [[noreturn]] void exitWith(const std::string& message)
     {
@@ -32,12 +31,10 @@
 
 Address addressOption(const char* option, const char* text)
 {
-    const std::string value = text ? text : "";
-    const std::size_t colon = value.rfind(':');
-    const long port = colon == std::string::npos ? 0 : std::strtol(value.c_str() + colon + 1, nullptr, 10);
-    if (port <= 0 || port > lastPort)
-        exitWith(std::string("--") + option + " wants ip:port, not '" + value + "'");
-    return { value.substr(0, colon), static_cast<unsigned short>(port) };
+    const Result<Address> address = parseAddress(text ? text : "");
+    if (!address)
+        exitWith(std::string("--") + option + ": " + describe(address.error()));
+    return *address;
 }
 
 Address shifted(const Address& address, int offset)
