--- a/src/libfescuecleat/load/operatorplayer.cpp
+++ b/src/libfescuecleat/load/operatorplayer.cpp
@@ -14,17 +14,20 @@
     constexpr int firstError = 400;
     const char* const noFaults = R"({"faults": []})";
 
-    std::string textOf(const HttpResponse& response, const std::string& name)
+    std::string memberText(const JsonValue& value, const std::string& name)
     {
         std::string text;
-        const Result<JsonValue> value = parseJson(response.body_);
-        if (!value || value->category() != JsonValue::Object)
-            return text;
-        if (const JsonValue* member = value->findMember(name))
+        if (const JsonValue* member = value.findMember(name))
             member->getValue(text);
         return text;
     }
 
+    std::string textOf(const HttpResponse& response, const std::string& name)
+    {
+        const Result<JsonValue> value = parseJson(response.body_);
+        return value && value->category() == JsonValue::Object ? memberText(*value, name) : "";
+    }
+
     std::int64_t versionOf(const HttpResponse& response)
     {
         const std::string text = textOf(response, "version");
@@ -79,17 +82,39 @@
         evidence.takenOut_.push_back(out);
         return evidence.takenOut_.size() - 1;
     });
+    bool isWritten = false;
     while (!isStopped_) {
-        const std::string body = "{\"deadline_ms\": " + std::to_string(std::max<std::int64_t>(1, milliseconds(remaining(deadline, monotonicNow())))) + "}";
-        const Response response = callAnyInstance("POST", "/v1/data-centres/" + out.dataCentre_ + "/out", body);
-        if (response && textOf(*response, "status") == "done")
+        isWritten = isWritten || askToTakeOut(out.dataCentre_, deadline);
+        if (isWritten && isOut(out.dataCentre_))
             return recorder_.with([&](Evidence& evidence) { evidence.takenOut_[position].done_ = monotonicNow(); });
-        if (!response || response->status_ >= firstError)
-            warn("take out " + out.dataCentre_, response);
         std::this_thread::sleep_for(retryInterval);
     }
 }
 
+bool OperatorPlayer::askToTakeOut(const std::string& name, Time deadline) const
+{
+    const std::int64_t left = std::max<std::int64_t>(1, milliseconds(remaining(deadline, monotonicNow())));
+    const Response response = callAnyInstance("POST", "/v1/data-centres/" + name + "/out", "{\"deadline_ms\": " + std::to_string(left) + "}");
+    if (response && response->status_ < firstError)
+        return true;
+    warn("take out " + name, response);
+    return false;
+}
+
+bool OperatorPlayer::isOut(const std::string& name) const
+{
+    const Response response = callAnyInstance("GET", "/v1/data-centres", "");
+    const Result<JsonValue> value = parseJson(response ? response->body_ : "");
+    const JsonValue* list = value ? value->findMember("data_centres") : nullptr;
+    if (!list)
+        return false;
+    for (const JsonValue& item : *list) {
+        if (memberText(item, "data_centre") == name)
+            return memberText(item, "status") == "done";
+    }
+    return false;
+}
+
 void OperatorPlayer::playStep(const ReturnStep& step)
 {
     const std::string name = dataCentre(step.dataCentre_).name_;
@@ -182,12 +207,33 @@
         for (const TestbedEntry& entry : place.entries_) {
             const Time asked = monotonicNow();
             const Response response = callOperators(entry.operator_, "GET", "/v1/configuration", "");
-            if (response && versionOf(*response) >= 0)
-                recorder_.add(ShownConfiguration { entry.instance_, versionOf(*response), asked });
+            if (response)
+                recordVersions(entry.instance_, *response, asked);
+            const Time askedState = monotonicNow();
+            const Response state = callOperators(entry.operator_, "GET", "/v1/state", "");
+            const std::string version = state ? textOf(*state, "configuration_version") : "";
+            if (!version.empty())
+                recorder_.add(ShownConfiguration { "in force at " + entry.instance_, std::strtoll(version.c_str(), nullptr, 10), askedState });
         }
     }
 }
 
+void OperatorPlayer::recordVersions(const std::string& instance, const HttpResponse& response, Time asked)
+{
+    const Result<JsonValue> value = parseJson(response.body_);
+    if (!value || versionOf(response) < 0)
+        return;
+    recorder_.add(ShownConfiguration { instance, versionOf(response), asked });
+    const JsonValue* inForce = value->findMember("in_force");
+    if (!inForce)
+        return;
+    for (const JsonValue& member : *inForce) {
+        std::int64_t version = 0;
+        member.getValue(version);
+        recorder_.add(ShownConfiguration { member.name() + " as " + instance + " sees it", version, asked });
+    }
+}
+
 void OperatorPlayer::repair()
 {
     playStep(SetFaultsStep { FaultTarget::Platform, -1, noFaults });
--- a/src/libfescuecleat/load/operatorplayer.h
+++ b/src/libfescuecleat/load/operatorplayer.h
@@ -41,6 +41,11 @@
     void playStep(const ConfigureStep&);
     void playStep(const CancelWaveStep&);
 
+    /** True once the platform's table has it. */
+    bool askToTakeOut(const std::string& dataCentre, Time deadline) const;
+    /** True once operators are told that nothing starts there any more. */
+    bool isOut(const std::string& dataCentre) const;
+    void recordVersions(const std::string& instance, const HttpResponse&, Time asked);
     const TestbedDataCentre& dataCentre(int position) const;
     Response callOperators(const Address&, const std::string& method, const std::string& path, const std::string& body) const;
     /** Calls one instance after the other until one answers with a status below 500. */
--- a/src/libfescuecleat/load/repeat.cpp
+++ b/src/libfescuecleat/load/repeat.cpp
@@ -17,7 +17,9 @@
 namespace {
 
     constexpr Duration probeInterval = std::chrono::milliseconds(250);
-    constexpr Duration sampleInterval = std::chrono::seconds(1);
+    constexpr Duration progressInterval = std::chrono::seconds(1);
+    /** A whole dump of each process is asked for, so not too often. */
+    constexpr Duration sampleInterval = std::chrono::seconds(2);
     /** Lead before the first arrival, so that every thread waits for it. */
     constexpr Duration leadTime = std::chrono::milliseconds(200);
 
@@ -99,7 +101,7 @@
             senders.join();
             const Time end = start_ + experiment_.duration_ + experiment_.drainTime_;
             while (jobs.openJobs() && monotonicNow() < end)
-                sleepUntil(std::min(end, monotonicNow() + sampleInterval), jobs);
+                sleepUntil(std::min(end, monotonicNow() + progressInterval), jobs);
             player.stop();
             steps.join();
             player.repair();
@@ -140,7 +142,7 @@
         void sleepUntil(Time time, const JobTracker& jobs)
         {
             while (monotonicNow() < time) {
-                std::this_thread::sleep_until(std::min(time, monotonicNow() + sampleInterval));
+                std::this_thread::sleep_until(std::min(time, monotonicNow() + progressInterval));
                 std::ostringstream line;
                 line << static_cast<int>(seconds(monotonicNow() - start_)) << " s: requests " << ended_ << "/" << plan_.requests_.size()
                      << ", jobs open " << jobs.openJobs() << "/" << plan_.jobs_.size();
--- a/tests/standins/standintest.cpp
+++ b/tests/standins/standintest.cpp
@@ -34,8 +34,8 @@
 
     Process start(const std::string& program, const std::vector<std::string>& more)
     {
-        address_ = freeAddress();
-        faultPort_ = freeAddress();
+        address_ = freeAddress(3);
+        faultPort_ = { address_.ip_, static_cast<unsigned short>(address_.port_ + 2) };
         std::vector<std::string> arguments { "--address=" + text(address_), "--fault-address=" + text(faultPort_) };
         arguments.insert(arguments.end(), more.begin(), more.end());
         Process process("fescuecleat-standin-" + program, arguments);
