--- a/src/fescuecleat-load/main.cpp
+++ b/src/fescuecleat-load/main.cpp
@@ -2,10 +2,12 @@
 #include "load/htmlreport.h"
 #include "json/json.h"
 
+#include <algorithm>
 #include <exception>
 #include <fstream>
 #include <iomanip>
 #include <iostream>
+#include <map>
 #include <popt.h>
 #include <sstream>
 #include <string>
@@ -106,6 +108,30 @@
     }
 }
 
+/** What callers were told in place of an answer, most frequent first. */
+void printRefusals(const RepeatRecord& record)
+{
+    constexpr std::size_t mostLines = 8;
+    constexpr std::size_t longest = 160;
+    std::map<std::string, int> counts;
+    for (const SentRequest& request : record.evidence_.requests_) {
+        if (request.outcome_ != SentOutcome::Answered)
+            ++counts[request.kind_ + " " + sentOutcomeName(request.outcome_) + ": " + request.answer_.substr(0, longest)];
+    }
+    for (const SentJob& job : record.evidence_.jobs_) {
+        if (job.state_ != "finished")
+            ++counts["job " + job.state_ + ": " + job.reason_.substr(0, longest)];
+    }
+    std::vector<std::pair<int, std::string>> lines;
+    lines.reserve(counts.size());
+    for (const auto& [text, count] : counts)
+        lines.emplace_back(count, text);
+    std::sort(lines.rbegin(), lines.rend());
+    lines.resize(std::min(lines.size(), mostLines));
+    for (const auto& [count, text] : lines)
+        std::cout << std::setw(6) << count << " x " << text << "\n";
+}
+
 void printTable(const ExperimentResult& result)
 {
     std::cout << std::left << std::setw(52) << "measure" << std::right << std::setw(14) << "mean" << std::setw(14) << "least" << std::setw(14) << "most"
@@ -140,6 +166,7 @@
         }
         RepeatResult& repeated = result.repeats_.emplace_back(RepeatResult { seed, measure(testbed, *record), audit(record->evidence_) });
         printViolations(repeated);
+        printRefusals(*record);
         broken += repeated.violations_.size();
     }
     printTable(result);
