--- a/tests/http/daemoninputtest.cpp
+++ b/tests/http/daemoninputtest.cpp
@@ -95,7 +95,7 @@
     /** The library answers these itself, or closes, before the edge sees a request. */
     void endsUnreadableHeads()
     {
-        for (const std::string& bytes : { std::string("garbage\r\n\r\n"), std::string("GET /v1/jobs\r\n\r\n"), std::string("GET /v1/jobs?wait_ms=%f HTTP/1.1\r\n\r\n"), std::string("\x16\x03\x01\x02"),
+        for (const std::string& bytes : { std::string("garbage\r\n\r\n"), std::string("GET /v1/jobs\r\n\r\n"), std::string("GET /v1/jobs?wait_ms=%f HTTP/1.1\r\nConnection: close\r\n\r\n"), std::string("\x16\x03\x01\x02"),
                  "GET /v1/jobs HTTP/1.1\r\nX: " + std::string(100000, 'y') + "\r\n\r\n" }) {
             const std::string answer = test::rawExchange(daemon_->callers(), bytes);
             CPPUNIT_ASSERT_MESSAGE(answer, answer.empty() || contains(answer, "HTTP/1.1 5") || contains(answer, "HTTP/1.1 4"));
