--- a/src/standins/common/faultport.cpp
+++ b/src/standins/common/faultport.cpp
@@ -12,6 +12,8 @@
         const auto since = request.query_.find("since");
         return reply(jsonResponse(200, log_.dump(since == request.query_.end() ? 0 : std::strtoull(since->second.c_str(), nullptr, 10))));
     }
+    if (request.method_ == "GET" && request.path_ == "/traffic")
+        return reply(jsonResponse(200, traffic_.dump()));
     reply(other_(request));
 }
 
--- a/src/standins/common/faultport.h
+++ b/src/standins/common/faultport.h
@@ -3,6 +3,7 @@
 #include "standins/common/endpoint.h"
 #include "standins/common/eventlog.h"
 #include "standins/common/faultset.h"
+#include "standins/common/traffic.h"
 
 #include <functional>
 #include <utility>
@@ -15,9 +16,10 @@
     using Other = std::function<HttpResponse(const HttpRequest&)>;
 
     /** `other` answers the calls that only this kind of stand-in has. */
-    FaultPort(FaultSet& faults, EventLog& log, Other other)
+    FaultPort(FaultSet& faults, EventLog& log, Traffic& traffic, Other other)
         : faults_(faults)
         , log_(log)
+        , traffic_(traffic)
         , other_(std::move(other))
     {
     }
@@ -29,6 +31,7 @@
 
     FaultSet& faults_;
     EventLog& log_;
+    Traffic& traffic_;
     Other other_;
 };
 
--- a/src/standins/common/httplistener.cpp
+++ b/src/standins/common/httplistener.cpp
@@ -128,6 +128,8 @@
         if (parsed.state_ == ParseState::Invalid)
             return close();
         input_.erase(0, parsed.length_);
+        if (listener_.traffic_)
+            listener_.traffic_->countRequest(parsed.request_.path_, parsed.length_);
         isBusy_ = true;
         dispatch(parsed.request_);
     }
@@ -194,6 +196,8 @@
             return;
         connection->isBusy_ = false;
         connection->output_ += text;
+        if (connection->listener_.traffic_)
+            connection->listener_.traffic_->countResponse(text.size());
         if (connection->flush())
             connection->next();
     }
@@ -273,12 +277,13 @@
     bool closesAfterOutput_ = false;
 };
 
-HttpListener::HttpListener(EventLoop& loop, Address address, Endpoint& endpoint, FaultSet* faults, std::string instance)
+HttpListener::HttpListener(EventLoop& loop, Address address, Endpoint& endpoint, FaultSet* faults, std::string instance, Traffic* traffic)
     : loop_(loop)
     , address_(std::move(address))
     , endpoint_(endpoint)
     , faults_(faults)
     , instance_(std::move(instance))
+    , traffic_(traffic)
 {
     open();
     if (faults_)
--- a/src/standins/common/httplistener.h
+++ b/src/standins/common/httplistener.h
@@ -4,6 +4,7 @@
 #include "standins/common/endpoint.h"
 #include "standins/common/eventloop.h"
 #include "standins/common/faultset.h"
+#include "standins/common/traffic.h"
 
 #include <memory>
 #include <optional>
@@ -15,8 +16,8 @@
 /** Listens at one address, reads requests and plays the faults on their answers. */
 class HttpListener {
 public:
-    /** `faults` may be null: a fault port itself has none. `instance` names the worker or minion in faults. */
-    HttpListener(EventLoop&, Address, Endpoint&, FaultSet* faults, std::string instance);
+    /** `faults` and `traffic` may be null: a fault port itself has none. `instance` names the worker or minion in faults. */
+    HttpListener(EventLoop&, Address, Endpoint&, FaultSet* faults, std::string instance, Traffic* traffic = nullptr);
     ~HttpListener();
     HttpListener(const HttpListener&) = delete;
     HttpListener& operator=(const HttpListener&) = delete;
@@ -35,6 +36,7 @@
     Endpoint& endpoint_;
     FaultSet* faults_;
     std::string instance_;
+    Traffic* traffic_;
     int socket_ = -1;
     std::set<std::shared_ptr<Connection>> connections_;
     /** An answer that waits to be exchanged with the next one. */
--- a/src/standins/minion/main.cpp
+++ b/src/standins/minion/main.cpp
@@ -56,7 +56,7 @@
 /** The minions of one process. */
 class Minions {
 public:
-    Minions(const Options& options, EventLoop& loop, EventLog& log, FaultSet& faults)
+    Minions(const Options& options, EventLoop& loop, EventLog& log, FaultSet& faults, Traffic& traffic)
         : options_(options)
         , first_(addressOption("address", options.address_))
     {
@@ -68,7 +68,7 @@
             identity.queue_ = options.queue_;
             identity.workTime_ = std::chrono::milliseconds(options.workMilliseconds_);
             models_.push_back(std::make_unique<MinionModel>(identity, loop, log));
-            listeners_.push_back(std::make_unique<HttpListener>(loop, shifted(first_, index), *models_.back(), &faults, identity.id_));
+            listeners_.push_back(std::make_unique<HttpListener>(loop, shifted(first_, index), *models_.back(), &faults, identity.id_, &traffic));
         }
     }
 
@@ -123,8 +123,9 @@
     stopOnSignals(loop);
     FaultSet faults(static_cast<std::uint64_t>(options.seed_));
     EventLog log;
-    Minions minions(options, loop, log, faults);
-    FaultPort faultPort(faults, log, [&minions](const HttpRequest& request) { return minions.handleFaultPort(request); });
+    Traffic traffic;
+    Minions minions(options, loop, log, faults, traffic);
+    FaultPort faultPort(faults, log, traffic, [&minions](const HttpRequest& request) { return minions.handleFaultPort(request); });
     const HttpListener control(loop, addressOption("fault-address", options.faultAddress_), faultPort, nullptr, "");
     minions.list("", false);
     loop.run();
--- a/src/standins/platform/main.cpp
+++ b/src/standins/platform/main.cpp
@@ -47,14 +47,15 @@
     stopOnSignals(loop);
     FaultSet faults(static_cast<std::uint64_t>(options.seed_));
     EventLog log;
+    Traffic traffic;
     PlatformLimits limits;
     limits.writesPerSecond_ = std::max(1, options.writesPerSecond_);
     limits.readsPerSecond_ = std::max(1, options.readsPerSecond_);
     limits.latency_ = Duration(options.latencyMicroseconds_);
     limits.instanceLag_ = std::chrono::milliseconds(options.instanceLagMilliseconds_);
     PlatformEndpoint endpoint(loop, log, limits);
-    FaultPort faultPort(faults, log, [&endpoint](const HttpRequest& request) { return endpoint.handleFaultPort(request); });
-    const HttpListener calls(loop, addressOption("address", options.address_), endpoint, &faults, "");
+    FaultPort faultPort(faults, log, traffic, [&endpoint](const HttpRequest& request) { return endpoint.handleFaultPort(request); });
+    const HttpListener calls(loop, addressOption("address", options.address_), endpoint, &faults, "", &traffic);
     const HttpListener control(loop, addressOption("fault-address", options.faultAddress_), faultPort, nullptr, "");
     loop.run();
 }
--- a/src/standins/worker/main.cpp
+++ b/src/standins/worker/main.cpp
@@ -98,6 +98,7 @@
     stopOnSignals(loop);
     FaultSet faults(static_cast<std::uint64_t>(options.seed_));
     EventLog log;
+    Traffic traffic;
     Checkpoints checkpoints;
     const Address first = addressOption("address", options.address_);
     const WorkerTimes times { std::chrono::milliseconds(options.checkpointMilliseconds_), std::chrono::milliseconds(options.usageLagMilliseconds_) };
@@ -108,7 +109,7 @@
     for (int index = 0; index < options.workers_; ++index) {
         models.push_back(std::make_unique<WorkerModel>(identity(options, index), times, log, faults, checkpoints));
         endpoints.push_back(std::make_unique<WorkerEndpoint>(*models.back(), options.runScale_));
-        listeners.push_back(std::make_unique<HttpListener>(loop, shifted(first, index), *endpoints.back(), &faults, models.back()->identity().id_));
+        listeners.push_back(std::make_unique<HttpListener>(loop, shifted(first, index), *endpoints.back(), &faults, models.back()->identity().id_, &traffic));
     }
     loop.every(advanceInterval, [&models] {
         for (const auto& model : models)
@@ -120,7 +121,7 @@
         if (options.platform_)
             registrations.emplace_back(registerInstances, addressOption("platform", options.platform_), listing(models, first, isLeaving));
     };
-    FaultPort faultPort(faults, log, [&](const HttpRequest& request) {
+    FaultPort faultPort(faults, log, traffic, [&](const HttpRequest& request) {
         if (request.method_ != "POST" || request.path_ != "/leave")
             return notFound(request);
         list(true);
