--- a/src/libfescuecleat/control/appliedconfiguration.cpp
+++ b/src/libfescuecleat/control/appliedconfiguration.cpp
@@ -9,11 +9,13 @@
     highestKnown_ = std::max(highestKnown_, version);
 }
 
-bool AppliedConfiguration::apply(std::uint64_t version)
+bool AppliedConfiguration::apply(std::uint64_t version, ConfigurationSource source)
 {
     heardOf(version);
     if (version <= version_)
         return false;
+    if (version_ == 0 && source == ConfigurationSource::Elsewhere)
+        return false;
     version_ = version;
     return true;
 }
--- a/src/libfescuecleat/control/appliedconfiguration.h
+++ b/src/libfescuecleat/control/appliedconfiguration.h
@@ -5,10 +5,21 @@
 
 namespace fescuecleat {
 
+/** Who told of a configuration version. */
+enum class ConfigurationSource {
+    Table,
+    /** A peer of the same data centre that has the version in force. */
+    NeighbourInForce,
+    /** Anything else: other data centres, snapshots. */
+    Elsewhere,
+};
+
 /**
  * Which configuration version an instance has in force. Pure. It only ever
  * goes up: a lower version that comes late, from a peer or from an old
- * snapshot, is never applied.
+ * snapshot, is never applied. A fresh process takes its first version only
+ * from the table or from a neighbour that has it in force: those have at least
+ * what the data centre confirmed, others may lag behind it.
  */
 class AppliedConfiguration {
 public:
@@ -23,7 +34,7 @@
     void heardOf(std::uint64_t version);
 
     /** True if the version is to be applied now; it is then in force. */
-    bool apply(std::uint64_t version);
+    bool apply(std::uint64_t version, ConfigurationSource);
 
 private:
     std::uint64_t version_ = 0;
--- a/src/libfescuecleat/control/datacentrecontrol.cpp
+++ b/src/libfescuecleat/control/datacentrecontrol.cpp
@@ -1,6 +1,5 @@
 #include "control/datacentrecontrol.h"
 
-#include "control/clockdrift.h"
 #include "state/rowkeys.h"
 
 namespace fescuecleat {
@@ -62,7 +61,7 @@
     if (!outcome)
         return tl::unexpected<Error>(outcome.error());
     if (const auto* committed = std::get_if<Committed>(&*outcome)) {
-        knownSince(wish.dataCentre_, committed->revision_, monotonicNow());
+        known(wish.dataCentre_, committed->revision_);
         return ServiceOutcome { ServiceChanged { committed->revision_ } };
     }
     const Result<Row> winner = table_.read(key, deadline);
@@ -82,27 +81,20 @@
     const Result<ControlRows> rows = parseControlRows(scan->rows_, dataCentre);
     if (!rows)
         return tl::unexpected<Error>(rows.error());
-    const Time now = monotonicNow();
-    const Time since = knownSince(dataCentre, rows->serviceVersion_, now);
+    known(dataCentre, rows->serviceVersion_);
     ServiceStatus status;
     status.record_ = rows->service_;
     status.version_ = rows->serviceVersion_;
-    status.isAcknowledged_ = rows->acknowledgement_.serviceVersion_ >= rows->serviceVersion_;
-    if (rows->service_.isInService_)
-        status.progress_ = ServiceProgress::InService;
-    else if (status.isAcknowledged_ || now >= since + waitToCover(timing_.startPermit_))
-        status.progress_ = ServiceProgress::Done;
+    status.isAcknowledged_ = ServiceWatch::isAcknowledged(*rows);
+    const std::lock_guard<std::mutex> lock(mutex_);
+    status.progress_ = watches_.at(dataCentre).progress(*rows, monotonicNow());
     return status;
 }
 
-/** Permits that don't know of the version were asked for before it was written, hence before this moment. */
-Time DataCentreControl::knownSince(const DataCentreId& dataCentre, std::uint64_t version, Time now)
+void DataCentreControl::known(const DataCentreId& dataCentre, std::uint64_t version)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
-    Known& known = known_[dataCentre];
-    if (version > known.version_)
-        known = { version, now };
-    return known.version_ == version ? known.since_ : now;
+    watches_.emplace(dataCentre, ServiceWatch(timing_)).first->second.known(version, monotonicNow());
 }
 
 }
--- a/src/libfescuecleat/control/datacentrecontrol.h
+++ b/src/libfescuecleat/control/datacentrecontrol.h
@@ -2,6 +2,7 @@
 
 #include "control/controlrecords.h"
 #include "control/controltiming.h"
+#include "control/servicewatch.h"
 #include "platform/table.h"
 #include "platform/writeids.h"
 
@@ -39,16 +40,6 @@
 
 using ServiceOutcome = std::variant<ServiceChanged, ServiceRaced>;
 
-/** How far a change of the service row has come. */
-enum class ServiceProgress {
-    /** Starts may still happen. */
-    Pending,
-    /** Taken out, and no start can happen any more. */
-    Done,
-    /** The data centre is in service; starts follow as soon as its scheduler sees it. */
-    InService,
-};
-
 struct ServiceStatus {
     ServiceRecord record_;
     std::uint64_t version_ = 0;
@@ -78,19 +69,13 @@
     Result<ServiceStatus> status(const DataCentreId&, Time deadline);
 
 private:
-    /** When this instance first knew that a version of a service row stands. */
-    struct Known {
-        std::uint64_t version_ = 0;
-        Time since_;
-    };
-
-    Time knownSince(const DataCentreId&, std::uint64_t version, Time now);
+    void known(const DataCentreId&, std::uint64_t version);
 
     Table& table_;
     WriteIds& writeIds_;
     ControlTiming timing_;
     std::mutex mutex_;
-    std::map<DataCentreId, Known> known_;
+    std::map<DataCentreId, ServiceWatch> watches_;
 };
 
 }
--- a/src/libfescuecleat/control/schedulerlease.cpp
+++ b/src/libfescuecleat/control/schedulerlease.cpp
@@ -3,6 +3,7 @@
 #include "control/clockdrift.h"
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 namespace fescuecleat {
@@ -105,6 +106,19 @@
     own_ = {};
 }
 
+std::string SchedulerLease::stateText() const
+{
+    std::ostringstream text;
+    const auto micros = [](Time time) { return time.time_since_epoch().count(); };
+    text << "epoch " << epoch_ << " version " << leaseVersion_ << " valid until " << (epoch_ == 0 ? 0 : micros(validUntil_))
+         << " next renewal " << (epoch_ == 0 ? 0 : micros(nextRenewal_)) << " next read " << micros(nextRead_);
+    if (hasSeen_)
+        text << " seen " << seen_.leaseVersion_ << ' ' << seen_.heartbeatVersion_ << ' ' << seen_.lease_.holder_ << ' ' << seen_.lease_.epoch_ << " at " << micros(firstSeen_);
+    if (claim_)
+        text << " claim " << claim_->record_.claim_ << ' ' << claim_->record_.epoch_ << " sent " << micros(claim_->sentAt_);
+    return text.str();
+}
+
 LeaseFence SchedulerLease::fence() const
 {
     return { dataCentre_, epoch_, leaseVersion_ };
--- a/src/libfescuecleat/control/schedulerlease.h
+++ b/src/libfescuecleat/control/schedulerlease.h
@@ -68,6 +68,8 @@
     Time validUntil() const { return validUntil_; }
     /** Fence of this instance's own epoch; epoch 0 if it has none. */
     LeaseFence fence() const;
+    /** The whole state in one line, for the dump and for model checking. */
+    std::string stateText() const;
     /** The newest lease that was seen. */
     const LeaseRecord& newestLease() const { return seen_.lease_; }
 
--- a/tests/control/configurationcontroltest.cpp
+++ b/tests/control/configurationcontroltest.cpp
@@ -86,11 +86,14 @@
             std::uint64_t highest = 0;
             for (const std::uint8_t version : news) {
                 const bool isNewer = version > highest;
-                RC_ASSERT(applied.apply(version) == isNewer);
+                RC_ASSERT(applied.apply(version, ConfigurationSource::Table) == isNewer);
                 highest = std::max<std::uint64_t>(highest, version);
                 RC_ASSERT(applied.version() == highest);
             }
         });
+        AppliedConfiguration fresh;
+        CPPUNIT_ASSERT(!fresh.apply(4, ConfigurationSource::Elsewhere) && fresh.isBehind());
+        CPPUNIT_ASSERT(fresh.apply(4, ConfigurationSource::NeighbourInForce) && fresh.apply(5, ConfigurationSource::Elsewhere));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 3 }, versionInForce({ 5, 3, 4 }));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 0 }, versionInForce({}));
     }
--- a/tests/state/recoverytest.cpp
+++ b/tests/state/recoverytest.cpp
@@ -84,9 +84,11 @@
     {
         CHECK_PROPERTY("a running task is kept, stopped or left alone, never forgotten", [](const std::vector<std::pair<std::uint8_t, std::uint8_t>>& reported, const std::vector<std::uint8_t>& stored, bool hasRows) {
             std::vector<StoredJob> rows;
+            rows.reserve(stored.size());
             for (std::size_t i = 0; i < stored.size(); ++i)
                 rows.push_back({ runningJob(std::to_string(i), stored[i] % 3), 1 });
             std::vector<ReportedTask> reports;
+            reports.reserve(reported.size());
             for (const auto& [job, attempt] : reported)
                 reports.push_back(runningTask(std::to_string(job % 8), attempt % 3));
             const RecoveredState state = rebuild(hasRows ? std::optional(rows) : std::nullopt, std::nullopt, reports);
