--- /dev/null
+++ b/src/libfescuecleat/platform/budgetedtable.cpp
@@ -0,0 +1,39 @@
+#include "platform/budgetedtable.h"
+
+namespace fescuecleat {
+
+BudgetedTable::BudgetedTable(Table& table, const WriteBudgetLimits& limits)
+    : table_(table)
+    , budget_(limits, monotonicNow())
+{
+}
+
+Result<CommitOutcome> BudgetedTable::commit(const Transaction& transaction, Time deadline)
+{
+    const WritePriority priority = priorityOf(transaction);
+    const std::size_t rows = transaction.writes_.size();
+    {
+        std::unique_lock<std::mutex> lock(mutex_);
+        bool isDelayed = false;
+        for (Time now = monotonicNow(); !budget_.take(rows, priority, now); now = monotonicNow()) {
+            const Time chance = budget_.nextChance(rows, priority, now);
+            if (chance >= deadline) {
+                ++counts_.refused_;
+                return failure(ErrorKind::Overloaded, "the write budget of this instance is used up", "try again later or spread the work over more instances");
+            }
+            counts_.delayed_ += isDelayed ? 0 : 1;
+            isDelayed = true;
+            changed_.wait_until(lock, chance);
+        }
+        counts_.rows_ += rows;
+    }
+    return table_.commit(transaction, deadline);
+}
+
+BudgetCounts BudgetedTable::counts() const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return counts_;
+}
+
+}
