Name the table as the source of watched configurations

Cause: applying a configuration now says where it came from. Change: the watcher reads head and content from the table and says so. Conclusion: no change of behaviour.

--- a/src/libfescuecleat/daemon/configurationwatcher.cpp
+++ b/src/libfescuecleat/daemon/configurationwatcher.cpp
@@ -116,7 +116,7 @@
     }
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        if (!applied_.apply(version))
+        if (!applied_.apply(version, ConfigurationSource::Table))
             return false;
         current_ = std::make_shared<const Configuration>(*configuration);
     }
--- a/src/libfescuecleat/platform/groupcommittable.cpp
+++ b/src/libfescuecleat/platform/groupcommittable.cpp
@@ -80,7 +80,7 @@
     if (priorityOf(transaction) == WritePriority::Control)
         return table_.commit(transaction, deadline);
     if (const std::shared_ptr<const Transaction> group = unsettledGroup(transaction.writeId_)) {
-        const Result<CommitOutcome> outcome = table_.commit(*group, deadline);
+        Result<CommitOutcome> outcome = table_.commit(*group, deadline);
         if (!isConflict(outcome))
             return outcome;
         // The group never took effect and never will, so the transaction stands for itself.
--- a/tests/platform/decoratorstest.cpp
+++ b/tests/platform/decoratorstest.cpp
@@ -42,6 +42,7 @@
         std::atomic<int> committed { 0 };
         std::atomic<int> conflicts { 0 };
         std::vector<std::thread> threads;
+        threads.reserve(threadCount);
         for (int thread = 0; thread < threadCount; ++thread) {
             threads.emplace_back([&, thread] {
                 const std::string own = "own/" + std::to_string(thread);
