--- a/src/libfescuecleat/membership/membershipservice.cpp
+++ b/src/libfescuecleat/membership/membershipservice.cpp
@@ -72,6 +72,19 @@
     return localState_;
 }
 
+void MembershipService::updateLocalState(const std::function<void(LocalState&)>& change)
+{
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        const LocalState before = localState_;
+        change(localState_);
+        if (localState_ == before)
+            return;
+        posted_.push_back(LocalStateChanged { localState_ });
+    }
+    transport_->wake();
+}
+
 void MembershipService::setListed(const std::vector<ListedInstance>& instances)
 {
     post(InstancesListed { instances });
@@ -97,10 +110,10 @@
     viewListeners_.push_back(std::move(listener));
 }
 
-void MembershipService::addMessageListener(MessageListener listener)
+void MembershipService::setMessageListener(MessageListener listener)
 {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    messageListeners_.push_back(std::move(listener));
+    const std::lock_guard<std::mutex> lock(listenerMutex_);
+    messageListener_ = std::move(listener);
 }
 
 void MembershipService::setCut(std::set<InstanceId> cut)
@@ -172,13 +185,9 @@
         handle(PeerMessageReceived { std::move(message) });
         return;
     }
-    std::vector<MessageListener> listeners;
-    {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        listeners = messageListeners_;
-    }
-    for (const MessageListener& listener : listeners)
-        listener(message);
+    const std::lock_guard<std::mutex> lock(listenerMutex_);
+    if (messageListener_)
+        messageListener_(message);
 }
 
 void MembershipService::publish()
--- a/src/libfescuecleat/membership/membershipservice.h
+++ b/src/libfescuecleat/membership/membershipservice.h
@@ -16,8 +16,8 @@
 
 /**
  * Runs membership: one thread that owns the sockets and the core. Other
- * threads hand events over through a queue under a lock of its own; no lock is
- * held while a listener is called. Thread-safe.
+ * threads hand events over through a queue under a lock of its own, which is
+ * not held while a listener is called. Thread-safe.
  */
 class MembershipService {
 public:
@@ -39,6 +39,9 @@
     void setLocalState(const LocalState&);
     LocalState localState() const;
 
+    /** Changes a part of the local state and leaves the others' parts alone. */
+    void updateLocalState(const std::function<void(LocalState&)>&);
+
     /** A new reading of the instance list. */
     void setListed(const std::vector<ListedInstance>&);
 
@@ -50,7 +53,9 @@
 
     /** Called on the service's thread after each change and at least once a second. */
     void addViewListener(ViewListener);
-    void addMessageListener(MessageListener);
+
+    /** Waits for a call that is in progress; an empty listener takes the old one away. */
+    void setMessageListener(MessageListener);
 
     /** Drops all messages from and to these instances. For tests. */
     void setCut(std::set<InstanceId>);
@@ -87,7 +92,9 @@
     std::deque<MembershipEvent> posted_;
     std::deque<Outgoing> outgoing_;
     std::vector<ViewListener> viewListeners_;
-    std::vector<MessageListener> messageListeners_;
+    /** Held while the listener is called; taken before no other lock of this class. */
+    std::mutex listenerMutex_;
+    MessageListener messageListener_;
 
     std::atomic<bool> isStopping_ { false };
     std::thread thread_;
--- a/src/libfescuecleat/routing/dispatcher.cpp
+++ b/src/libfescuecleat/routing/dispatcher.cpp
@@ -304,15 +304,7 @@
         return false;
     if (condition == MinionCondition::Probing && (!request.isIdempotent_ || state.probesInProgress_ > 0))
         return false;
-    const auto fits = [&](Time moment) {
-        const auto busy = std::count_if(state.busyUntil_.begin(), state.busyUntil_.end(), [&](Time end) { return end > moment; });
-        return busy + 1 <= state.allowance_.slotsAt(moment);
-    };
-    if (!fits(now))
-        return false;
-    // A loan that lapses before the attempt ends must not be needed by then.
-    return std::all_of(state.allowance_.loans_.begin(), state.allowance_.loans_.end(),
-        [&](const SlotLoan& loan) { return loan.until_ <= now || loan.until_ >= attemptEnd || fits(loan.until_); });
+    return fescuecleat::hasRoom(state.allowance_, state.busyUntil_, attemptEnd, now);
 }
 
 std::optional<std::size_t> Dispatcher::choose(const Submit& request, Time attemptEnd, Time now)
--- a/src/libfescuecleat/routing/requestrouter.cpp
+++ b/src/libfescuecleat/routing/requestrouter.cpp
@@ -329,7 +329,33 @@
         allowances.allowances_[id].own_ = service.configuration_.slotsPerMinion_;
     }
     service.shard_.apply(listed);
-    service.shard_.apply(allowances);
+    if (!isSharing_)
+        service.shard_.apply(allowances);
+}
+
+void RequestRouter::beginSharing()
+{
+    isSharing_ = true;
+    setAllowances({});
+}
+
+void RequestRouter::setAllowances(const std::map<MinionId, SlotAllowance>& allowances)
+{
+    for (const ServicePointer& service : services())
+        service->shard_.apply(AllowancesChanged { allowances });
+}
+
+SlotUsage RequestRouter::slotUsage() const
+{
+    SlotUsage usage;
+    for (const ServicePointer& service : services()) {
+        for (const MinionSummary& minion : service->shard_.minionSummaries()) {
+            const int slots = service->configuration_.slotsPerMinion_;
+            usage.minions_[minion.minion_.id_] = { minion.minion_.dataCentre_, slots, minion.busy_ };
+        }
+        usage.wanted_ += service->shard_.summary().wantedSlots_;
+    }
+    return usage;
 }
 
 void RequestRouter::noteLeaving(const MinionId& minion)
--- a/src/libfescuecleat/routing/requestrouter.h
+++ b/src/libfescuecleat/routing/requestrouter.h
@@ -6,6 +6,7 @@
 #include "platform/table.h"
 #include "routing/attemptresult.h"
 #include "routing/claimstore.h"
+#include "routing/minionlimiter.h"
 #include "routing/requestoutcome.h"
 #include "routing/routercounters.h"
 #include "routing/servicerequest.h"
@@ -61,6 +62,13 @@
     /** Minions that said themselves that they leave, for peers. */
     std::set<MinionId> leavingMinions() const;
 
+    /** From now on the slots come from setAllowances() only. */
+    void beginSharing();
+    void setAllowances(const std::map<MinionId, SlotAllowance>&);
+
+    /** The slots in use and those wanted, over all services. */
+    SlotUsage slotUsage() const;
+
     /** Refuses new requests; those in progress go on. */
     void beginStop();
 
@@ -102,6 +110,7 @@
     ClaimStore claims_;
     RouterCounters counters_;
     std::atomic<bool> isStopping_ { false };
+    std::atomic<bool> isSharing_ { false };
     std::atomic<std::size_t> inProgress_ { 0 };
     std::atomic<std::uint64_t> spread_ { 0 };
 
--- a/src/libfescuecleat/routing/slotallowance.h
+++ b/src/libfescuecleat/routing/slotallowance.h
@@ -2,6 +2,7 @@
 
 #include "base/time.h"
 
+#include <algorithm>
 #include <tuple>
 #include <vector>
 
@@ -35,4 +36,20 @@
     }
 };
 
+/**
+ * True if an attempt that ends at `attemptEnd` fits beside those that end at
+ * `busyUntil`, now and at each moment at which a loan lapses before its end.
+ */
+inline bool hasRoom(const SlotAllowance& allowance, const std::vector<Time>& busyUntil, Time attemptEnd, Time now)
+{
+    const auto fits = [&](Time moment) {
+        const auto busy = std::count_if(busyUntil.begin(), busyUntil.end(), [&](Time end) { return end > moment; });
+        return busy + 1 <= allowance.slotsAt(moment);
+    };
+    if (!fits(now))
+        return false;
+    return std::all_of(allowance.loans_.begin(), allowance.loans_.end(),
+        [&](const SlotLoan& loan) { return loan.until_ <= now || loan.until_ >= attemptEnd || fits(loan.until_); });
+}
+
 }
