Run membership and slot sharing in the daemon

Cause: the daemon neither heard of its peers nor shared slots with them. Change: the daemon starts membership, feeds it the list and its configuration version, shares slots, announces its leave, and cuts peers off on request where they have no keys. Conclusion: wired.

--- a/src/libfescuecleat/daemon/daemon.cpp
+++ b/src/libfescuecleat/daemon/daemon.cpp
@@ -12,14 +12,17 @@
 #include "daemon/wallclock.h"
 #include "http/cxxtoolshttpclient.h"
 #include "http/httpserver.h"
+#include "membership/membershipservice.h"
 #include "platform/httpinstancelist.h"
 #include "platform/httpobjectstore.h"
 #include "platform/httptable.h"
 #include "routing/requestrouter.h"
+#include "routing/slotsharing.h"
 #include "telemetry/log.h"
 #include "worker/httpworkerclient.h"
 
 #include <atomic>
+#include <stdexcept>
 #include <thread>
 
 namespace fescuecleat {
@@ -44,6 +47,14 @@
         return limits;
     }
 
+    std::unique_ptr<MembershipService> startMembership(const Settings& settings)
+    {
+        Result<std::unique_ptr<MembershipService>> service = MembershipService::start(settings, static_cast<std::uint64_t>(wallClockMillis()));
+        if (!service)
+            throw std::runtime_error(describe(service.error()));
+        return std::move(*service);
+    }
+
 }
 
 struct Daemon::Impl {
@@ -65,7 +76,9 @@
         , identities_(Keyring(settings.bootstrapOperatorKeyHashes_))
         , scheduler_(settings.dataCentre_, lease_, store_, workers_, metrics_, [this](const JobSpec&) { return jobs_.otherInService(); })
         , router_(minionClient_, table_, objects_, { settings.instance_, settings.dataCentre_, static_cast<std::uint64_t>(wallClockMillis()) })
-        , watcher_(configurations_, settings.dataCentre_, [this](std::uint64_t, const Configuration& configuration) { apply(configuration); })
+        , membership_(startMembership(settings))
+        , sharing_(router_, *membership_, { settings.instance_, settings.dataCentre_, static_cast<std::uint64_t>(wallClockMillis()) })
+        , watcher_(configurations_, settings.dataCentre_, [this](std::uint64_t version, const Configuration& configuration) { apply(version, configuration); })
         , callerHandler_(settings.instance_, identities_, jobs_, scheduler_, router_, metrics_)
         , operatorHandler_(identities_, control_, configurations_, watcher_, metrics_, settings.dataCentres_, hooks())
         , callerServer_(settings.callerAddress_, callerHandler_, limits(settings, static_cast<unsigned>(settings.callerThreads_)))
@@ -86,11 +99,12 @@
     Impl(const Impl&) = delete;
     Impl& operator=(const Impl&) = delete;
 
-    void apply(const Configuration& configuration)
+    void apply(std::uint64_t version, const Configuration& configuration)
     {
         identities_.replace(Keyring(configuration));
         router_.configure(configuration.services_);
         scheduler_.setConfiguration(configuration);
+        membership_->updateLocalState([&](LocalState& state) { state.configurationVersion_ = version; });
     }
 
     OperatorHooks hooks()
@@ -98,10 +112,19 @@
         OperatorHooks hooks;
         hooks.whyNotReady_ = [this] { return whyNotReady(); };
         hooks.dump_ = [this] { return dump(); };
-        hooks.cut_ = [](const std::vector<InstanceId>&) -> Result<void> { return failure(ErrorKind::Unsupported, "cutting connections is not enabled", "enable it in the settings of a test"); };
+        hooks.cut_ = [this](const std::vector<InstanceId>& instances) { return cut(instances); };
         return hooks;
     }
 
+    /** Plays a partition; only where peers are on loopback without keys, as in tests. */
+    Result<void> cut(const std::vector<InstanceId>& instances)
+    {
+        if (!settings_.peerPublicKey_.empty())
+            return failure(ErrorKind::Unsupported, "peers with keys can't be cut off", "cut connections only in tests without keys");
+        membership_->setCut({ instances.begin(), instances.end() });
+        return {};
+    }
+
     std::string whyNotReady() const
     {
         if (isStopping_)
@@ -121,6 +144,8 @@
         state.addValue("requests_in_progress", router_.inProgress());
         addMember(state, "scheduler", scheduler_.dump());
         addMember(state, "router", router_.dump());
+        addMember(state, "membership", membership_->dump());
+        addMember(state, "slot_sharing", sharing_.dump());
         return state;
     }
 
@@ -137,6 +162,7 @@
     void take(const std::vector<ListedInstance>& listed)
     {
         router_.setMinions(listed);
+        membership_->setListed(listed);
         std::vector<ListedInstance> own;
         for (const ListedInstance& instance : listed) {
             if (instance.dataCentre_ == settings_.dataCentre_)
@@ -178,6 +204,7 @@
         logStateChange("daemon", "stopping");
         callerHandler_.beginStop();
         router_.beginStop();
+        membership_->announceLeave();
         while (isBusy() && monotonicNow() < deadline)
             std::this_thread::sleep_for(stopPollTime);
         const bool isClean = !isBusy();
@@ -206,6 +233,8 @@
     IdentitySource identities_;
     DataCentreScheduler scheduler_;
     RequestRouter router_;
+    std::unique_ptr<MembershipService> membership_;
+    SlotSharing sharing_;
     ConfigurationWatcher watcher_;
     CallerHandler callerHandler_;
     OperatorHandler operatorHandler_;
