Test the dispatcher against plain books; alternate lanes of the fair queue

Cause: with requests far shorter than the quantum of 5 ms, a burst of 50 went ahead of another organisation's request (found by the new test). Change: a quantum of 0.1 ms; minions seen leaving are asked whether they stay. Figures: the small request is served next but one in place of after 50. Conclusion: the quantum has to be no larger than the smallest cost.

--- a/src/libfescuecleat/routing/dispatcher.cpp
+++ b/src/libfescuecleat/routing/dispatcher.cpp
@@ -441,6 +441,7 @@
         summary.busy_ = static_cast<int>(state.busyUntil_.size());
         summary.allowed_ = state.allowance_.slotsAt(now);
         summary.meanLatency_ = state.latency_.mean();
+        summary.isOnlySeenLeaving_ = state.isListed_ && state.isSeenLeaving_ && !state.minion_.isLeaving_;
         const MinionCondition condition = state.health_.condition(now);
         summary.condition_ = condition == MinionCondition::Healthy ? "healthy" : "ejected";
         if (condition == MinionCondition::Probing)
--- a/src/libfescuecleat/routing/dispatcher.h
+++ b/src/libfescuecleat/routing/dispatcher.h
@@ -49,6 +49,8 @@
     int busy_ = 0;
     int allowed_ = 0;
     std::string condition_;
+    /** It, or a peer, said that it leaves, but the list doesn't. */
+    bool isOnlySeenLeaving_ = false;
     Duration meanLatency_ {};
 };
 
--- a/src/libfescuecleat/routing/fairqueue.cpp
+++ b/src/libfescuecleat/routing/fairqueue.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-    /** Slot time that a lane gains each time it comes round. */
-    constexpr Duration quantum { 5000 };
+    /** Slot time that a lane gains each time it comes round; small, so that lanes alternate even when requests are. */
+    constexpr Duration quantum { 100 };
     /** Costs are kept above this so that a round always advances. */
-    constexpr Duration leastCost { 100 };
+    constexpr Duration leastCost = quantum;
 
 }
 
--- a/src/libfescuecleat/routing/requestrouter.cpp
+++ b/src/libfescuecleat/routing/requestrouter.cpp
@@ -18,6 +18,9 @@
     /** A repeated call waits this long for the first one's answer. */
     constexpr Duration recordPatience { std::chrono::seconds(2) };
     constexpr Duration recordPollTime { std::chrono::milliseconds(100) };
+    /** A minion that said it leaves while the list shows it in service is asked this often whether it still does. */
+    constexpr Duration leavingPollTime { std::chrono::seconds(2) };
+    constexpr Duration healthTime { std::chrono::milliseconds(500) };
     /** Refusals that know no queue ask callers back within [shortest, shortest + spread). */
     constexpr Duration shortestReturn { std::chrono::milliseconds(500) };
     constexpr std::uint64_t returnSpreadMicroseconds = 2'000'000;
@@ -90,6 +93,7 @@
     , identity_(std::move(identity))
     , claims_(table, objects, identity_.instance_.value(), uniqueName(identity_))
     , ticker_([this] { tick(); })
+    , leavingWatcher_([this] { watchLeaving(); })
 {
 }
 
@@ -101,6 +105,7 @@
     }
     tickStop_.notify_all();
     ticker_.join();
+    leavingWatcher_.join();
 }
 
 RequestOutcome RequestRouter::route(const ServiceRequest& request)
@@ -406,6 +411,36 @@
     }
 }
 
+void RequestRouter::watchLeaving()
+{
+    std::unique_lock<std::mutex> lock(tickMutex_);
+    while (!tickStop_.wait_for(lock, leavingPollTime, [&] { return isTickStopping_; })) {
+        lock.unlock();
+        for (const ServicePointer& service : services()) {
+            for (const MinionSummary& minion : service->shard_.minionSummaries()) {
+                if (!minion.isOnlySeenLeaving_ || !saysItStays(minion.minion_))
+                    continue;
+                service->shard_.apply(StayingSeen { minion.minion_.id_ });
+                const std::lock_guard<std::mutex> leavingLock(leavingMutex_);
+                leaving_.erase(minion.minion_.id_);
+            }
+        }
+        lock.lock();
+    }
+}
+
+bool RequestRouter::saysItStays(const Minion& minion)
+{
+    HttpRequest request;
+    request.path_ = "/v1/health";
+    const auto answer = client_.send(minion.address_, request, monotonicNow() + healthTime, true);
+    if (!answer || saysLeaving(*answer))
+        return false;
+    const Result<JsonValue> health = parseJson(answer->body_, "health");
+    bool isLeaving = true;
+    return health && health->getMember("leaving", isLeaving) && !isLeaving;
+}
+
 JsonValue RequestRouter::dump() const
 {
     JsonValue value = jsonObject();
--- a/src/libfescuecleat/routing/requestrouter.h
+++ b/src/libfescuecleat/routing/requestrouter.h
@@ -104,6 +104,8 @@
     std::vector<ServicePointer> services() const;
     void giveMinions(Service&, const std::vector<ListedInstance>&);
     void tick();
+    void watchLeaving();
+    bool saysItStays(const Minion&);
 
     HttpClient& client_;
     RouterIdentity identity_;
@@ -125,6 +127,7 @@
     std::condition_variable tickStop_;
     bool isTickStopping_ = false;
     std::thread ticker_;
+    std::thread leavingWatcher_;
 };
 
 }
--- /dev/null
+++ b/tests/routing/dispatchertest.cpp
@@ -0,0 +1,227 @@
+#include "routing/dispatcher.h"
+#include "support/property.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+
+using namespace fescuecleat;
+
+namespace {
+
+const Time start = Time(std::chrono::hours(1));
+
+MinionId nameOf(int minion) { return MinionId("m" + std::to_string(minion)); }
+
+/** A dispatcher with minions of two data centres, fully allowed. */
+Dispatcher makeDispatcher(int minions, int slots, std::uint64_t seed = 1, ChoicePolicy policy = ChoicePolicy::TwoChoices)
+{
+    Dispatcher dispatcher({ DataCentreId("dc0"), seed, policy });
+    MinionsListed listed;
+    AllowancesChanged allowances;
+    for (int minion = 0; minion < minions; ++minion) {
+        listed.minions_.push_back({ nameOf(minion), DataCentreId(minion % 2 == 0 ? "dc0" : "dc1"), { "10.0.0.1", 1 }, false });
+        allowances.allowances_[nameOf(minion)].own_ = slots;
+    }
+    dispatcher.apply(listed, start);
+    dispatcher.apply(allowances, start);
+    return dispatcher;
+}
+
+Submit submission(Ticket ticket, Time deadline, const std::string& organisation = "o0", bool isIdempotent = true)
+{
+    return { ticket, OrganisationId(organisation), "reprice", deadline, isIdempotent, {} };
+}
+
+/** Keeps books in the plainest way and checks each action against them. */
+class Books {
+public:
+    Books(int minions, int slots)
+        : minions_(minions)
+        , slots_(slots)
+    {
+    }
+
+    void submit(const Submit& request) { open_[request.ticket_] = request; }
+
+    void take(const std::vector<DispatchAction>& actions, Time now)
+    {
+        for (const DispatchAction& action : actions) {
+            if (const auto* send = std::get_if<SendToMinion>(&action)) {
+                RC_ASSERT(open_.count(send->ticket_) == 1U);
+                RC_ASSERT(send->attemptDeadline_ <= open_[send->ticket_].deadline_ && now < send->attemptDeadline_);
+                RC_ASSERT(leaving_.count(send->minion_.id_) == 0U);
+                RC_ASSERT(busyOn(send->minion_.id_, now) < slots_);
+                running_[send->ticket_] = { send->minion_.id_, send->attemptDeadline_ };
+                open_.erase(send->ticket_);
+            }
+            if (const auto* refusal = std::get_if<RefuseRequest>(&action)) {
+                RC_ASSERT(open_.erase(refusal->ticket_) == 1U);
+                RC_ASSERT(refusal->retryAt_ > now);
+            }
+        }
+    }
+
+    /** An attempt ends at its deadline at the latest. */
+    int busyOn(const MinionId& minion, Time now) const
+    {
+        return static_cast<int>(std::count_if(running_.begin(), running_.end(), [&](const auto& entry) { return entry.second.first == minion && entry.second.second > now; }));
+    }
+
+    /** Nobody waits while a minion that may be used has room. */
+    void checkWorkConserving(Time now) const
+    {
+        if (open_.empty())
+            return;
+        for (int minion = 0; minion < minions_; ++minion)
+            RC_ASSERT(leaving_.count(nameOf(minion)) == 1U || busyOn(nameOf(minion), now) == slots_);
+    }
+
+    std::map<Ticket, Submit> open_;
+    std::map<Ticket, std::pair<MinionId, Time>> running_;
+    std::set<MinionId> leaving_;
+
+private:
+    int minions_;
+    int slots_;
+};
+
+}
+
+/** Decisions of the dispatcher against plain books, and under single failures. */
+class DispatcherTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(DispatcherTest);
+    CPPUNIT_TEST(agreesWithPlainBooks);
+    CPPUNIT_TEST(isDeterministic);
+    CPPUNIT_TEST(prefersItsOwnDataCentre);
+    CPPUNIT_TEST(sharesSlotsFairly);
+    CPPUNIT_TEST(ejectsAtMostAThirdAndTakesBack);
+    CPPUNIT_TEST(spreadsReturns);
+    CPPUNIT_TEST_SUITE_END();
+
+    void agreesWithPlainBooks()
+    {
+        CHECK_PROPERTY("slots, deadlines and leaving minions are kept, and none waits in vain", [](std::uint64_t seed) {
+            constexpr int minions = 5;
+            constexpr int slots = 2;
+            Dispatcher dispatcher = makeDispatcher(minions, slots, seed, seed % 2 == 0 ? ChoicePolicy::TwoChoices : ChoicePolicy::MostFree);
+            Books books(minions, slots);
+            RandomSource random(seed);
+            Time now = start;
+            for (Ticket ticket = 1; ticket < 300; ++ticket) {
+                now += std::chrono::milliseconds(random.below(4));
+                if (random.below(60) == 0) {
+                    const MinionId minion = nameOf(static_cast<int>(random.below(minions)));
+                    books.leaving_.insert(minion);
+                    books.take(dispatcher.apply(LeavingSeen { minion }, now), now);
+                }
+                const Submit request = submission(ticket, now + std::chrono::milliseconds(2000 + random.below(3000)), "o" + std::to_string(random.below(3)), random.below(2) == 0);
+                books.submit(request);
+                books.take(dispatcher.apply(request, now), now);
+                if (!books.running_.empty() && random.below(3) != 0) {
+                    const auto ended = std::next(books.running_.begin(), static_cast<std::ptrdiff_t>(random.below(books.running_.size())));
+                    const Ticket endedTicket = ended->first;
+                    books.running_.erase(ended);
+                    books.take(dispatcher.apply(AttemptEnded { endedTicket, AttemptVerdict::Good, now, false }, now), now);
+                }
+                books.checkWorkConserving(now);
+            }
+            RC_ASSERT(dispatcher.summary(now).waiting_ == books.open_.size());
+        });
+    }
+
+    void isDeterministic()
+    {
+        const auto history = [] {
+            Dispatcher dispatcher = makeDispatcher(8, 3, 99);
+            std::string text;
+            for (Ticket ticket = 1; ticket < 60; ++ticket) {
+                for (const DispatchAction& action : dispatcher.apply(submission(ticket, start + std::chrono::seconds(1)), start)) {
+                    if (const auto* send = std::get_if<SendToMinion>(&action))
+                        text += send->minion_.id_.value() + " ";
+                    if (const auto* refusal = std::get_if<RefuseRequest>(&action))
+                        text += std::to_string(refusal->retryAt_.time_since_epoch().count()) + " ";
+                }
+            }
+            return text;
+        };
+        CPPUNIT_ASSERT_EQUAL(history(), history());
+    }
+
+    void prefersItsOwnDataCentre()
+    {
+        Dispatcher dispatcher = makeDispatcher(4, 2);
+        for (Ticket ticket = 1; ticket <= 8; ++ticket) {
+            const auto actions = dispatcher.apply(submission(ticket, start + std::chrono::seconds(1)), start);
+            const bool isOwn = std::get<SendToMinion>(actions.at(0)).minion_.dataCentre_ == DataCentreId("dc0");
+            CPPUNIT_ASSERT_EQUAL(ticket <= 4, isOwn);
+        }
+    }
+
+    void sharesSlotsFairly()
+    {
+        Dispatcher dispatcher = makeDispatcher(1, 1);
+        const Time deadline = start + std::chrono::seconds(100);
+        Ticket ticket = 0;
+        dispatcher.apply(submission(++ticket, deadline), start);
+        for (int count = 0; count < 50; ++count)
+            dispatcher.apply(submission(++ticket, deadline, "burst"), start);
+        const Ticket small = ++ticket;
+        dispatcher.apply(submission(small, deadline, "small"), start);
+        // The burst came first, yet the other organisation is served next but one.
+        Ticket running = 1;
+        std::vector<Ticket> order;
+        for (int count = 0; count < 3; ++count) {
+            const auto actions = dispatcher.apply(AttemptEnded { running, AttemptVerdict::Good, start, false }, start + std::chrono::milliseconds(count + 1));
+            running = std::get<SendToMinion>(actions.at(0)).ticket_;
+            order.push_back(running);
+        }
+        CPPUNIT_ASSERT(std::find(order.begin(), order.end(), small) != order.end());
+    }
+
+    void ejectsAtMostAThirdAndTakesBack()
+    {
+        constexpr int minions = 12;
+        Dispatcher dispatcher = makeDispatcher(minions, 4);
+        Time now = start;
+        Ticket ticket = 0;
+        const auto runOne = [&](bool isAllBad) {
+            now += std::chrono::milliseconds(5);
+            const auto actions = dispatcher.apply(submission(++ticket, now + std::chrono::seconds(5)), now);
+            const auto* send = std::get_if<SendToMinion>(&actions.at(0));
+            if (send == nullptr)
+                return;
+            const AttemptVerdict verdict = isAllBad ? AttemptVerdict::Bad : AttemptVerdict::Good;
+            dispatcher.apply(AttemptEnded { send->ticket_, verdict, now, false }, now);
+        };
+        for (int count = 0; count < 400; ++count) {
+            runOne(true);
+            CPPUNIT_ASSERT(dispatcher.summary(now).ejected_ <= minions / 3);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(minions / 3), dispatcher.summary(now).ejected_);
+        now += std::chrono::seconds(60);
+        for (int count = 0; count < 400; ++count)
+            runOne(false);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), dispatcher.summary(now).ejected_);
+    }
+
+    void spreadsReturns()
+    {
+        Dispatcher dispatcher = makeDispatcher(1, 1);
+        std::set<Time> returns;
+        dispatcher.apply(submission(1, start + std::chrono::seconds(1)), start);
+        dispatcher.apply(AttemptEnded { 1, AttemptVerdict::Good, start, false }, start + std::chrono::milliseconds(100));
+        const Time now = start + std::chrono::milliseconds(100);
+        for (Ticket ticket = 2; ticket < 60; ++ticket) {
+            for (const DispatchAction& action : dispatcher.apply(submission(ticket, now + std::chrono::milliseconds(300)), now)) {
+                if (const auto* refusal = std::get_if<RefuseRequest>(&action))
+                    returns.insert(refusal->retryAt_);
+            }
+        }
+        CPPUNIT_ASSERT(returns.size() > 50);
+        CPPUNIT_ASSERT(*returns.rbegin() - *returns.begin() > std::chrono::seconds(4));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DispatcherTest);
