Bound waiting to a quarter of a request's time; bound membership's bytes

Cause: at 130% load every request waited until just before its deadline; with 9 instances in each of 6 data centres a gateway sent 5.3 KB a second. Change: admission refuses a wait above a quarter of the time that remains; heartbeats slow down with the number of peers, and gateways take turns.

--- a/src/libfescuecleat/membership/membershipcore.cpp
+++ b/src/libfescuecleat/membership/membershipcore.cpp
@@ -7,6 +7,8 @@
 namespace {
 
     constexpr Duration beatTime { std::chrono::seconds(1) };
+    constexpr Duration beatTimePerPeer { std::chrono::milliseconds(200) };
+    constexpr Duration longestBeatTime { std::chrono::seconds(2) };
     constexpr Duration summaryTime { std::chrono::seconds(2) };
     /** News wait for at most this long; many at once are sent together. */
     constexpr Duration hastyTime { std::chrono::milliseconds(200) };
@@ -128,7 +130,7 @@
     self_.isLeaving_ = true;
     beat(now, actions);
     if (isGateway(now))
-        summarise(now, actions);
+        summarise(true, now, actions);
     actions.emplace_back(ViewChanged {});
 }
 
@@ -141,7 +143,8 @@
         return;
     nextSummary_ = now + summaryTime;
     if (arrangement_ == Arrangement::Hierarchical && isGateway(now))
-        summarise(now, actions);
+        summarise(hasNews_, now, actions);
+    hasNews_ = false;
 }
 
 void MembershipCore::receive(const InstanceId& sender, const Heartbeat& heartbeat, Time now, Actions& actions)
@@ -246,6 +249,7 @@
     member.wasAlive_ = true;
     actions.emplace_back(ViewChanged {});
     // A gateway tells the other data centres at once.
+    hasNews_ = true;
     if (isGateway(now))
         nextSummary_ = std::min(nextSummary_, std::max(now, summaryAt_ + hastyTime));
 }
@@ -272,7 +276,7 @@
 void MembershipCore::beat(Time now, Actions& actions)
 {
     beatAt_ = now;
-    nextBeat_ = now + beatTime;
+    nextBeat_ = now + beatPause();
     ++self_.beat_;
     sentBeats_.emplace_back(self_.beat_, now);
     if (sentBeats_.size() > rememberedBeats)
@@ -292,16 +296,28 @@
         actions.emplace_back(SendToPeer { id, member.record_.peerAddress_, heartbeat });
 }
 
-void MembershipCore::summarise(Time now, Actions& actions)
+Duration MembershipCore::beatPause() const
+{
+    // With many peers each hears less often, so that an instance's bytes stay bounded.
+    const Duration pause = beatTimePerPeer * static_cast<Duration::rep>(members_.size() + 1);
+    return std::min(std::max(pause, beatTime), longestBeatTime);
+}
+
+void MembershipCore::summarise(bool isNews, Time now, Actions& actions)
 {
     summaryAt_ = now;
+    ++summaries_;
     nextSummary_ = now + summaryTime;
     Heartbeat heartbeat;
     heartbeat.member_ = self_;
     heartbeat.heads_.push_back({ self_.dataCentre_, membersDigest(ownMembers(now)), Duration::zero() });
     for (const DataCentreId& dataCentre : otherDataCentres()) {
-        for (const auto& [id, address] : gatewaysOf(dataCentre, now))
-            actions.emplace_back(SendToPeer { id, address, heartbeat });
+        const auto gateways = gatewaysOf(dataCentre, now);
+        // News goes to all of them, mere signs of life to each in turn.
+        for (std::size_t index = 0; index < gateways.size(); ++index) {
+            if (isNews || index == summaries_ % gateways.size())
+                actions.emplace_back(SendToPeer { gateways[index].first, gateways[index].second, heartbeat });
+        }
     }
 }
 
@@ -331,6 +347,7 @@
 void MembershipCore::hasten(Time now)
 {
     nextBeat_ = std::min(nextBeat_, std::max(now, beatAt_ + hastyTime));
+    hasNews_ = true;
     if (isGateway(now))
         nextSummary_ = std::min(nextSummary_, std::max(now, summaryAt_ + hastyTime));
 }
--- a/src/libfescuecleat/membership/membershipcore.h
+++ b/src/libfescuecleat/membership/membershipcore.h
@@ -81,7 +81,8 @@
     void takeRecord(const MemberRecord&, Time now, Actions&);
     void takeHead(const InstanceId& sender, const Address& senderAddress, const SummaryHead&, Time now, Actions&);
     void beat(Time now, Actions&);
-    void summarise(Time now, Actions&);
+    void summarise(bool isNews, Time now, Actions&);
+    Duration beatPause() const;
     void forgetTheGone(Time now, Actions&);
     void hasten(Time now);
 
@@ -110,6 +111,9 @@
     Time nextBeat_;
     Time summaryAt_;
     Time nextSummary_;
+    /** Something changed since the newest summary. */
+    bool hasNews_ = true;
+    std::uint64_t summaries_ = 0;
 };
 
 /** Digest of members that ignores their beats. */
--- a/src/libfescuecleat/routing/dispatcher.cpp
+++ b/src/libfescuecleat/routing/dispatcher.cpp
@@ -19,6 +19,11 @@
     constexpr double slowdownToEject = 4;
     /** Weight of the newest answer in a minion's slowdown. */
     constexpr double slowdownWeight = 0.1;
+    /**
+     * A request waits for at most this part of its time. A longer queue adds
+     * waiting time for all and no work done.
+     */
+    constexpr int waitDivisor = 4;
     /** Pairs of random minions tried before all are looked at. */
     constexpr int randomPairs = 2;
 
@@ -57,7 +62,9 @@
         return;
     }
     const Duration cost = expectedTime(request.kind_);
-    if (now + expectedWait(request.organisation_, now) + cost > request.deadline_) {
+    const Duration wait = expectedWait(request.organisation_, now);
+    const bool isTooLate = now + wait + cost > request.deadline_;
+    if (isTooLate || wait > (request.deadline_ - now) / waitDivisor) {
         refuse(request.ticket_, "the queue is too long for the deadline", now, actions);
         return;
     }
--- a/tests/membership/membershipcoretest.cpp
+++ b/tests/membership/membershipcoretest.cpp
@@ -91,6 +91,7 @@
     {
         VirtualNetwork network(11);
         std::vector<InstanceId> ids;
+        ids.reserve(18);
         for (int count = 0; count < 18; ++count)
             ids.push_back(network.add("dc" + std::to_string(count % 6)));
         network.run(std::chrono::seconds(20));
--- a/tests/routing/minionlimitertest.cpp
+++ b/tests/routing/minionlimitertest.cpp
@@ -36,7 +36,7 @@
 
     InstanceId add(const std::string& dataCentre)
     {
-        const InstanceId id = network_.add(dataCentre);
+        InstanceId id = network_.add(dataCentre);
         entries_.emplace(id, Entry(id, DataCentreId(dataCentre), network_.random_.next()));
         return id;
     }
