--- a/src/libfescuecleat/routing/requestrouter.cpp
+++ b/src/libfescuecleat/routing/requestrouter.cpp
@@ -441,12 +441,35 @@
     return health && health->getMember("leaving", isLeaving) && !isLeaving;
 }
 
+JsonValue RequestRouter::dumpCounters() const
+{
+    JsonValue value = jsonObject();
+    value.addMember("requests") <<= counters_.requests_.load();
+    value.addMember("answered") <<= counters_.answered_.load();
+    value.addMember("not_run") <<= counters_.notRun_.load();
+    value.addMember("outcome_unknown") <<= counters_.outcomeUnknown_.load();
+    value.addMember("dispatches") <<= counters_.dispatches_.load();
+    value.addMember("retries") <<= counters_.retries_.load();
+    value.addMember("retries_denied") <<= counters_.retriesDenied_.load();
+    value.addMember("not_started") <<= counters_.notStarted_.load();
+    value.addMember("unusable_answers") <<= counters_.unusableAnswers_.load();
+    value.addMember("claims_taken") <<= counters_.claimsTaken_.load();
+    value.addMember("claims_repeated") <<= counters_.claimsRepeated_.load();
+    value.addMember("claims_impossible") <<= counters_.claimsImpossible_.load();
+    value.addMember("ejections") <<= counters_.ejections_.load();
+    value.addMember("departures") <<= counters_.departures_.load();
+    return value;
+}
+
 JsonValue RequestRouter::dump() const
 {
     JsonValue value = jsonObject();
     value.addMember("in_progress") <<= inProgress_.load();
     value.addMember("claims_pending") <<= claims_.pending();
     value.addMember("stopping") <<= isStopping_.load();
+    JsonValue& counters = value.addMember("counters");
+    counters = dumpCounters();
+    counters.setName("counters");
     JsonValue& list = value.addMember("services");
     list.setCategory(JsonValue::Array);
     for (const ServicePointer& service : services()) {
--- a/src/libfescuecleat/routing/requestrouter.h
+++ b/src/libfescuecleat/routing/requestrouter.h
@@ -99,6 +99,7 @@
     NotRun notRun(const std::string& reason);
     void noteLeavingWord(Service&, const MinionId&);
     void count(const RequestOutcome&);
+    JsonValue dumpCounters() const;
 
     ServicePointer find(const ServiceId&) const;
     std::vector<ServicePointer> services() const;
