--- a/src/libfescuecleat/scheduler/gangmachine.cpp
+++ b/src/libfescuecleat/scheduler/gangmachine.cpp
@@ -1,5 +1,6 @@
 #include "scheduler/gangmachine.h"
 
+#include "scheduler/claimkeeper.h"
 #include "scheduler/schedulerlimits.h"
 
 #include <algorithm>
@@ -71,6 +72,7 @@
     entry.spec_.tasks_ = std::clamp(event.spec_.tasks_, 1, maxGangTasks);
     entry.shape_ = event.spec_.shape_;
     entry.submitted_ = event.submitted_;
+    entry.queuedAt_ = event.submitted_;
     entry.attempts_ = event.attempts_;
     entry.failures_ = event.failures_;
     entry.checkpointedShare_ = event.checkpointedShare_;
@@ -96,6 +98,7 @@
 
 void GangMachine::adopt(JobEntry& entry, const JobSubmitted& event)
 {
+    setBorrower(entry, true);
     entry.wasStartSent_ = event.state_ != JobState::Placed;
     entry.recorded_ = event.state_;
     entry.tasks_.resize(static_cast<std::size_t>(entry.spec_.tasks_));
@@ -127,6 +130,7 @@
     if (!entry)
         return;
     if (entry->phase_ == JobPhase::Queued) {
+        ClaimKeeper(state_, now_).drop(id);
         state_.queue_.remove(*entry);
         finish(*entry, JobState::Cancelled, "cancelled");
         return;
@@ -143,20 +147,26 @@
         stop(*entry, AfterStop::Forget, Blame::None, "taken over by another data centre");
         return;
     }
+    ClaimKeeper(state_, now_).drop(id);
     state_.queue_.remove(*entry);
     state_.jobs_.erase(id);
 }
 
 void GangMachine::place(JobEntry& entry, const Placement& placement)
 {
+    ClaimKeeper claims(state_, now_);
+    claims.drop(entry.spec_.id_);
+    if (!placement.isBorrowed())
+        claims.dropBorrowedOn(placement);
     state_.queue_.remove(entry);
     ++entry.attempts_;
-    entry.isBorrower_ = placement.isBorrowed_;
+    setBorrower(entry, placement.isBorrowed());
     entry.tasks_.clear();
     for (const TaskPlace& place : placement.tasks_) {
         GangTask task;
         task.worker_ = place.worker_;
         task.accelerators_ = place.accelerators_;
+        task.home_ = place.home_;
         task.checkpointedShare_ = entry.checkpointedShare_;
         entry.tasks_.push_back(task);
     }
@@ -177,8 +187,8 @@
     Holding holding;
     holding.accelerators_ = task.accelerators_;
     holding.processorMillis_ = entry.shape_.processorMillis_;
-    holding.memoryBytes_ = entry.shape_.memoryBytes_;
-    holding.isStoppable_ = entry.isBorrower_;
+    holding.memoryBytes_ = std::max(entry.shape_.memoryBytes_, task.memoryBytes_);
+    holding.home_ = task.home_;
     state_.workers_.hold(task.worker_, entry.taskKey(index), holding);
 }
 
@@ -234,7 +244,9 @@
 void GangMachine::finish(JobEntry& entry, JobState jobState, const std::string& reason)
 {
     record(entry, jobState, reason);
+    setBorrower(entry, false);
     const JobId id = entry.spec_.id_;
+    state_.health_.forget(id);
     state_.timers_.move(id, entry.wakeAt_, Time::max());
     state_.ended_.insert(id);
     state_.endedInOrder_.emplace_back(now_ + endedJobMemory, id);
@@ -251,8 +263,15 @@
     if (!isStep)
         return;
     task.state_ = next;
-    if (hasEnded(next))
-        state_.workers_.release(task.worker_, entry.taskKey(index));
+    if (!hasEnded(next))
+        return;
+    state_.workers_.release(task.worker_, entry.taskKey(index));
+    if (task.home_ != noHome)
+        state_.touchGuarantee(entry.spec_.organisation_);
+    if (next == GangTaskState::Finished)
+        state_.health_.finished(task.worker_, state_.workers_);
+    else if (next == GangTaskState::Failed || next == GangTaskState::Refused)
+        state_.health_.failed(entry.spec_.id_, task.worker_, state_.workers_, now_);
 }
 
 void GangMachine::workerLost(int worker)
@@ -260,7 +279,9 @@
     std::vector<TaskKey> held;
     for (const auto& [key, holding] : state_.workers_.at(worker).holdings())
         held.push_back(key);
+    ClaimKeeper(state_, now_).dropOn(worker);
     state_.workers_.leave(worker);
+    state_.bindAt_ = std::min(state_.bindAt_, now_);
     for (const TaskKey& key : held) {
         if (state_.strays_.count(key) > 0) {
             strayEnded(key);
@@ -323,9 +344,36 @@
         return;
     }
     updateFromReport(*entry, event.task_.index_, event);
+    if (!isWithinMemory(*entry, event))
+        return;
     evaluate(*entry);
 }
 
+bool GangMachine::isWithinMemory(JobEntry& entry, const TaskReported& event)
+{
+    GangTask& task = entry.tasks_[static_cast<std::size_t>(event.task_.index_)];
+    if (entry.phase_ != JobPhase::Running || task.state_ != GangTaskState::Running || event.memoryBytes_ == task.memoryBytes_)
+        return true;
+    task.memoryBytes_ = event.memoryBytes_;
+    hold(entry, event.task_.index_);
+    const std::int64_t declared = entry.shape_.memoryBytes_;
+    const std::int64_t tolerated = declared + declared / memoryToleranceDivisor;
+    if (declared == 0 || event.memoryBytes_ <= tolerated)
+        return true;
+    const bool harmsOthers = state_.workers_.at(task.worker_).freeMemoryBytes() < 0;
+    const bool wasThrottled = task.throttledAt_ != Time::max();
+    if (!harmsOthers && !wasThrottled) {
+        task.throttledAt_ = now_;
+        state_.actions_.emplace_back(ThrottleTask { event.task_, event.worker_ });
+        return true;
+    }
+    if (!harmsOthers && now_ < task.throttledAt_ + throttleTime)
+        return true;
+    entry.shape_.memoryBytes_ = event.memoryBytes_ + event.memoryBytes_ / memoryToleranceDivisor;
+    stop(entry, AfterStop::Requeue, Blame::Job, "a task took " + std::to_string(event.memoryBytes_) + " bytes of memory, declared were " + std::to_string(declared));
+    return false;
+}
+
 void GangMachine::updateFromReport(JobEntry& entry, int index, const TaskReported& event)
 {
     GangTask& task = entry.tasks_[static_cast<std::size_t>(index)];
@@ -444,7 +492,11 @@
     setPhase(entry, JobPhase::Running);
     entry.phaseDeadline_ = Time::max();
     entry.resendAt_ = Time::max();
+    const bool wasAdopted = entry.recorded_ == JobState::Running;
     entry.startedAt_ = now_;
+    entry.shareAtStart_ = entry.checkpointedShare_;
+    if (wasAdopted)
+        state_.bindAt_ = std::min(state_.bindAt_, now_ + bindDelay);
     entry.stopReason_.clear();
     setWake(entry);
     record(entry, JobState::Running, {});
@@ -458,11 +510,14 @@
     const bool isCheckpointed = entry.phase_ == JobPhase::Stopping && all(entry, [](GangTaskState state) { return state == GangTaskState::Checkpointed || state == GangTaskState::Finished; });
     setPhase(entry, JobPhase::Stopping);
     if (all(entry, isFinishedTask)) {
+        state_.estimator_.finished(entry, now_ - entry.startedAt_);
         finish(entry, JobState::Finished, {});
         return;
     }
     if (entry.afterStop_ == AfterStop::Forget) {
         const JobId id = entry.spec_.id_;
+        setBorrower(entry, false);
+        state_.health_.forget(id);
         state_.timers_.move(id, entry.wakeAt_, Time::max());
         state_.jobs_.erase(id);
         return;
@@ -497,7 +552,9 @@
 
 void GangMachine::requeue(JobEntry& entry)
 {
+    setBorrower(entry, false);
     setPhase(entry, JobPhase::Queued);
+    entry.queuedAt_ = now_;
     entry.tasks_.clear();
     entry.isCheckpointing_ = false;
     entry.phaseDeadline_ = Time::max();
@@ -580,6 +637,27 @@
     entry.phase_ = phase;
 }
 
+void GangMachine::setBorrower(JobEntry& entry, bool isBorrower)
+{
+    if (entry.isBorrower_ == isBorrower)
+        return;
+    entry.isBorrower_ = isBorrower;
+    const std::int64_t units = unitsOf(entry.spec_.shape_) * entry.spec_.tasks_;
+    std::int64_t& borrowed = state_.borrowedUnits_[entry.spec_.organisation_];
+    borrowed += isBorrower ? units : -units;
+}
+
+void GangMachine::moveToHomes(JobEntry& entry, const std::vector<int>& homes)
+{
+    for (std::size_t index = 0; index < entry.tasks_.size(); ++index) {
+        GangTask& task = entry.tasks_[index];
+        task.home_ = homes.empty() ? noHome : homes[index];
+        if (!hasEnded(task.state_))
+            hold(entry, static_cast<int>(index));
+    }
+    setBorrower(entry, homes.empty());
+}
+
 void GangMachine::setWake(JobEntry& entry)
 {
     const Time next = std::min(entry.phaseDeadline_, entry.resendAt_);
--- a/src/libfescuecleat/scheduler/gangmachine.h
+++ b/src/libfescuecleat/scheduler/gangmachine.h
@@ -32,6 +32,8 @@
     void stop(JobEntry&, AfterStop, Blame, const std::string& reason);
     /** Ends a job that has no live task. */
     void finish(JobEntry&, JobState, const std::string& reason);
+    /** Charges the tasks to homes, or to none: then the gang borrows. */
+    void moveToHomes(JobEntry&, const std::vector<int>& homes);
 
     void workerLost(int worker);
     void workerReported(const WorkerReported&);
@@ -64,6 +66,9 @@
     void stopUnended(JobEntry&);
     void setPhase(JobEntry&, JobPhase);
     void setWake(JobEntry&);
+    void setBorrower(JobEntry&, bool isBorrower);
+    /** Holds tasks to their declared memory; false if the gang was stopped for it. */
+    bool isWithinMemory(JobEntry&, const TaskReported&);
     void hold(const JobEntry&, int index);
     void record(JobEntry&, JobState, const std::string& reason);
     void sendPrepare(const JobEntry&, int index);
--- a/src/libfescuecleat/scheduler/jobentry.h
+++ b/src/libfescuecleat/scheduler/jobentry.h
@@ -56,10 +56,14 @@
     std::vector<GangTask> tasks_;
     /** True once a start of any attempt was or may have been sent. */
     bool wasStartSent_ = false;
-    /** True if it runs outside its organisation's guarantee. */
-    bool isBorrower_ = true;
+    /** True if it is placed outside its organisation's guarantee. */
+    bool isBorrower_ = false;
     /** When the running attempt began to run. */
     Time startedAt_;
+    /** Share of the work that was done before the running attempt. */
+    double shareAtStart_ = 0;
+    /** When it began to wait, for the last time. */
+    Time queuedAt_;
     /** When the phase is given up; Time::max() if never. */
     Time phaseDeadline_ = Time::max();
     /** When unanswered messages are sent again. */
@@ -78,6 +82,8 @@
     bool hasClaim_ = false;
     /** Times it was offered to other data centres as one that can't be placed here. */
     int offers_ = 0;
+    /** When it may be offered next. */
+    Time nextOfferAt_ = Time::min();
 
     TaskKey taskKey(int index) const { return TaskKey { spec_.id_, attempts_, index }; }
 };
--- a/src/libfescuecleat/scheduler/jobqueue.h
+++ b/src/libfescuecleat/scheduler/jobqueue.h
@@ -40,6 +40,8 @@
     std::set<std::pair<Time, JobId>> jobs_;
     /** Capacity version at which its head last found no place. */
     std::uint64_t blockedAt_ = 0;
+    /** Version of its organisation's guarantee at which its homes last had no room. */
+    std::uint64_t guaranteeBlockedAt_ = 0;
 };
 
 /** The waiting jobs by class. */
--- /dev/null
+++ b/src/libfescuecleat/scheduler/placementfinder.cpp
@@ -0,0 +1,61 @@
+#include "scheduler/placementfinder.h"
+
+#include <algorithm>
+#include <map>
+
+namespace fescuecleat {
+
+Slot freeSlot(const WorkerState& worker, const TaskShape& shape, bool avoidsGuaranteed)
+{
+    Slot slot;
+    slot.worker_ = worker.index();
+    slot.rack_ = worker.rackIndex();
+    slot.capacity_ = worker.capacity().accelerators_;
+    slot.maxTasks_ = 0;
+    if (!worker.isUsable())
+        return slot;
+    slot.maxTasks_ = std::numeric_limits<int>::max();
+    if (worker.trust() == WorkerTrust::Probation)
+        slot.maxTasks_ = worker.holdings().empty() ? 1 : 0;
+    slot.usable_ = worker.availableAccelerators();
+    slot.guaranteed_ = worker.guaranteed();
+    if (avoidsGuaranteed)
+        slot.usable_ &= ~worker.guaranteed();
+    slot.processorMillis_ = worker.availableProcessorMillis();
+    slot.memoryBytes_ = worker.availableMemoryBytes();
+    if (shape.accelerators_ > 0)
+        return slot;
+    // Free accelerators keep their share, or tasks without any would strand them.
+    const int free = countAccelerators(worker.availableAccelerators());
+    slot.processorMillis_ = std::max<std::int64_t>(0, slot.processorMillis_ - worker.processorShare(free));
+    slot.memoryBytes_ = std::max<std::int64_t>(0, slot.memoryBytes_ - worker.memoryShare(free));
+    return slot;
+}
+
+bool fitsNow(const Placement& placement, const TaskShape& shape, const WorkerTable& workers)
+{
+    std::map<int, Holding> needs;
+    for (const TaskPlace& place : placement.tasks_) {
+        Holding& need = needs[place.worker_];
+        need.accelerators_ |= place.accelerators_;
+        need.processorMillis_ += shape.processorMillis_;
+        need.memoryBytes_ += shape.memoryBytes_;
+    }
+    return std::all_of(needs.begin(), needs.end(), [&](const auto& entry) {
+        const auto& [index, need] = entry;
+        const WorkerState& worker = workers.at(index);
+        return worker.isUsable() && (need.accelerators_ & ~worker.freeAccelerators()) == 0
+            && need.processorMillis_ <= worker.freeProcessorMillis() && need.memoryBytes_ <= worker.freeMemoryBytes();
+    });
+}
+
+FreeQuery freeQueryOf(const JobEntry& entry)
+{
+    FreeQuery query;
+    query.demand_ = GangDemand { entry.shape_, entry.spec_.tasks_, entry.spec_.adjacency_ };
+    query.avoided_ = entry.failedOn_;
+    query.avoidsGuaranteed_ = !entry.spec_.isIdempotent_;
+    return query;
+}
+
+}
--- a/src/libfescuecleat/scheduler/placementpass.cpp
+++ b/src/libfescuecleat/scheduler/placementpass.cpp
@@ -1,43 +1,195 @@
 #include "scheduler/placementpass.h"
 
+#include "scheduler/claimkeeper.h"
+#include "scheduler/claimplanner.h"
 #include "scheduler/gangmachine.h"
 #include "scheduler/schedulerlimits.h"
 
 namespace fescuecleat {
 
+namespace {
+
+    enum class Tier {
+        Urgent,
+        Aged,
+        Usual,
+    };
+
+}
+
 void PlacementPass::run()
 {
     while (state_.mayStart(now_) && state_.gangsStarting_ < maxGangsStarting) {
-        JobLine* line = nextLine();
+        Line* line = nextLine();
         if (!line)
             return;
-        JobEntry& entry = state_.jobs_.at(line->jobs_.begin()->second);
-        if (!tryPlace(entry))
-            line->blockedAt_ = state_.workers_.freedVersion();
+        JobEntry& entry = state_.jobs_.at(line->second.jobs_.begin()->second);
+        const JobClass jobClass = line->first;
+        if (tryPlace(entry, line->second))
+            continue;
+        // The line may have gone if its head got a claim.
+        const auto same = state_.queue_.lines().find(jobClass);
+        if (same != state_.queue_.lines().end())
+            same->second.blockedAt_ = state_.workers_.freedVersion(jobClass.shape_.accelerators_ > 0);
     }
 }
 
-JobLine* PlacementPass::nextLine()
+PlacementPass::Line* PlacementPass::nextLine()
 {
-    JobLine* best = nullptr;
-    for (auto& [jobClass, line] : state_.queue_.lines()) {
-        if (line.blockedAt_ == state_.workers_.freedVersion())
+    Line* best = nullptr;
+    std::tuple<Tier, double, Time, JobId> bestKey;
+    for (Line& line : state_.queue_.lines()) {
+        const auto& [jobClass, waiting] = line;
+        if (waiting.blockedAt_ == state_.workers_.freedVersion(jobClass.shape_.accelerators_ > 0))
+            continue;
+        const auto& [submitted, id] = *waiting.jobs_.begin();
+        const bool isAged = now_ - submitted >= state_.configuration_.policy_.ageingTime_;
+        const Tier tier = jobClass.isUrgent_ ? Tier::Urgent : isAged ? Tier::Aged
+                                                                     : Tier::Usual;
+        double share = 0;
+        if (tier == Tier::Usual)
+            share = static_cast<double>(state_.borrowedUnits_[jobClass.organisation_]) / state_.weightOf(jobClass.organisation_);
+        std::tuple<Tier, double, Time, JobId> key { tier, share, submitted, id };
+        if (best && !(key < bestKey))
             continue;
-        if (!best || *line.jobs_.begin() < *best->jobs_.begin())
-            best = &line;
+        best = &line;
+        bestKey = std::move(key);
     }
     return best;
 }
 
-bool PlacementPass::tryPlace(JobEntry& entry)
+bool PlacementPass::tryPlace(JobEntry& entry, JobLine& line)
 {
     if (entry.strays_ > 0)
         return false;
-    const auto placement = finder_.findFree(entry, state_.workers_);
-    if (!placement)
+    if (entry.hasClaim_ && tryClaimed(entry))
+        return true;
+    if (tryWithinGuarantee(entry, line))
+        return true;
+    if (tryFree(entry) || tryBackfill(entry))
+        return true;
+    if (entry.hasClaim_)
+        return false;
+    return tryReclaim(entry) || tryUrgentClaim(entry);
+}
+
+bool PlacementPass::tryClaimed(JobEntry& entry)
+{
+    ClaimKeeper claims(state_, now_);
+    if (!claims.isReady(entry))
+        return false;
+    const Placement placement = state_.claims_.at(entry.spec_.id_).placement_;
+    GangMachine(state_, now_).place(entry, placement);
+    return true;
+}
+
+bool PlacementPass::tryWithinGuarantee(JobEntry& entry, JobLine& line)
+{
+    const std::uint64_t version = state_.guaranteeVersion(entry.spec_.organisation_);
+    if (line.guaranteeBlockedAt_ == version)
+        return false;
+    if (!ClaimPlanner(state_, now_).planInHomes(entry)) {
+        line.guaranteeBlockedAt_ = version;
+        return false;
+    }
+    std::vector<Slot> slots;
+    for (Slot& slot : state_.ledger_.freeSlots(entry.spec_.organisation_, state_.workers_)) {
+        if (entry.failedOn_.count(slot.worker_) == 0)
+            slots.push_back(std::move(slot));
+    }
+    const auto placement = fillSlots(slots, freeQueryOf(entry).demand_);
+    if (!placement || !fitsNow(*placement, entry.shape_, state_.workers_))
         return false;
     GangMachine(state_, now_).place(entry, *placement);
     return true;
 }
 
+bool PlacementPass::tryFree(JobEntry& entry)
+{
+    const FreeQuery query = freeQueryOf(entry);
+    const std::uint64_t version = state_.workers_.freedVersion(entry.shape_.accelerators_ > 0);
+    const TaskShape& shape = query.demand_.shape_;
+    const auto demand = std::make_tuple(shape.accelerators_, shape.processorMillis_, shape.memoryBytes_, query.demand_.tasks_, query.demand_.adjacency_, query.avoidsGuaranteed_);
+    const auto known = unfree_.find(demand);
+    if (known != unfree_.end() && known->second == version)
+        return false;
+    const auto placement = finder_.findFree(query, state_.workers_);
+    if (!placement) {
+        if (query.avoided_.empty())
+            unfree_[demand] = version;
+        return false;
+    }
+    GangMachine(state_, now_).place(entry, *placement);
+    return true;
+}
+
+bool PlacementPass::tryBackfill(JobEntry& entry)
+{
+    if (!entry.spec_.isIdempotent_ || !entry.spec_.canCheckpoint_)
+        return false;
+    for (const auto& [id, claim] : state_.claims_) {
+        const bool endsBefore = claim.kind_ == ClaimKind::Aged && claim.stopVictimsAt_ != Time::max() && id != entry.spec_.id_
+            && now_ + state_.estimator_.remainingRun(entry, now_) <= claim.stopVictimsAt_;
+        if (!endsBefore)
+            continue;
+        std::map<int, Slot> slots;
+        for (const TaskPlace& place : claim.placement_.tasks_) {
+            const WorkerState& worker = state_.workers_.at(place.worker_);
+            if (entry.failedOn_.count(place.worker_) > 0)
+                continue;
+            Slot& slot = slots.try_emplace(place.worker_, freeSlot(worker, entry.shape_, false)).first->second;
+            slot.usable_ |= place.accelerators_ & worker.freeAccelerators();
+            slot.processorMillis_ = worker.freeProcessorMillis();
+            slot.memoryBytes_ = worker.freeMemoryBytes();
+        }
+        std::vector<Slot> candidates;
+        for (auto& [worker, slot] : slots)
+            candidates.push_back(std::move(slot));
+        const auto placement = fillSlots(candidates, freeQueryOf(entry).demand_);
+        if (!placement)
+            continue;
+        GangMachine(state_, now_).place(entry, *placement);
+        return true;
+    }
+    return false;
+}
+
+bool PlacementPass::tryReclaim(JobEntry& entry)
+{
+    // planInHomes() found nothing if the line is blocked on the guarantee; asking again is cheap then.
+    const auto line = state_.queue_.lines().find(classOf(entry));
+    if (line != state_.queue_.lines().end() && line->second.guaranteeBlockedAt_ == state_.guaranteeVersion(entry.spec_.organisation_))
+        return false;
+    const auto placement = ClaimPlanner(state_, now_).planInHomes(entry);
+    if (!placement)
+        return false;
+    ClaimKeeper(state_, now_).make(entry, ClaimKind::Reclaim, *placement, now_);
+    return false;
+}
+
+bool PlacementPass::tryUrgentClaim(JobEntry& entry)
+{
+    if (!entry.spec_.isUrgent_ || entry.hasClaim_)
+        return false;
+    double total = 0;
+    for (int index = 0; index < state_.workers_.size(); ++index) {
+        if (state_.workers_.at(index).isPresent())
+            total += static_cast<double>(unitsOf(state_.workers_.at(index).capacity()));
+    }
+    double weights = 0;
+    for (const OrganisationConfiguration& organisation : state_.configuration_.organisations_)
+        weights += organisation.weight_;
+    const double weight = state_.weightOf(entry.spec_.organisation_);
+    const double fairShare = total * weight / std::max(weights, weight);
+    const auto wanted = unitsOf(entry.shape_) * entry.spec_.tasks_;
+    // Beyond its fair share an organisation's urgent work stops nothing.
+    if (static_cast<double>(state_.borrowedUnits_[entry.spec_.organisation_] + wanted) > fairShare)
+        return false;
+    const auto placement = ClaimPlanner(state_, now_).planAnywhere(entry, ClaimKind::Urgent);
+    if (!placement)
+        return false;
+    ClaimKeeper(state_, now_).make(entry, ClaimKind::Urgent, *placement, now_);
+    return false;
+}
+
 }
--- a/src/libfescuecleat/scheduler/placementpass.h
+++ b/src/libfescuecleat/scheduler/placementpass.h
@@ -3,9 +3,17 @@
 #include "scheduler/placementfinder.h"
 #include "scheduler/schedulerstate.h"
 
+#include <map>
+#include <tuple>
+
 namespace fescuecleat {
 
-/** Goes over the waiting jobs once, in the order of the policy, and places those that fit. */
+/**
+ * Goes over the waiting jobs in the order of the policy and places those that
+ * fit: urgent ones first, then those that have waited past the ageing time,
+ * then by what their organisation borrows for its weight, then by age. A line
+ * whose head found no place is passed over until capacity is freed.
+ */
 class PlacementPass {
 public:
     PlacementPass(SchedulerState& state, PlacementFinder& finder, Time now)
@@ -18,13 +26,24 @@
     void run();
 
 private:
+    using Line = std::pair<const JobClass, JobLine>;
+
     /** The line whose head is tried next, or nullptr. */
-    JobLine* nextLine();
-    bool tryPlace(JobEntry&);
+    Line* nextLine();
+    bool tryPlace(JobEntry&, JobLine&);
+    bool tryClaimed(JobEntry&);
+    bool tryFree(JobEntry&);
+    bool tryBackfill(JobEntry&);
+    bool tryWithinGuarantee(JobEntry&, JobLine&);
+    /** Makes borrowers leave the organisation's own homes. */
+    bool tryReclaim(JobEntry&);
+    bool tryUrgentClaim(JobEntry&);
 
     SchedulerState& state_;
     PlacementFinder& finder_;
     Time now_;
+    /** Demands that found nothing free in this pass, and at which version of what is free. */
+    std::map<std::tuple<int, std::int64_t, std::int64_t, int, Adjacency, bool>, std::uint64_t> unfree_;
 };
 
 }
--- a/src/libfescuecleat/scheduler/scheduler.cpp
+++ b/src/libfescuecleat/scheduler/scheduler.cpp
@@ -1,13 +1,17 @@
 #include "scheduler/scheduler.h"
 
-#include "scheduler/firstfitfinder.h"
+#include "scheduler/indexedfinder.h"
+#include "scheduler/schedulercore.h"
 #include "scheduler/schedulerdump.h"
-#include "scheduler/schedulerimpl.h"
 
 namespace fescuecleat {
 
+struct Scheduler::Impl {
+    SchedulerCore core_ { std::make_unique<IndexedFinder>() };
+};
+
 Scheduler::Scheduler()
-    : impl_(std::make_unique<Impl>(std::make_unique<FirstFitFinder>()))
+    : impl_(std::make_unique<Impl>())
 {
 }
 
@@ -17,22 +21,22 @@
 
 std::vector<SchedulerAction> Scheduler::handle(const SchedulerEvent& event, Time now)
 {
-    return impl_->handle(event, now);
+    return impl_->core_.handle(event, now);
 }
 
 Time Scheduler::nextDeadline() const
 {
-    return impl_->nextDeadline();
+    return impl_->core_.nextDeadline();
 }
 
 JsonValue Scheduler::dump(Time now) const
 {
-    return dumpState(impl_->state_, now);
+    return dumpState(impl_->core_.state(), now);
 }
 
 std::string Scheduler::explain(const JobId& job, Time now) const
 {
-    return explainJob(impl_->state_, job, now);
+    return explainJob(impl_->core_.state(), job, now);
 }
 
 }
--- a/src/libfescuecleat/scheduler/schedulerdump.cpp
+++ b/src/libfescuecleat/scheduler/schedulerdump.cpp
@@ -16,7 +16,7 @@
         value.addMember("worker") <<= worker.id().value();
         value.addMember("rack") <<= worker.rack().value();
         value.addMember("present") <<= worker.isPresent();
-        value.addMember("quarantined") <<= worker.isQuarantined();
+        value.addMember("quarantined") <<= worker.trust() == WorkerTrust::Quarantined;
         value.addMember("accelerators") <<= worker.capacity().accelerators_;
         value.addMember("free_accelerators") <<= positionsOf(worker.freeAccelerators());
         value.addMember("free_processor_millis") <<= worker.freeProcessorMillis();
--- a/src/libfescuecleat/scheduler/schedulerlimits.h
+++ b/src/libfescuecleat/scheduler/schedulerlimits.h
@@ -21,4 +21,29 @@
 /** Gangs that may be between placement and running at once; bounds the burst after a return. */
 constexpr int maxGangsStarting = 64;
 
+/** Time that urgent work gives to what makes way for it. */
+constexpr Duration urgentCheckpointTime = std::chrono::seconds(5);
+/** Time past their deadline after which a claim is given up if what was stopped has not ended. */
+constexpr Duration claimGraceTime = std::chrono::minutes(1);
+/** Interval at which waiting jobs are looked at for what only time changes. */
+constexpr Duration policyInterval = std::chrono::seconds(10);
+/** Time from the first change of workers until homes are laid again, so that many at once cost one pass. */
+constexpr Duration bindDelay = std::chrono::seconds(1);
+/** Part of the ageing time after which a large job may have small work moved, and any job is offered elsewhere. */
+constexpr int earlyAgeDivisor = 6;
+/** Time after the first event during which workers may still be joining. */
+constexpr Duration settlingTime = std::chrono::minutes(2);
+/** Window of the budget for moves. */
+constexpr Duration moveWindow = std::chrono::hours(1);
+/** Queued jobs that are offered to other data centres in one interval. */
+constexpr int offersPerInterval = 64;
+/** Gangs that write checkpoints at once while a data centre is emptied. */
+constexpr int maxGangsDraining = 32;
+/** Interval at which further gangs are told to leave. */
+constexpr Duration drainInterval = std::chrono::seconds(1);
+/** Part by which a task may exceed its declared memory, as a divisor. */
+constexpr int memoryToleranceDivisor = 20;
+/** Time a throttled task gets to come back to its declared memory. */
+constexpr Duration throttleTime = std::chrono::seconds(10);
+
 }
--- a/src/libfescuecleat/scheduler/workerstate.cpp
+++ b/src/libfescuecleat/scheduler/workerstate.cpp
@@ -37,6 +37,28 @@
         recount();
 }
 
+void WorkerState::claim(const TaskKey& task, const Holding& holding)
+{
+    claims_[task] = holding;
+    recount();
+}
+
+void WorkerState::releaseClaim(const TaskKey& task)
+{
+    if (claims_.erase(task) > 0)
+        recount();
+}
+
+std::int64_t WorkerState::processorShare(int accelerators) const
+{
+    return capacity_.accelerators_ > 0 ? capacity_.processorMillis_ * accelerators / capacity_.accelerators_ : 0;
+}
+
+std::int64_t WorkerState::memoryShare(int accelerators) const
+{
+    return capacity_.accelerators_ > 0 ? capacity_.memoryBytes_ / capacity_.accelerators_ * accelerators : 0;
+}
+
 void WorkerState::recount()
 {
     free_ = firstAccelerators(capacity_.accelerators_);
@@ -47,6 +69,14 @@
         freeProcessorMillis_ -= holding.processorMillis_;
         freeMemoryBytes_ -= holding.memoryBytes_;
     }
+    claimed_ = 0;
+    claimedProcessorMillis_ = 0;
+    claimedMemoryBytes_ = 0;
+    for (const auto& [task, holding] : claims_) {
+        claimed_ |= holding.accelerators_;
+        claimedProcessorMillis_ += holding.processorMillis_;
+        claimedMemoryBytes_ += holding.memoryBytes_;
+    }
 }
 
 }
--- a/src/libfescuecleat/scheduler/workerstate.h
+++ b/src/libfescuecleat/scheduler/workerstate.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/id.h"
-#include "scheduler/acceleratormask.h"
+#include "scheduler/holding.h"
 #include "scheduler/taskkey.h"
 #include "scheduler/worker.h"
 
@@ -10,14 +10,12 @@
 
 namespace fescuecleat {
 
-/** What one task takes of its worker. */
-struct Holding {
-    AcceleratorMask accelerators_ = 0;
-    std::int64_t processorMillis_ = 0;
-    /** The declared memory, or what was reported if that is more. */
-    std::int64_t memoryBytes_ = 0;
-    /** True if the task may be stopped for work within a guarantee. */
-    bool isStoppable_ = false;
+/** Whether a worker is trusted with tasks. */
+enum class WorkerTrust {
+    Trusted,
+    /** Back from quarantine: one task at a time until one finishes. */
+    Probation,
+    Quarantined,
 };
 
 /** One worker as the scheduler knows it: what it has and what is taken. */
@@ -40,17 +38,36 @@
     bool isPresent() const { return isPresent_; }
     void setPresent(bool isPresent) { isPresent_ = isPresent; }
 
-    bool isQuarantined() const { return isQuarantined_; }
-    void setQuarantined(bool isQuarantined) { isQuarantined_ = isQuarantined; }
+    WorkerTrust trust() const { return trust_; }
+    void setTrust(WorkerTrust trust) { trust_ = trust; }
+    /** True if it may be given tasks at all. */
+    bool isUsable() const { return isPresent_ && trust_ != WorkerTrust::Quarantined; }
 
+    /** Accelerators in guaranteed cells of any organisation. */
+    AcceleratorMask guaranteed() const { return guaranteed_; }
+    void setGuaranteed(AcceleratorMask guaranteed) { guaranteed_ = guaranteed; }
+
+    /** What no task holds. */
     AcceleratorMask freeAccelerators() const { return free_; }
     std::int64_t freeProcessorMillis() const { return freeProcessorMillis_; }
     std::int64_t freeMemoryBytes() const { return freeMemoryBytes_; }
+    /** What no task holds and no claim keeps. */
+    AcceleratorMask availableAccelerators() const { return free_ & ~claimed_; }
+    std::int64_t availableProcessorMillis() const { return freeProcessorMillis_ - claimedProcessorMillis_; }
+    std::int64_t availableMemoryBytes() const { return freeMemoryBytes_ - claimedMemoryBytes_; }
 
     const std::map<TaskKey, Holding>& holdings() const { return holdings_; }
     /** Takes or changes what a task holds. */
     void hold(const TaskKey&, const Holding&);
     void release(const TaskKey&);
+    /** What is kept for tasks that wait for others to end. */
+    const std::map<TaskKey, Holding>& claims() const { return claims_; }
+    void claim(const TaskKey&, const Holding&);
+    void releaseClaim(const TaskKey&);
+
+    /** The part of the processors that goes with a number of its accelerators. */
+    std::int64_t processorShare(int accelerators) const;
+    std::int64_t memoryShare(int accelerators) const;
 
 private:
     void recount();
@@ -62,11 +79,16 @@
     WorkerCapacity capacity_;
     WorkerCapacity reportedCapacity_;
     bool isPresent_ = false;
-    bool isQuarantined_ = false;
+    WorkerTrust trust_ = WorkerTrust::Trusted;
+    AcceleratorMask guaranteed_ = 0;
     std::map<TaskKey, Holding> holdings_;
+    std::map<TaskKey, Holding> claims_;
     AcceleratorMask free_ = 0;
     std::int64_t freeProcessorMillis_ = 0;
     std::int64_t freeMemoryBytes_ = 0;
+    AcceleratorMask claimed_ = 0;
+    std::int64_t claimedProcessorMillis_ = 0;
+    std::int64_t claimedMemoryBytes_ = 0;
 };
 
 }
--- a/src/libfescuecleat/scheduler/workertable.cpp
+++ b/src/libfescuecleat/scheduler/workertable.cpp
@@ -1,6 +1,7 @@
 #include "scheduler/workertable.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace fescuecleat {
 
@@ -28,7 +29,7 @@
 
 bool WorkerTable::join(int index, const RackId& rack, const WorkerCapacity& capacity)
 {
-    WorkerState& worker = mutableAt(index);
+    WorkerState& worker = change(index);
     const bool isKnown = worker.isPresent() && worker.rackIndex() >= 0 && worker.rack() == rack;
     if (isKnown && worker.reportedCapacity() == capacity)
         return false;
@@ -45,29 +46,81 @@
     worker.setCapacity(capacity);
     worker.setPresent(true);
     ++freedVersion_;
+    ++topologyVersion_;
     return true;
 }
 
 void WorkerTable::leave(int index)
 {
-    mutableAt(index).setPresent(false);
+    change(index).setPresent(false);
+    ++topologyVersion_;
 }
 
 void WorkerTable::hold(int index, const TaskKey& task, const Holding& holding)
 {
-    mutableAt(index).hold(task, holding);
+    change(index).hold(task, holding);
+    sharesFreed_ += static_cast<std::uint64_t>(holding.accelerators_ != 0);
 }
 
 void WorkerTable::release(int index, const TaskKey& task)
 {
-    mutableAt(index).release(task);
+    change(index).release(task);
     ++freedVersion_;
+    if (at(index).trust() == WorkerTrust::Probation)
+        ++topologyVersion_;
 }
 
-void WorkerTable::setQuarantined(int index, bool isQuarantined)
+void WorkerTable::claim(int index, const TaskKey& task, const Holding& holding)
 {
-    mutableAt(index).setQuarantined(isQuarantined);
+    change(index).claim(task, holding);
+    sharesFreed_ += static_cast<std::uint64_t>(holding.accelerators_ != 0);
+}
+
+void WorkerTable::releaseClaim(int index, const TaskKey& task)
+{
+    change(index).releaseClaim(task);
+    ++freedVersion_;
+}
+
+void WorkerTable::setTrust(int index, WorkerTrust trust)
+{
+    change(index).setTrust(trust);
+    ++freedVersion_;
+    ++topologyVersion_;
+}
+
+void WorkerTable::setGuaranteed(int index, AcceleratorMask guaranteed)
+{
+    if (at(index).guaranteed() == guaranteed)
+        return;
+    change(index).setGuaranteed(guaranteed);
+    // Work that stays out of guaranteed cells may have gained room.
     ++freedVersion_;
 }
 
+WorkerState& WorkerTable::change(int index)
+{
+    const auto position = static_cast<std::size_t>(index);
+    if (isChanged_.size() < workers_.size())
+        isChanged_.resize(workers_.size(), false);
+    if (!isChanged_[position]) {
+        isChanged_[position] = true;
+        changed_.push_back(index);
+    }
+    return workers_[position];
+}
+
+void WorkerTable::markAllChanged()
+{
+    for (int index = 0; index < size(); ++index)
+        change(index);
+}
+
+std::vector<int> WorkerTable::takeChanged()
+{
+    for (const int index : changed_)
+        isChanged_[static_cast<std::size_t>(index)] = false;
+    return std::exchange(changed_, {});
+}
+
 }
--- a/src/libfescuecleat/scheduler/workertable.h
+++ b/src/libfescuecleat/scheduler/workertable.h
@@ -32,20 +32,39 @@
     void leave(int index);
     void hold(int index, const TaskKey&, const Holding&);
     void release(int index, const TaskKey&);
-    void setQuarantined(int index, bool isQuarantined);
+    void claim(int index, const TaskKey&, const Holding&);
+    void releaseClaim(int index, const TaskKey&);
+    void setTrust(int index, WorkerTrust);
+    void setGuaranteed(int index, AcceleratorMask);
 
-    /** Grows whenever something may have become free. */
-    std::uint64_t freedVersion() const { return freedVersion_; }
+    /**
+     * Grows whenever something may have become free for tasks with or without
+     * accelerators. An accelerator that is taken sets its share of the
+     * processors free for tasks without.
+     */
+    std::uint64_t freedVersion(bool hasAccelerators) const { return freedVersion_ + (hasAccelerators ? 0 : sharesFreed_); }
+    /** Grows whenever a worker comes, goes, or changes in capacity or trust. */
+    std::uint64_t topologyVersion() const { return topologyVersion_; }
+
+    /** Workers that changed since the last call; for the one index over this table. */
+    std::vector<int> takeChanged();
+    /** For a new index: it has to look at every worker. */
+    void markAllChanged();
 
 private:
     int internRack(const RackId&);
-    WorkerState& mutableAt(int index) { return workers_[static_cast<std::size_t>(index)]; }
+    /** The worker, noted as changed. */
+    WorkerState& change(int index);
 
     std::deque<WorkerState> workers_;
     std::unordered_map<WorkerId, int> byId_;
     std::vector<RackState> racks_;
     std::unordered_map<RackId, int> rackById_;
     std::uint64_t freedVersion_ = 1;
+    std::uint64_t sharesFreed_ = 0;
+    std::uint64_t topologyVersion_ = 1;
+    std::vector<int> changed_;
+    std::vector<bool> isChanged_;
 };
 
 }
--- a/tests/scheduler/fakeworkers.cpp
+++ b/tests/scheduler/fakeworkers.cpp
@@ -7,7 +7,7 @@
 
 namespace fescuecleat {
 
-void FakeWorkers::join(Scheduler& scheduler, int count, int perRack, Time now)
+void FakeWorkers::join(SchedulerCore& scheduler, int count, int perRack, Time now)
 {
     for (int i = 0; i < count; ++i) {
         WorkerJoined joined;
@@ -19,11 +19,14 @@
     }
 }
 
-void FakeWorkers::handle(Scheduler& scheduler, const SchedulerEvent& event, Time now)
+void FakeWorkers::handle(SchedulerCore& scheduler, const SchedulerEvent& event, Time now)
 {
     if (const auto* submitted = std::get_if<JobSubmitted>(&event))
         specs_[submitted->spec_.id_] = submitted->spec_;
-    for (const SchedulerAction& action : scheduler.handle(event, now))
+    const std::vector<SchedulerAction> actions = scheduler.handle(event, now);
+    if (observer_)
+        observer_(event, now, actions);
+    for (const SchedulerAction& action : actions)
         note(action, now);
     check(now);
 }
@@ -63,7 +66,7 @@
         CPPUNIT_ASSERT_EQUAL_MESSAGE("two attempts of a job at once", std::size_t { 1 }, numbers.size());
 }
 
-void FakeWorkers::report(Scheduler& scheduler, const TaskKey& key, const WorkerId& worker, TaskState state, Time now)
+void FakeWorkers::report(SchedulerCore& scheduler, const TaskKey& key, const WorkerId& worker, TaskState state, Time now)
 {
     TaskReported reported;
     reported.task_ = key;
@@ -75,7 +78,7 @@
     handle(scheduler, reported, now);
 }
 
-void FakeWorkers::deliver(Scheduler& scheduler, std::size_t count, Time now)
+void FakeWorkers::deliver(SchedulerCore& scheduler, std::size_t count, Time now)
 {
     for (; count > 0 && !messages_.empty(); --count) {
         const SchedulerAction message = messages_.front();
@@ -84,7 +87,19 @@
     }
 }
 
-void FakeWorkers::receive(Scheduler& scheduler, const SchedulerAction& message, Time now)
+Time FakeWorkers::pass(SchedulerCore& scheduler, Time now, Duration duration)
+{
+    const Time end = now + duration;
+    deliverAll(scheduler, now);
+    while (now < end) {
+        now = std::min(end, std::max(scheduler.nextDeadline(), now + std::chrono::milliseconds(100)));
+        handle(scheduler, Tick {}, now);
+        deliverAll(scheduler, now);
+    }
+    return now;
+}
+
+void FakeWorkers::receive(SchedulerCore& scheduler, const SchedulerAction& message, Time now)
 {
     const auto isHere = [&](const auto& action) { return workers_.count(action.worker_) > 0; };
     std::visit(
@@ -143,7 +158,7 @@
         messages_.erase(messages_.begin());
 }
 
-bool FakeWorkers::endTask(Scheduler& scheduler, const TaskKey& key, TaskState state, Time now)
+bool FakeWorkers::endTask(SchedulerCore& scheduler, const TaskKey& key, TaskState state, Time now)
 {
     const auto task = tasks_.find(key);
     if (task == tasks_.end() || task->second.second.state_ != TaskState::Running)
@@ -155,7 +170,7 @@
     return true;
 }
 
-void FakeWorkers::lose(Scheduler& scheduler, const WorkerId& worker, Time now)
+void FakeWorkers::lose(SchedulerCore& scheduler, const WorkerId& worker, Time now)
 {
     for (auto task = tasks_.begin(); task != tasks_.end();) {
         if (task->second.first == worker)
@@ -163,11 +178,16 @@
         else
             ++task;
     }
+    // Its connections are gone, and what was under way on them.
+    const auto isToWorker = [&](const SchedulerAction& message) {
+        return std::visit(Overloaded { [&](const RecordJob&) { return false; }, [&](const OfferJob&) { return false; }, [&](const auto& action) { return action.worker_ == worker; } }, message);
+    };
+    messages_.erase(std::remove_if(messages_.begin(), messages_.end(), isToWorker), messages_.end());
     workers_.erase(worker);
     handle(scheduler, WorkerLost { worker }, now);
 }
 
-void FakeWorkers::reportAll(Scheduler& scheduler, Time now)
+void FakeWorkers::reportAll(SchedulerCore& scheduler, Time now)
 {
     for (const auto& [id, joined] : workers_) {
         handle(scheduler, joined, now);
--- a/tests/scheduler/fakeworkers.h
+++ b/tests/scheduler/fakeworkers.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include "scheduler/scheduler.h"
+#include "scheduler/schedulercore.h"
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -23,28 +24,30 @@
 class FakeWorkers {
 public:
     /** Joins `count` workers of eight accelerators, `perRack` to a rack. */
-    void join(Scheduler&, int count, int perRack, Time now);
+    void join(SchedulerCore&, int count, int perRack, Time now);
 
     /** Hands an event to the scheduler, notes its actions and checks them. */
-    void handle(Scheduler&, const SchedulerEvent&, Time now);
+    void handle(SchedulerCore&, const SchedulerEvent&, Time now);
 
     /** Lets the oldest `count` messages arrive; the reports go back at once. */
-    void deliver(Scheduler&, std::size_t count, Time now);
-    void deliverAll(Scheduler& scheduler, Time now)
+    void deliver(SchedulerCore&, std::size_t count, Time now);
+    void deliverAll(SchedulerCore& scheduler, Time now)
     {
         while (!messages_.empty())
             deliver(scheduler, messages_.size(), now);
     }
+    /** Lets time pass, with every message delivered and every deadline met; returns the time after it. */
+    Time pass(SchedulerCore&, Time now, Duration);
     /** Loses the oldest message. */
     void dropMessage();
     /** Puts the oldest message behind the others, and once more in its place if `twice`. */
     void reorderMessage(bool twice);
     /** A task ends by itself in the state given; false if it doesn't run. */
-    bool endTask(Scheduler&, const TaskKey&, TaskState, Time now);
+    bool endTask(SchedulerCore&, const TaskKey&, TaskState, Time now);
     /** The worker dies; its permit has lapsed. */
-    void lose(Scheduler&, const WorkerId&, Time now);
+    void lose(SchedulerCore&, const WorkerId&, Time now);
     /** Everything that each worker knows, as a new holder hears it. */
-    void reportAll(Scheduler&, Time now);
+    void reportAll(SchedulerCore&, Time now);
 
     const std::map<TaskKey, std::pair<WorkerId, FakeTask>>& tasks() const { return tasks_; }
     std::vector<TaskKey> runningTasks() const;
@@ -52,14 +55,18 @@
     const std::map<JobId, RecordJob>& records() const { return records_; }
     int count(TaskState) const;
     int startsOf(const JobId& job) const { return starts_.count(job) ? starts_.at(job) : 0; }
+    /** Called with each event and what the scheduler did. */
+    std::function<void(const SchedulerEvent&, Time, const std::vector<SchedulerAction>&)> observer_;
+
+    bool has(const WorkerId& worker) const { return workers_.count(worker) > 0; }
     void setPermit(Time until) { permitUntil_ = until; }
     void setTakenOut(bool isOut) { isOut_ = isOut; }
 
 private:
     void note(const SchedulerAction&, Time now);
     void check(Time now) const;
-    void report(Scheduler&, const TaskKey&, const WorkerId&, TaskState, Time now);
-    void receive(Scheduler&, const SchedulerAction&, Time now);
+    void report(SchedulerCore&, const TaskKey&, const WorkerId&, TaskState, Time now);
+    void receive(SchedulerCore&, const SchedulerAction&, Time now);
 
     std::map<WorkerId, WorkerJoined> workers_;
     std::map<TaskKey, std::pair<WorkerId, FakeTask>> tasks_;
--- a/tests/scheduler/gangtest.cpp
+++ b/tests/scheduler/gangtest.cpp
@@ -1,4 +1,5 @@
 #include "scheduler/fakeworkers.h"
+#include "scheduler/indexedfinder.h"
 #include "support/property.h"
 
 namespace fescuecleat {
@@ -72,9 +73,7 @@
         workers_.dropMessage();
         workers_.deliverAll(scheduler_, now_);
         CPPUNIT_ASSERT_EQUAL(1, workers_.count(TaskState::Running));
-        now_ = scheduler_.nextDeadline();
-        workers_.handle(scheduler_, Tick {}, now_);
-        workers_.deliverAll(scheduler_, now_);
+        now_ = workers_.pass(scheduler_, now_, 10 * second);
         CPPUNIT_ASSERT(recorded("a") == JobState::Running);
     }
 
@@ -140,7 +139,7 @@
     void newHolderAdoptsRunningGang()
     {
         submitAndRun(jobOf("a", 2, 8));
-        Scheduler next = nextHolder(jobOf("a", 2, 8));
+        SchedulerCore next = nextHolder(jobOf("a", 2, 8));
         workers_.reportAll(next, now_);
         workers_.deliverAll(next, now_);
         CPPUNIT_ASSERT_EQUAL(2, workers_.count(TaskState::Running));
@@ -150,7 +149,7 @@
     void newHolderStopsGangWithMissingTask()
     {
         submitAndRun(jobOf("a", 2, 8));
-        Scheduler next = nextHolder(jobOf("a", 2, 8));
+        SchedulerCore next = nextHolder(jobOf("a", 2, 8));
         workers_.lose(next, workers_.tasks().begin()->second.first, now_);
         workers_.reportAll(next, now_);
         CPPUNIT_ASSERT(std::holds_alternative<StopTask>(workers_.messages().front()));
@@ -168,20 +167,20 @@
 
     JobState recorded(const std::string& job) const { return workers_.records().at(JobId(job)).state_; }
 
-    Scheduler nextHolder(JobSubmitted job)
+    SchedulerCore nextHolder(JobSubmitted job)
     {
         const RecordJob& record = workers_.records().at(job.spec_.id_);
         job.state_ = record.state_;
         job.attempts_ = record.attempt_;
         job.placement_ = record.placement_;
-        Scheduler next;
+        SchedulerCore next { std::make_unique<IndexedFinder>() };
         workers_.handle(next, StartPermitExtended { now_ + 100 * second }, now_);
         workers_.handle(next, ConfigurationChanged {}, now_);
         workers_.handle(next, job, now_);
         return next;
     }
 
-    Scheduler scheduler_;
+    SchedulerCore scheduler_ { std::make_unique<IndexedFinder>() };
     FakeWorkers workers_;
     Time now_ { std::chrono::hours(1) };
 };
