--- a/src/libfescuecleat/scheduler/indexedfinder.cpp
+++ b/src/libfescuecleat/scheduler/indexedfinder.cpp
@@ -1,5 +1,6 @@
 #include "scheduler/indexedfinder.h"
 
+#include <algorithm>
 #include <numeric>
 
 namespace fescuecleat {
@@ -121,7 +122,7 @@
     if (worker.rackIndex() < 0)
         return;
     if (slot.maxTasks_ > 0)
-        order.roomOfWorker_[position] = countsAccelerators ? countAccelerators(slot.usable_) : slot.processorMillis_;
+        order.roomOfWorker_[position] = countsAccelerators ? countAccelerators(slot.usable_) : std::max<std::int64_t>(0, slot.processorMillis_);
     setRoom(worker.rackIndex(), order.roomOfWorker_[position]);
 }
 
--- a/src/libfescuecleat/scheduler/placementfinder.cpp
+++ b/src/libfescuecleat/scheduler/placementfinder.cpp
@@ -27,8 +27,8 @@
         return slot;
     // Free accelerators keep their share, or tasks without any would strand them.
     const int free = countAccelerators(worker.availableAccelerators());
-    slot.processorMillis_ = std::max<std::int64_t>(0, slot.processorMillis_ - worker.processorShare(free));
-    slot.memoryBytes_ = std::max<std::int64_t>(0, slot.memoryBytes_ - worker.memoryShare(free));
+    slot.processorMillis_ -= worker.processorShare(free);
+    slot.memoryBytes_ -= worker.memoryShare(free);
     return slot;
 }
 
--- a/src/libfescuecleat/scheduler/placementpass.cpp
+++ b/src/libfescuecleat/scheduler/placementpass.cpp
@@ -66,11 +66,19 @@
         return true;
     if (tryWithinGuarantee(entry, line))
         return true;
+    // Work that can't be resumed waits for its guarantee rather than borrow and be lost.
+    const bool canResume = entry.spec_.canCheckpoint_ && entry.spec_.isIdempotent_;
+    if (!canResume && !entry.hasClaim_)
+        tryReclaim(entry);
+    if (!canResume && entry.hasClaim_)
+        return false;
     if (tryFree(entry) || tryBackfill(entry))
         return true;
-    if (entry.hasClaim_)
-        return false;
-    return tryReclaim(entry) || tryUrgentClaim(entry);
+    if (!entry.hasClaim_)
+        tryReclaim(entry);
+    if (!entry.hasClaim_)
+        tryUrgentClaim(entry);
+    return false;
 }
 
 bool PlacementPass::tryClaimed(JobEntry& entry)
@@ -143,6 +151,7 @@
             slot.memoryBytes_ = worker.freeMemoryBytes();
         }
         std::vector<Slot> candidates;
+        candidates.reserve(slots.size());
         for (auto& [worker, slot] : slots)
             candidates.push_back(std::move(slot));
         const auto placement = fillSlots(candidates, freeQueryOf(entry).demand_);
@@ -154,23 +163,22 @@
     return false;
 }
 
-bool PlacementPass::tryReclaim(JobEntry& entry)
+void PlacementPass::tryReclaim(JobEntry& entry)
 {
     // planInHomes() found nothing if the line is blocked on the guarantee; asking again is cheap then.
     const auto line = state_.queue_.lines().find(classOf(entry));
     if (line != state_.queue_.lines().end() && line->second.guaranteeBlockedAt_ == state_.guaranteeVersion(entry.spec_.organisation_))
-        return false;
+        return;
     const auto placement = ClaimPlanner(state_, now_).planInHomes(entry);
     if (!placement)
-        return false;
+        return;
     ClaimKeeper(state_, now_).make(entry, ClaimKind::Reclaim, *placement, now_);
-    return false;
 }
 
-bool PlacementPass::tryUrgentClaim(JobEntry& entry)
+void PlacementPass::tryUrgentClaim(JobEntry& entry)
 {
     if (!entry.spec_.isUrgent_ || entry.hasClaim_)
-        return false;
+        return;
     double total = 0;
     for (int index = 0; index < state_.workers_.size(); ++index) {
         if (state_.workers_.at(index).isPresent())
@@ -184,12 +192,11 @@
     const auto wanted = unitsOf(entry.shape_) * entry.spec_.tasks_;
     // Beyond its fair share an organisation's urgent work stops nothing.
     if (static_cast<double>(state_.borrowedUnits_[entry.spec_.organisation_] + wanted) > fairShare)
-        return false;
+        return;
     const auto placement = ClaimPlanner(state_, now_).planAnywhere(entry, ClaimKind::Urgent);
     if (!placement)
-        return false;
+        return;
     ClaimKeeper(state_, now_).make(entry, ClaimKind::Urgent, *placement, now_);
-    return false;
 }
 
 }
--- a/src/libfescuecleat/scheduler/placementpass.h
+++ b/src/libfescuecleat/scheduler/placementpass.h
@@ -36,8 +36,8 @@
     bool tryBackfill(JobEntry&);
     bool tryWithinGuarantee(JobEntry&, JobLine&);
     /** Makes borrowers leave the organisation's own homes. */
-    bool tryReclaim(JobEntry&);
-    bool tryUrgentClaim(JobEntry&);
+    void tryReclaim(JobEntry&);
+    void tryUrgentClaim(JobEntry&);
 
     SchedulerState& state_;
     PlacementFinder& finder_;
--- a/src/libfescuecleat/scheduler/slotfill.cpp
+++ b/src/libfescuecleat/scheduler/slotfill.cpp
@@ -77,7 +77,7 @@
 
     std::int64_t roomOf(const Slot& slot, const TaskShape& shape)
     {
-        return shape.accelerators_ > 0 ? countAccelerators(slot.usable_) : slot.processorMillis_;
+        return shape.accelerators_ > 0 ? countAccelerators(slot.usable_) : std::max<std::int64_t>(0, slot.processorMillis_);
     }
 
     struct GroupResult {
--- a/src/libfescuecleat/scheduler/waitingpolicy.cpp
+++ b/src/libfescuecleat/scheduler/waitingpolicy.cpp
@@ -56,6 +56,7 @@
     for (const auto& [jobClass, line] : state_.queue_.lines())
         heads.insert(*line.jobs_.begin());
     std::vector<JobId> ids;
+    ids.reserve(heads.size());
     for (const auto& [submitted, id] : heads)
         ids.push_back(id);
     return ids;
