--- a/src/libfescuecleat/daemon/daemon.cpp
+++ b/src/libfescuecleat/daemon/daemon.cpp
@@ -14,14 +14,17 @@
 #include "daemon/wallclock.h"
 #include "http/cxxtoolshttpclient.h"
 #include "http/httpserver.h"
+#include "membership/membershipservice.h"
 #include "platform/httpinstancelist.h"
 #include "platform/httpobjectstore.h"
 #include "platform/httptable.h"
 #include "routing/requestrouter.h"
+#include "routing/slotsharing.h"
 #include "telemetry/log.h"
 #include "worker/httpworkerclient.h"
 
 #include <atomic>
+#include <stdexcept>
 #include <thread>
 
 namespace fescuecleat {
@@ -46,6 +49,14 @@
         return limits;
     }
 
+    std::unique_ptr<MembershipService> startMembership(const Settings& settings)
+    {
+        Result<std::unique_ptr<MembershipService>> service = MembershipService::start(settings, static_cast<std::uint64_t>(wallClockMillis()));
+        if (!service)
+            throw std::runtime_error(describe(service.error()));
+        return std::move(*service);
+    }
+
 }
 
 struct Daemon::Impl {
@@ -68,8 +79,10 @@
         , identities_(Keyring(settings.bootstrapOperatorKeyHashes_))
         , scheduler_(settings.dataCentre_, lease_, store_, workers_, metrics_, [this](const JobSpec&) { return jobs_.otherInService(); })
         , router_(minionClient_, table_, objects_, { settings.instance_, settings.dataCentre_, static_cast<std::uint64_t>(wallClockMillis()) })
+        , membership_(startMembership(settings))
+        , sharing_(router_, *membership_, { settings.instance_, settings.dataCentre_, static_cast<std::uint64_t>(wallClockMillis()) })
         , watcher_(configurations_, settings.dataCentre_, [this](std::uint64_t, const Configuration& configuration) { apply(configuration); })
-        , peers_(settings, watcher_, router_, lease_)
+        , peers_(settings, watcher_, *membership_, lease_)
         , explanations_(scheduler_, peers_, forwardClient_)
         , callerHandler_(settings.instance_, identities_, jobs_, explanations_, router_, metrics_)
         , operatorHandler_(identities_, control_, configurations_, watcher_, metrics_, settings.dataCentres_, hooks())
@@ -107,11 +120,12 @@
         return hooks;
     }
 
+    /** Plays a partition; only where peers are on loopback without keys, as in tests. */
     Result<void> cut(const std::vector<InstanceId>& instances)
     {
-        if (!settings_.areTestCutsAllowed_)
-            return failure(ErrorKind::Forbidden, "cutting connections is for tests", "set instance.test_cuts in the settings of a test");
-        peers_.setCut({ instances.begin(), instances.end() });
+        if (!settings_.peerPublicKey_.empty())
+            return failure(ErrorKind::Unsupported, "peers with keys can't be cut off", "cut connections only in tests without keys");
+        membership_->setCut({ instances.begin(), instances.end() });
         return {};
     }
 
@@ -134,7 +148,8 @@
         state.addValue("requests_in_progress", router_.inProgress());
         addMember(state, "scheduler", scheduler_.dump());
         addMember(state, "router", router_.dump());
-        addMember(state, "membership", peers_.dump());
+        addMember(state, "membership", membership_->dump());
+        addMember(state, "slot_sharing", sharing_.dump());
         return state;
     }
 
@@ -151,7 +166,7 @@
     void take(const std::vector<ListedInstance>& listed)
     {
         router_.setMinions(listed);
-        peers_.setListed(listed);
+        membership_->setListed(listed);
         std::vector<ListedInstance> own;
         for (const ListedInstance& instance : listed) {
             if (instance.dataCentre_ == settings_.dataCentre_)
@@ -191,9 +206,9 @@
     {
         isStopping_ = true;
         logStateChange("daemon", "stopping");
-        peers_.announceLeave();
         callerHandler_.beginStop();
         router_.beginStop();
+        membership_->announceLeave();
         while (isBusy() && monotonicNow() < deadline)
             std::this_thread::sleep_for(stopPollTime);
         const bool isClean = !isBusy();
@@ -223,6 +238,8 @@
     IdentitySource identities_;
     DataCentreScheduler scheduler_;
     RequestRouter router_;
+    std::unique_ptr<MembershipService> membership_;
+    SlotSharing sharing_;
     ConfigurationWatcher watcher_;
     PeerCoordinator peers_;
     JobExplanations explanations_;
