Audit that running work ends by the deadline of taking a data centre out

Cause: by hand, six gangs of 20 s went on in a data centre that was taken out with 3 s for running work, 6 s after that deadline; the audit didn't look. Change: running_after_deadline, planted in a test.

--- a/src/libfescuecleat/load/audit.cpp
+++ b/src/libfescuecleat/load/audit.cpp
@@ -183,6 +183,31 @@
         }
     }
 
+    /** Tasks that went on in a data centre after operators were promised that they end. */
+    void auditDrain(const Evidence& evidence, const AuditLimits& limits, Violations& found)
+    {
+        const Time end = logEnd(evidence);
+        for (const TakenOut& out : evidence.takenOut_) {
+            if (out.deadline_ >= Time::max() - limits.runAfterDeadline_ || out.returned_ < out.deadline_ + limits.runAfterDeadline_)
+                continue;
+            std::map<std::string, const LogEntry*> running;
+            const Time last = out.deadline_ + limits.runAfterDeadline_;
+            if (end <= last)
+                continue;
+            for (const LogEntry& entry : evidence.log_) {
+                if (entry.source_ != LogSource::Worker || entry.dataCentre_ != out.dataCentre_ || entry.field("job").empty() || entry.at_ > last)
+                    continue;
+                const std::string task = entry.field("job") + "/" + entry.field("attempt") + "/" + entry.field("index");
+                if (entry.event_ == "started")
+                    running[task] = &entry;
+                else if (entry.event_ != "prepared" && entry.event_ != "start_refused")
+                    running.erase(task);
+            }
+            for (const auto& [task, started] : running)
+                found.push_back({ ViolationKind::RunningAfterDeadline, task, "a task still ran in " + out.dataCentre_ + " " + seconds(limits.runAfterDeadline_) + " after the deadline for running work", { describe(*started) } });
+        }
+    }
+
     void auditLeavingMinions(const Evidence& evidence, const AuditLimits& limits, Violations& found)
     {
         std::map<std::string, Time> leaving;
@@ -228,6 +253,8 @@
         return "not_run_that_ran";
     case ViolationKind::StartAfterTakenOut:
         return "start_after_taken_out";
+    case ViolationKind::RunningAfterDeadline:
+        return "running_after_deadline";
     case ViolationKind::WorkToLeavingMinion:
         return "work_to_leaving_minion";
     case ViolationKind::ConfigurationReverted:
@@ -260,6 +287,7 @@
     auditRequests(evidence, found);
     auditJobs(evidence, limits, found);
     auditTakenOut(evidence, limits, found);
+    auditDrain(evidence, limits, found);
     auditLeavingMinions(evidence, limits, found);
     auditConfiguration(evidence, found);
     return found;
--- a/src/libfescuecleat/load/audit.h
+++ b/src/libfescuecleat/load/audit.h
@@ -15,6 +15,7 @@
     WrongAnswer,
     NotRunThatRan,
     StartAfterTakenOut,
+    RunningAfterDeadline,
     WorkToLeavingMinion,
     ConfigurationReverted,
     RequestCut,
@@ -42,6 +43,8 @@
 struct AuditLimits {
     /** From the call that takes a data centre out to its last start. */
     Duration startAfterTakenOut_ = std::chrono::seconds(5);
+    /** From the deadline of taking a data centre out to the end of its last task. */
+    Duration runAfterDeadline_ = std::chrono::seconds(2);
     /** From the moment a minion says that it leaves to the last new work. */
     Duration workAfterLeaving_ = std::chrono::seconds(3);
     /** Longest time that tasks of a gang run while another one does not. */
--- a/src/libfescuecleat/load/evidence.h
+++ b/src/libfescuecleat/load/evidence.h
@@ -68,6 +68,8 @@
     Time done_ = Time::max();
     /** When the return was asked for; max: never. */
     Time returned_ = Time::max();
+    /** When running work is to have ended. */
+    Time deadline_ = Time::max();
 };
 
 /** A configuration that operators were told is accepted. */
--- a/src/libfescuecleat/load/operatorplayer.cpp
+++ b/src/libfescuecleat/load/operatorplayer.cpp
@@ -78,6 +78,7 @@
     out.dataCentre_ = dataCentre(step.dataCentre_).name_;
     out.asked_ = monotonicNow();
     const Time deadline = out.asked_ + step.stopTime_;
+    out.deadline_ = deadline;
     const std::size_t position = recorder_.with([&](Evidence& evidence) {
         evidence.takenOut_.push_back(out);
         return evidence.takenOut_.size() - 1;
--- a/tests/load/audittest.cpp
+++ b/tests/load/audittest.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(findsFinishedJobThatDidNotFinish);
     CPPUNIT_TEST(findsLostJob);
     CPPUNIT_TEST(findsStartAfterTakenOut);
+    CPPUNIT_TEST(findsWorkThatOutlastsTheDrain);
     CPPUNIT_TEST(findsWorkToLeavingMinion);
     CPPUNIT_TEST(findsRevertedConfiguration);
     CPPUNIT_TEST(refusesIncompleteLogs);
@@ -158,14 +159,24 @@
 
     void findsStartAfterTakenOut()
     {
-        evidence_.takenOut_.push_back({ "palermo", at(0), at(1), Time::max() });
-        evidence_.takenOut_.push_back({ "catania", at(4.5), Time::max(), Time::max() });
-        evidence_.takenOut_.push_back({ "catania", at(0), at(1), at(2) });
+        evidence_.takenOut_.push_back({ "palermo", at(0), at(1), Time::max(), Time::max() });
+        evidence_.takenOut_.push_back({ "catania", at(4.5), Time::max(), Time::max(), Time::max() });
+        evidence_.takenOut_.push_back({ "catania", at(0), at(1), at(2), Time::max() });
         CPPUNIT_ASSERT(audit(evidence_).empty());
-        evidence_.takenOut_.push_back({ "catania", at(4), at(4.9), Time::max() });
+        evidence_.takenOut_.push_back({ "catania", at(4), at(4.9), Time::max(), Time::max() });
         expectOnly(ViolationKind::StartAfterTakenOut);
     }
 
+    void findsWorkThatOutlastsTheDrain()
+    {
+        evidence_.takenOut_.push_back({ "catania", at(6), Time::max(), Time::max(), at(29) });
+        CPPUNIT_ASSERT(audit(evidence_).empty());
+        evidence_.takenOut_.back().deadline_ = at(20);
+        expectOnly(ViolationKind::RunningAfterDeadline);
+        evidence_.takenOut_.back().returned_ = at(21);
+        CPPUNIT_ASSERT(audit(evidence_).empty());
+    }
+
     void findsWorkToLeavingMinion()
     {
         minion(40, "leaving");
--- a/tests/support/ports.h
+++ b/tests/support/ports.h
@@ -30,7 +30,7 @@
  */
 inline unsigned short freePort(int count = 1)
 {
-    constexpr int firstPort = 10000;
+    constexpr int firstPort = 20000;
     constexpr int lastPort = 32000;
     constexpr int mostTries = 200;
     std::random_device random;
