Audit jobs that fail although none of their tasks did

Cause: a store outage ended a job with 'disturbed 20 times in a row', no task of it had failed; the audit passed it. Change: such a job counts as accepted work lost; planted in a test. The planted partial gang now belongs to a cancelled job, since a failed one without a failed task is a violation of its own.

--- a/src/libfescuecleat/load/audit.cpp
+++ b/src/libfescuecleat/load/audit.cpp
@@ -146,6 +146,8 @@
         {
             if (sent_.state_ == "missing")
                 return report(ViolationKind::AcceptedWorkLost, "an accepted job is not known any more");
+            if (sent_.state_ == "failed" && sent_.isIdempotent_ && !hasFailedTask())
+                return report(ViolationKind::AcceptedWorkLost, "a job failed although no task of it did: " + sent_.reason_);
             if (sent_.state_ != "finished")
                 return;
             const bool isWhole = std::any_of(history_.attempts_.begin(), history_.attempts_.end(), [this](const auto& item) { return finishedTasks(item.second) == sent_.tasks_; });
@@ -153,6 +155,17 @@
                 report(ViolationKind::RanPartly, "a finished job has no attempt in which all tasks finished");
         }
 
+        bool hasFailedTask() const
+        {
+            for (const auto& [number, attempt] : history_.attempts_) {
+                for (const auto& [index, task] : attempt) {
+                    if (task.end_ == "failed")
+                        return true;
+                }
+            }
+            return false;
+        }
+
         const SentJob& sent_;
         const JobHistory& history_;
         Violations& found_;
--- a/tests/load/audittest.cpp
+++ b/tests/load/audittest.cpp
@@ -131,7 +131,7 @@
         worker(5, "prepared", 1, 1);
         worker(5, "started", 1, 0);
         worker(30, "stopped", 1, 0);
-        job().state_ = "failed";
+        job().state_ = "cancelled";
         expectOnly(ViolationKind::RanPartly);
         // It starts, fails soon, and the first goes on for long.
         evidence_.log_.clear();
@@ -155,6 +155,10 @@
     {
         job().state_ = "missing";
         expectOnly(ViolationKind::AcceptedWorkLost);
+        job().state_ = "failed";
+        expectOnly(ViolationKind::AcceptedWorkLost);
+        evidence_.log_.back().event_ = "failed";
+        CPPUNIT_ASSERT(audit(evidence_).empty());
     }
 
     void findsStartAfterTakenOut()
