Compare policies side by side in one experiment

Cause: a policy is weighed under the same arrivals. Change: variants of an experiment set members of the policy as a new configuration version before their repeats and are compared with the first one; calls to the operators' edge have a class of their own.

--- a/src/fescuecleat-load/main.cpp
+++ b/src/fescuecleat-load/main.cpp
@@ -1,8 +1,11 @@
+#include "http/cxxtoolshttpclient.h"
 #include "load/comparison.h"
+#include "load/configurationchange.h"
 #include "load/htmlreport.h"
 #include "json/json.h"
 
 #include <algorithm>
+#include <atomic>
 #include <exception>
 #include <fstream>
 #include <iomanip>
@@ -140,39 +143,102 @@
         std::cout << std::left << std::setw(52) << name << std::right << std::setw(14) << summary.mean_ << std::setw(14) << summary.least_ << std::setw(14) << summary.most_ << "\n";
 }
 
-int run(const Options& options)
+/** Thrown when a run can't go on. */
+struct RunError {
+    Error error_;
+};
+
+/** What a run of the tool works with. */
+struct Inputs {
+    Experiment experiment_;
+    Testbed testbed_;
+    Mix mix_;
+};
+
+Inputs readInputs(const Options& options)
 {
     if (!options.mix_)
         throw InputError { "--mix is missing; give the mix of the deployment" };
-    Experiment experiment = parseFile(options.words_[1], parseExperiment);
-    const Testbed testbed = parseFile(options.testbed_, parseTestbed);
-    const Mix mix = parseFile(options.mix_, parseMix);
+    Inputs inputs { parseFile(options.words_[1], parseExperiment), parseFile(options.testbed_, parseTestbed), parseFile(options.mix_, parseMix) };
     if (options.repeats_ > 0)
-        experiment.repeats_ = options.repeats_;
+        inputs.experiment_.repeats_ = options.repeats_;
     if (options.seed_ >= 0)
-        experiment.seed_ = static_cast<std::uint64_t>(options.seed_);
-    ExperimentResult result { experiment.name_, testbed.deployment_, {} };
-    std::size_t broken = 0;
-    for (int repeat = 0; repeat < experiment.repeats_; ++repeat) {
-        const std::uint64_t seed = experiment.seed_ + static_cast<std::uint64_t>(repeat);
-        // Keys of an earlier run would be taken for repeated calls.
-        const std::string prefix = experiment.name_ + "-" + std::to_string(seed) + "-" + std::to_string(monotonicNow().time_since_epoch().count());
-        const ArrivalPlan plan = planArrivals(experiment, mix, testbed.organisations_.size(), seed, prefix);
-        const std::string name = experiment.name_ + " repeat " + std::to_string(repeat + 1) + "/" + std::to_string(experiment.repeats_) + " seed " + std::to_string(seed);
-        const Result<RepeatRecord> record = runRepeat(testbed, experiment, plan, seed, [&name](const std::string& line) { std::cerr << name << ", " << line << "\n"; });
-        if (!record) {
-            std::cerr << describe(record.error()) << "\n";
-            return runFailed;
-        }
-        RepeatResult& repeated = result.repeats_.emplace_back(RepeatResult { seed, measure(testbed, *record), audit(record->evidence_) });
-        printViolations(repeated);
-        printRefusals(*record);
-        broken += repeated.violations_.size();
+        inputs.experiment_.seed_ = static_cast<std::uint64_t>(options.seed_);
+    if (inputs.experiment_.variants_.empty())
+        inputs.experiment_.variants_.push_back({ "", jsonObject() });
+    return inputs;
+}
+
+RepeatResult runOnce(const Inputs& inputs, const std::string& name, std::uint64_t seed)
+{
+    // Keys of an earlier run would be taken for repeated calls.
+    const std::string prefix = inputs.experiment_.name_ + "-" + std::to_string(seed) + "-" + std::to_string(monotonicNow().time_since_epoch().count());
+    const ArrivalPlan plan = planArrivals(inputs.experiment_, inputs.mix_, inputs.testbed_.organisations_.size(), seed, prefix);
+    const Result<RepeatRecord> record = runRepeat(inputs.testbed_, inputs.experiment_, plan, seed, [&name](const std::string& line) { std::cerr << name << ", " << line << "\n"; });
+    if (!record)
+        throw RunError { record.error() };
+    RepeatResult result { seed, measure(inputs.testbed_, *record), audit(record->evidence_) };
+    printViolations(result);
+    printRefusals(*record);
+    return result;
+}
+
+ExperimentResult runVariant(const Inputs& inputs, const Variant& variant)
+{
+    if (!variant.name_.empty()) {
+        CxxtoolsHttpClient client;
+        const std::atomic<bool> isStopped { false };
+        const auto changed = changeConfiguration(
+            OperatorClient(inputs.testbed_, client), [&variant](JsonValue& base) { setPolicy(base, variant.policy_); }, isStopped);
+        if (!changed)
+            throw RunError { changed.error() };
+    }
+    ExperimentResult result { inputs.experiment_.name_ + (variant.name_.empty() ? "" : "-" + variant.name_), inputs.testbed_.deployment_, {} };
+    for (int repeat = 0; repeat < inputs.experiment_.repeats_; ++repeat) {
+        const std::uint64_t seed = inputs.experiment_.seed_ + static_cast<std::uint64_t>(repeat);
+        const std::string name = result.experiment_ + " repeat " + std::to_string(repeat + 1) + "/" + std::to_string(inputs.experiment_.repeats_) + " seed " + std::to_string(seed);
+        result.repeats_.push_back(runOnce(inputs, name, seed));
     }
+    std::cout << result.experiment_ << " at " << result.deployment_ << "\n";
     printTable(result);
-    writeFile(options.result_, writeJson(toJson(result)));
-    writeFile(options.report_, htmlReport(result));
-    std::cout << "audit: " << broken << " promises broken in " << result.repeats_.size() << " repeats\n";
+    return result;
+}
+
+void printComparison(const ExperimentResult& before, const ExperimentResult& after)
+{
+    for (const MeasureComparison& comparison : compare(before, after)) {
+        std::cout << std::left << std::setw(14) << verdictName(comparison.verdict_) << std::setw(52) << comparison.measure_ << comparison.before_.mean_ << " [" << comparison.before_.least_ << ", " << comparison.before_.most_ << "] -> "
+                  << comparison.after_.mean_ << " [" << comparison.after_.least_ << ", " << comparison.after_.most_ << "]\n";
+    }
+}
+
+/** The name of the file of a variant: the first keeps the name that was given. */
+std::string variantFile(const std::string& path, std::size_t position, const Variant& variant)
+{
+    const std::size_t dot = path.rfind('.');
+    return position ? path.substr(0, dot) + "-" + variant.name_ + (dot == std::string::npos ? "" : path.substr(dot)) : path;
+}
+
+int run(const Options& options)
+{
+    const Inputs inputs = readInputs(options);
+    std::vector<ExperimentResult> results;
+    std::size_t broken = 0;
+    for (const Variant& variant : inputs.experiment_.variants_) {
+        const ExperimentResult& result = results.emplace_back(runVariant(inputs, variant));
+        for (const RepeatResult& repeat : result.repeats_)
+            broken += repeat.violations_.size();
+        const std::size_t position = results.size() - 1;
+        if (options.result_)
+            writeFile(variantFile(options.result_, position, variant).c_str(), writeJson(toJson(result)));
+        if (options.report_)
+            writeFile(variantFile(options.report_, position, variant).c_str(), htmlReport(result));
+    }
+    for (std::size_t position = 1; position < results.size(); ++position) {
+        std::cout << results[0].experiment_ << " compared with " << results[position].experiment_ << "\n";
+        printComparison(results[0], results[position]);
+    }
+    std::cout << "audit: " << broken << " promises broken in " << results.size() * results[0].repeats_.size() << " repeats\n";
     return broken ? promisesBroken : 0;
 }
 
@@ -180,13 +246,12 @@
 {
     const ExperimentResult before = parseFile(options.words_[1], parseResult);
     const ExperimentResult after = parseFile(options.words_[2], parseResult);
-    bool isWorse = false;
+    printComparison(before, after);
     for (const MeasureComparison& comparison : compare(before, after)) {
-        isWorse = isWorse || comparison.verdict_ == Verdict::Worse;
-        std::cout << std::left << std::setw(14) << verdictName(comparison.verdict_) << std::setw(52) << comparison.measure_ << comparison.before_.mean_ << " [" << comparison.before_.least_ << ", " << comparison.before_.most_ << "] -> "
-                  << comparison.after_.mean_ << " [" << comparison.after_.least_ << ", " << comparison.after_.most_ << "]\n";
+        if (comparison.verdict_ == Verdict::Worse)
+            return promisesBroken;
     }
-    return isWorse ? promisesBroken : 0;
+    return 0;
 }
 
 int dispatch(const Options& options)
@@ -218,6 +283,9 @@
     } catch (const InputError& error) {
         std::cerr << error.message_ << "\n";
         return usageError;
+    } catch (const RunError& error) {
+        std::cerr << describe(error.error_) << "\n";
+        return runFailed;
     } catch (const std::exception& error) {
         std::cerr << "fescuecleat-load: " << error.what() << "\n";
         return runFailed;
--- a/src/libfescuecleat/load/experiment.cpp
+++ b/src/libfescuecleat/load/experiment.cpp
@@ -88,6 +88,17 @@
         return burst;
     }
 
+    Variant parseVariant(const JsonValue& value, const std::string& path, std::vector<Error>& errors)
+    {
+        ObjectReader reader(value, path, errors);
+        Variant variant;
+        variant.name_ = reader.string("name");
+        if (const JsonValue* policy = reader.object("policy"))
+            variant.policy_ = *policy;
+        reader.finish();
+        return variant;
+    }
+
     TimedStep parseStep(const JsonValue& value, const std::string& path, std::vector<Error>& errors)
     {
         ObjectReader reader(value, path, errors);
@@ -121,6 +132,10 @@
         for (const JsonValue& item : *list)
             experiment.steps_.push_back(parseStep(item, "steps[" + std::to_string(experiment.steps_.size()) + "]", errors));
     }
+    if (const JsonValue* list = reader.array("variants", false)) {
+        for (const JsonValue& item : *list)
+            experiment.variants_.push_back(parseVariant(item, "variants[" + std::to_string(experiment.variants_.size()) + "]", errors));
+    }
     reader.finish();
     if (!errors.empty())
         return tl::unexpected<std::vector<Error>>(errors);
--- a/src/libfescuecleat/load/experiment.h
+++ b/src/libfescuecleat/load/experiment.h
@@ -74,6 +74,13 @@
     Step step_;
 };
 
+/** A policy that the experiment is run under, to be compared with the others. */
+struct Variant {
+    std::string name_;
+    /** Members of the configuration's policy that differ. */
+    JsonValue policy_;
+};
+
 /** What happens in one run, whatever the deployment. */
 struct Experiment {
     std::string name_;
@@ -90,6 +97,8 @@
     std::vector<Burst> bursts_;
     /** In order of time. */
     std::vector<TimedStep> steps_;
+    /** Empty: the policy in force is left alone. */
+    std::vector<Variant> variants_;
 };
 
 /** Parses an experiment; reports every error. */
--- /dev/null
+++ b/src/libfescuecleat/load/operatorclient.cpp
@@ -0,0 +1,59 @@
+#include "load/operatorclient.h"
+
+#include <cstdlib>
+
+namespace fescuecleat {
+
+namespace {
+
+    constexpr Duration callTime = std::chrono::seconds(10);
+    constexpr int firstServerError = 500;
+
+}
+
+std::string memberText(const JsonValue& value, const std::string& name)
+{
+    std::string text;
+    if (const JsonValue* member = value.findMember(name))
+        member->getValue(text);
+    return text;
+}
+
+std::string memberText(const HttpResponse& response, const std::string& name)
+{
+    const Result<JsonValue> value = parseJson(response.body_);
+    return value && value->category() == JsonValue::Object ? memberText(*value, name) : "";
+}
+
+std::int64_t versionOf(const HttpResponse& response)
+{
+    const std::string text = memberText(response, "version");
+    return text.empty() ? -1 : std::strtoll(text.c_str(), nullptr, 10);
+}
+
+OperatorClient::Response OperatorClient::call(const Address& address, const std::string& method, const std::string& path, const std::string& body) const
+{
+    HttpRequest request;
+    request.method_ = method;
+    request.path_ = path;
+    request.headers_["authorization"] = "Bearer " + testbed_.operatorKey_;
+    if (!body.empty())
+        request.headers_["content-type"] = "application/json";
+    request.body_ = body;
+    return client_.send(address, request, monotonicNow() + callTime, false);
+}
+
+OperatorClient::Response OperatorClient::callAny(const std::string& method, const std::string& path, const std::string& body) const
+{
+    Response last = tl::unexpected<TransportError>(TransportError { TransportFailure::NotSent, "no instance" });
+    for (const TestbedDataCentre& place : testbed_.dataCentres_) {
+        for (const TestbedEntry& entry : place.entries_) {
+            last = call(entry.operator_, method, path, body);
+            if (last && last->status_ < firstServerError)
+                return last;
+        }
+    }
+    return last;
+}
+
+}
--- a/src/libfescuecleat/load/operatorplayer.cpp
+++ b/src/libfescuecleat/load/operatorplayer.cpp
@@ -1,5 +1,7 @@
 #include "load/operatorplayer.h"
 
+#include "load/configurationchange.h"
+
 #include <algorithm>
 #include <iostream>
 #include <thread>
@@ -10,30 +12,9 @@
 
     constexpr Duration callTime = std::chrono::seconds(5);
     constexpr Duration retryInterval = std::chrono::milliseconds(500);
-    constexpr int firstServerError = 500;
     constexpr int firstError = 400;
     const char* const noFaults = R"({"faults": []})";
 
-    std::string memberText(const JsonValue& value, const std::string& name)
-    {
-        std::string text;
-        if (const JsonValue* member = value.findMember(name))
-            member->getValue(text);
-        return text;
-    }
-
-    std::string textOf(const HttpResponse& response, const std::string& name)
-    {
-        const Result<JsonValue> value = parseJson(response.body_);
-        return value && value->category() == JsonValue::Object ? memberText(*value, name) : "";
-    }
-
-    std::int64_t versionOf(const HttpResponse& response)
-    {
-        const std::string text = textOf(response, "version");
-        return text.empty() ? -1 : std::strtoll(text.c_str(), nullptr, 10);
-    }
-
     void warn(const std::string& what, const tl::expected<HttpResponse, TransportError>& response)
     {
         const std::string answer = response ? std::to_string(response->status_) + " " + response->body_.substr(0, 200) : response.error().message_;
@@ -50,6 +31,7 @@
 OperatorPlayer::OperatorPlayer(const Testbed& testbed, HttpClient& client, JobTracker& jobs, Recorder& recorder)
     : testbed_(testbed)
     , client_(client)
+    , operators_(testbed, client)
     , jobs_(jobs)
     , recorder_(recorder)
 {
@@ -95,7 +77,7 @@
 bool OperatorPlayer::askToTakeOut(const std::string& name, Time deadline) const
 {
     const std::int64_t left = std::max<std::int64_t>(1, milliseconds(remaining(deadline, monotonicNow())));
-    const Response response = callAnyInstance("POST", "/v1/data-centres/" + name + "/out", "{\"deadline_ms\": " + std::to_string(left) + "}");
+    const Response response = operators_.callAny("POST", "/v1/data-centres/" + name + "/out", "{\"deadline_ms\": " + std::to_string(left) + "}");
     if (response && response->status_ < firstError)
         return true;
     warn("take out " + name, response);
@@ -104,7 +86,7 @@
 
 bool OperatorPlayer::isOut(const std::string& name) const
 {
-    const Response response = callAnyInstance("GET", "/v1/data-centres", "");
+    const Response response = operators_.callAny("GET", "/v1/data-centres", "");
     const Result<JsonValue> value = parseJson(response ? response->body_ : "");
     const JsonValue* list = value ? value->findMember("data_centres") : nullptr;
     if (!list)
@@ -126,7 +108,7 @@
         }
     });
     while (!isStopped_) {
-        const Response response = callAnyInstance("POST", "/v1/data-centres/" + name + "/return", "{}");
+        const Response response = operators_.callAny("POST", "/v1/data-centres/" + name + "/return", "{}");
         if (response && response->status_ < firstError)
             return;
         warn("return " + name, response);
@@ -166,35 +148,12 @@
 
 void OperatorPlayer::playStep(const ConfigureStep&)
 {
-    const Response current = callAnyInstance("GET", "/v1/configuration", "");
-    if (!current || versionOf(*current) < 0)
-        return warn("read the configuration", current);
-    JsonValue body = jsonObject();
-    body.addMember("expected_version") <<= versionOf(*current);
-    body.addMember("who") <<= std::string("fescuecleat-load");
-    const Result<JsonValue> shown = parseJson(current->body_);
-    for (const char* const name : { "base", "overlays" }) {
-        if (const JsonValue* member = shown->findMember(name)) {
-            JsonValue& copied = body.addMember(name);
-            copied = *member;
-            copied.setName(name);
-        }
-    }
-    AcceptedConfiguration accepted;
-    accepted.asked_ = monotonicNow();
-    const Response written = callAnyInstance("PUT", "/v1/configuration", writeJson(body));
-    if (!written || written->status_ >= firstError)
-        return warn("write the configuration", written);
-    accepted.version_ = versionOf(*written);
-    bool isAccepted = textOf(*written, "status") == "accepted";
-    while (!isAccepted && !isStopped_) {
-        std::this_thread::sleep_for(retryInterval);
-        const Response response = callAnyInstance("GET", "/v1/configuration", "");
-        isAccepted = response && versionOf(*response) >= accepted.version_ && textOf(*response, "status") == "accepted";
-    }
-    accepted.accepted_ = monotonicNow();
-    if (isAccepted)
-        recorder_.add(accepted);
+    const Result<AcceptedConfiguration> accepted = changeConfiguration(
+        operators_, [](JsonValue&) {}, isStopped_);
+    if (accepted)
+        recorder_.add(*accepted);
+    else
+        std::cerr << "step: configure: " << describe(accepted.error()) << "\n";
 }
 
 void OperatorPlayer::playStep(const CancelWaveStep& step)
@@ -207,12 +166,12 @@
     for (const TestbedDataCentre& place : testbed_.dataCentres_) {
         for (const TestbedEntry& entry : place.entries_) {
             const Time asked = monotonicNow();
-            const Response response = callOperators(entry.operator_, "GET", "/v1/configuration", "");
+            const Response response = operators_.call(entry.operator_, "GET", "/v1/configuration", "");
             if (response)
                 recordVersions(entry.instance_, *response, asked);
             const Time askedState = monotonicNow();
-            const Response state = callOperators(entry.operator_, "GET", "/v1/state", "");
-            const std::string version = state ? textOf(*state, "configuration_version") : "";
+            const Response state = operators_.call(entry.operator_, "GET", "/v1/state", "");
+            const std::string version = state ? memberText(*state, "configuration_version") : "";
             if (!version.empty())
                 recorder_.add(ShownConfiguration { "in force at " + entry.instance_, std::strtoll(version.c_str(), nullptr, 10), askedState });
         }
@@ -247,31 +206,6 @@
     return testbed_.dataCentres_[static_cast<std::size_t>(position) % testbed_.dataCentres_.size()];
 }
 
-OperatorPlayer::Response OperatorPlayer::callOperators(const Address& address, const std::string& method, const std::string& path, const std::string& body) const
-{
-    HttpRequest request;
-    request.method_ = method;
-    request.path_ = path;
-    request.headers_["authorization"] = "Bearer " + testbed_.operatorKey_;
-    if (!body.empty())
-        request.headers_["content-type"] = "application/json";
-    request.body_ = body;
-    return client_.send(address, request, monotonicNow() + callTime, false);
-}
-
-OperatorPlayer::Response OperatorPlayer::callAnyInstance(const std::string& method, const std::string& path, const std::string& body) const
-{
-    Response last = tl::unexpected<TransportError>(TransportError { TransportFailure::NotSent, "no instance" });
-    for (const TestbedDataCentre& place : testbed_.dataCentres_) {
-        for (const TestbedEntry& entry : place.entries_) {
-            last = callOperators(entry.operator_, method, path, body);
-            if (last && last->status_ < firstServerError)
-                return last;
-        }
-    }
-    return last;
-}
-
 void OperatorPlayer::postToFaultPort(const Address& address, const std::string& path, const std::string& body) const
 {
     HttpRequest request;
@@ -293,7 +227,7 @@
     list.setCategory(JsonValue::Array);
     for (const std::string& instance : instances)
         list.addMember("") <<= instance;
-    const Response response = callOperators(entry.operator_, "POST", "/v1/cut", writeJson(body));
+    const Response response = operators_.call(entry.operator_, "POST", "/v1/cut", writeJson(body));
     if (!response || response->status_ >= firstError)
         warn("cut at " + entry.instance_, response);
 }
--- a/src/libfescuecleat/load/operatorplayer.h
+++ b/src/libfescuecleat/load/operatorplayer.h
@@ -4,6 +4,7 @@
 #include "load/balancer.h"
 #include "load/experiment.h"
 #include "load/jobtracker.h"
+#include "load/operatorclient.h"
 #include "load/recorder.h"
 #include "load/testbed.h"
 
@@ -30,7 +31,7 @@
     void repair();
 
 private:
-    using Response = tl::expected<HttpResponse, TransportError>;
+    using Response = OperatorClient::Response;
 
     void playStep(const SetFaultsStep&);
     void playStep(const TakeOutStep&);
@@ -47,14 +48,12 @@
     bool isOut(const std::string& dataCentre) const;
     void recordVersions(const std::string& instance, const HttpResponse&, Time asked);
     const TestbedDataCentre& dataCentre(int position) const;
-    Response callOperators(const Address&, const std::string& method, const std::string& path, const std::string& body) const;
-    /** Calls one instance after the other until one answers with a status below 500. */
-    Response callAnyInstance(const std::string& method, const std::string& path, const std::string& body) const;
     void postToFaultPort(const Address&, const std::string& path, const std::string& body) const;
     void cut(const TestbedEntry&, const std::vector<std::string>& instances) const;
 
     const Testbed& testbed_;
     HttpClient& client_;
+    OperatorClient operators_;
     JobTracker& jobs_;
     Recorder& recorder_;
     std::atomic<bool> isStopped_ { false };
