--- a/src/libfescuecleat/routing/dispatcher.cpp
+++ b/src/libfescuecleat/routing/dispatcher.cpp
@@ -19,6 +19,11 @@
     constexpr double slowdownToEject = 4;
     /** Weight of the newest answer in a minion's slowdown. */
     constexpr double slowdownWeight = 0.1;
+    /**
+     * A request waits for at most this part of its time. A longer queue adds
+     * waiting time for all and no work done.
+     */
+    constexpr int waitDivisor = 4;
     /** Pairs of random minions tried before all are looked at. */
     constexpr int randomPairs = 2;
 
@@ -57,7 +62,9 @@
         return;
     }
     const Duration cost = expectedTime(request.kind_);
-    if (now + expectedWait(request.organisation_, now) + cost > request.deadline_) {
+    const Duration wait = expectedWait(request.organisation_, now);
+    const bool isTooLate = now + wait + cost > request.deadline_;
+    if (isTooLate || wait > (request.deadline_ - now) / waitDivisor) {
         refuse(request.ticket_, "the queue is too long for the deadline", now, actions);
         return;
     }
@@ -304,15 +311,7 @@
         return false;
     if (condition == MinionCondition::Probing && (!request.isIdempotent_ || state.probesInProgress_ > 0))
         return false;
-    const auto fits = [&](Time moment) {
-        const auto busy = std::count_if(state.busyUntil_.begin(), state.busyUntil_.end(), [&](Time end) { return end > moment; });
-        return busy + 1 <= state.allowance_.slotsAt(moment);
-    };
-    if (!fits(now))
-        return false;
-    // A loan that lapses before the attempt ends must not be needed by then.
-    return std::all_of(state.allowance_.loans_.begin(), state.allowance_.loans_.end(),
-        [&](const SlotLoan& loan) { return loan.until_ <= now || loan.until_ >= attemptEnd || fits(loan.until_); });
+    return fescuecleat::hasRoom(state.allowance_, state.busyUntil_, attemptEnd, now);
 }
 
 std::optional<std::size_t> Dispatcher::choose(const Submit& request, Time attemptEnd, Time now)
@@ -449,6 +448,7 @@
         summary.busy_ = static_cast<int>(state.busyUntil_.size());
         summary.allowed_ = state.allowance_.slotsAt(now);
         summary.meanLatency_ = state.latency_.mean();
+        summary.isOnlySeenLeaving_ = state.isListed_ && state.isSeenLeaving_ && !state.minion_.isLeaving_;
         const MinionCondition condition = state.health_.condition(now);
         summary.condition_ = condition == MinionCondition::Healthy ? "healthy" : "ejected";
         if (condition == MinionCondition::Probing)
