--- a/benchmarks/schedulerbench.cpp
+++ b/benchmarks/schedulerbench.cpp
@@ -113,8 +113,10 @@
         // 1,700 accelerators: 200 workers of 8, 50 of 2, the rest without.
         deployment.capacity_ = [](int index) { return index % 26 < 4 ? WorkerCapacity { 8, 64000, 256LL << 30 } : index % 26 == 4 ? WorkerCapacity { 2, 64000, 256LL << 30 }
                                                                                                                                   : WorkerCapacity { 0, 64000, 256LL << 30 }; };
+        constexpr int teams = 45;
         std::vector<std::vector<CellCount>> guarantees;
-        for (int i = 0; i < 45; ++i)
+        guarantees.reserve(teams);
+        for (int i = 0; i < teams; ++i)
             guarantees.push_back({ { CellLevel::Worker, std::max(1, static_cast<int>((i % 9 == 0 ? 6 : 2) * scale)) }, { CellLevel::Quad, 1 } });
         deployment.organisations_ = organisationsOf(guarantees);
         deployment.kinds_ = {
--- a/src/libfescuecleat/scheduler/jobentry.h
+++ b/src/libfescuecleat/scheduler/jobentry.h
@@ -82,6 +82,8 @@
     bool hasClaim_ = false;
     /** Times it was offered to other data centres as one that can't be placed here. */
     int offers_ = 0;
+    /** When a place was first reserved for it as an aged one. */
+    Time reservedAt_ = Time::max();
     /** When it may be offered next. */
     Time nextOfferAt_ = Time::min();
 
--- a/src/libfescuecleat/scheduler/schedulerdump.cpp
+++ b/src/libfescuecleat/scheduler/schedulerdump.cpp
@@ -1,6 +1,10 @@
 #include "scheduler/schedulerdump.h"
 
+#include "scheduler/claimplanner.h"
+#include "scheduler/schedulerlimits.h"
+
 #include <map>
+#include <set>
 
 namespace fescuecleat {
 
@@ -62,6 +66,57 @@
     return value;
 }
 
+namespace {
+
+    /** Names of what holds a claimed place, as far as they fit in a line. */
+    std::string holdersOf(const SchedulerState& state, const Claim& claim)
+    {
+        constexpr std::size_t mostNames = 5;
+        std::set<JobId> holders;
+        for (const TaskPlace& place : claim.placement_.tasks_) {
+            for (const auto& [key, holding] : state.workers_.at(place.worker_).holdings()) {
+                if ((holding.accelerators_ & place.accelerators_) != 0 || place.accelerators_ == 0)
+                    holders.insert(key.job_);
+            }
+        }
+        std::string names;
+        std::size_t count = 0;
+        for (const JobId& holder : holders) {
+            if (count++ < mostNames)
+                names += (names.empty() ? "" : ", ") + holder.value();
+        }
+        if (count > mostNames)
+            names += " and " + std::to_string(count - mostNames) + " more";
+        return names.empty() ? "nothing any more" : names;
+    }
+
+    std::string explainClaim(const SchedulerState& state, const Claim& claim, Time now)
+    {
+        std::string text = std::string("a place is kept for it (") + claimKindName(claim.kind_) + "); it is held by " + holdersOf(state, claim);
+        if (claim.kind_ == ClaimKind::Aged && claim.stopVictimsAt_ != Time::max())
+            return text + ", and borrowers there are stopped in " + std::to_string(millisecondsUntil(claim.stopVictimsAt_, now)) + " ms";
+        return text + ", and is free once these wrote their checkpoints and stopped";
+    }
+
+    std::string explainQueued(const SchedulerState& state, const JobEntry& entry)
+    {
+        int free = 0;
+        for (int index = 0; index < state.workers_.size(); ++index) {
+            const WorkerState& worker = state.workers_.at(index);
+            free += worker.isUsable() ? countAccelerators(worker.availableAccelerators()) : 0;
+        }
+        const int wanted = entry.spec_.tasks_ * entry.shape_.accelerators_;
+        std::string text = "no free place fits the whole gang: it needs " + std::to_string(wanted) + " accelerators and "
+            + std::to_string(free) + " are free";
+        if (wanted > 0 && free >= wanted)
+            text += ", in pieces that are too small or on workers without processors or memory left";
+        if (!ClaimPlanner(state, Time::min()).planInHomes(entry))
+            text += "; its organisation's guarantee has no room for it, so it waits to borrow";
+        return text + "; a job that ends, a further worker or a larger guarantee would free a place, and past the ageing time one is reserved";
+    }
+
+}
+
 std::string explainJob(const SchedulerState& state, const JobId& id, Time now)
 {
     const JobEntry* entry = state.findJob(id);
@@ -75,7 +130,12 @@
         return "the data centre has no start permit: the job waits until the table or the other data centres confirm that it is in service";
     if (entry->strays_ > 0)
         return "tasks of an earlier attempt have not ended: the job waits until their workers confirm the stop or are lost";
-    return "no free place fits the whole gang: a finished or cancelled job or a further worker would free one";
+    const auto claim = state.claims_.find(id);
+    if (claim != state.claims_.end())
+        return explainClaim(state, claim->second, now);
+    if (state.gangsStarting_ >= maxGangsStarting)
+        return "many gangs are starting at once: the job is looked at again as soon as some of them run";
+    return explainQueued(state, *entry);
 }
 
 }
--- a/src/libfescuecleat/scheduler/waitingpolicy.cpp
+++ b/src/libfescuecleat/scheduler/waitingpolicy.cpp
@@ -77,7 +77,9 @@
         const auto placement = ClaimPlanner(state_, now_).planAnywhere(entry, ClaimKind::Aged);
         if (!placement)
             continue;
-        ClaimKeeper(state_, now_).make(entry, ClaimKind::Aged, *placement, now_ + ageing);
+        // A claim that a guarantee took away is made anew without waiting for as long again.
+        entry.reservedAt_ = std::min(entry.reservedAt_, now_);
+        ClaimKeeper(state_, now_).make(entry, ClaimKind::Aged, *placement, std::max(now_, entry.reservedAt_ + ageing));
         return;
     }
 }
