--- a/src/libfescuecleat/scheduler/gangmachine.cpp
+++ b/src/libfescuecleat/scheduler/gangmachine.cpp
@@ -555,6 +555,7 @@
     setBorrower(entry, false);
     setPhase(entry, JobPhase::Queued);
     entry.queuedAt_ = now_;
+    entry.fittedAt_ = 0;
     entry.tasks_.clear();
     entry.isCheckpointing_ = false;
     entry.phaseDeadline_ = Time::max();
--- a/src/libfescuecleat/scheduler/jobentry.h
+++ b/src/libfescuecleat/scheduler/jobentry.h
@@ -82,8 +82,8 @@
     bool hasClaim_ = false;
     /** Times it was offered to other data centres as one that can't be placed here. */
     int offers_ = 0;
-    /** When a place was first reserved for it as an aged one. */
-    Time reservedAt_ = Time::max();
+    /** Version of the workers at which it was found to fit an empty data centre. */
+    std::uint64_t fittedAt_ = 0;
     /** When it may be offered next. */
     Time nextOfferAt_ = Time::min();
 
--- a/src/libfescuecleat/scheduler/waitingpolicy.cpp
+++ b/src/libfescuecleat/scheduler/waitingpolicy.cpp
@@ -77,9 +77,7 @@
         const auto placement = ClaimPlanner(state_, now_).planAnywhere(entry, ClaimKind::Aged);
         if (!placement)
             continue;
-        // A claim that a guarantee took away is made anew without waiting for as long again.
-        entry.reservedAt_ = std::min(entry.reservedAt_, now_);
-        ClaimKeeper(state_, now_).make(entry, ClaimKind::Aged, *placement, std::max(now_, entry.reservedAt_ + ageing));
+        ClaimKeeper(state_, now_).make(entry, ClaimKind::Aged, *placement, now_ + ageing);
         return;
     }
 }
@@ -129,7 +127,7 @@
         JobEntry& entry = state_.jobs_.at(id);
         if (entry.strays_ > 0 || now_ < entry.nextOfferAt_ || offers >= offersPerInterval)
             continue;
-        const bool isUnfit = !state_.takenOutUntil_ && !mayJoinStill && !fitsEmpty(entry, true);
+        const bool isUnfit = !state_.takenOutUntil_ && !mayJoinStill && !isKnownToFit(entry);
         const bool waitsLong = now_ - entry.queuedAt_ >= earlyAge() && !entry.hasClaim_;
         if (!isUnfit && !waitsLong && !state_.takenOutUntil_)
             continue;
@@ -156,6 +154,17 @@
     GangMachine(state_, now_).finish(entry, JobState::Failed, failedEverywhere ? "it failed on every worker here that could run it" : "it asks for more than this data centre has and no other took it; ask for a smaller gang or looser adjacency");
 }
 
+bool WaitingPolicy::isKnownToFit(JobEntry& entry) const
+{
+    const std::uint64_t version = state_.workers_.topologyVersion();
+    if (entry.fittedAt_ == version)
+        return true;
+    if (!fitsEmpty(entry, true))
+        return false;
+    entry.fittedAt_ = version;
+    return true;
+}
+
 bool WaitingPolicy::fitsEmpty(const JobEntry& entry, bool avoidsFailed) const
 {
     std::vector<Slot> slots;
--- a/src/libfescuecleat/scheduler/waitingpolicy.h
+++ b/src/libfescuecleat/scheduler/waitingpolicy.h
@@ -26,6 +26,8 @@
     void offerAndRefuse();
     bool tryDefragment(JobEntry&);
     bool fitsEmpty(const JobEntry&, bool avoidsFailed) const;
+    /** Whether it fits an empty data centre; worked out once until workers change. */
+    bool isKnownToFit(JobEntry&) const;
     void handleUnfit(JobEntry&);
     Duration earlyAge() const;
     /** Heads of the lines, the oldest first. */
