--- a/tests/load/audittest.cpp
+++ b/tests/load/audittest.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(findsFinishedJobThatDidNotFinish);
     CPPUNIT_TEST(findsLostJob);
     CPPUNIT_TEST(findsStartAfterTakenOut);
+    CPPUNIT_TEST(findsWorkThatOutlastsTheDrain);
     CPPUNIT_TEST(findsWorkToLeavingMinion);
     CPPUNIT_TEST(findsRevertedConfiguration);
     CPPUNIT_TEST(refusesIncompleteLogs);
@@ -130,7 +131,7 @@
         worker(5, "prepared", 1, 1);
         worker(5, "started", 1, 0);
         worker(30, "stopped", 1, 0);
-        job().state_ = "failed";
+        job().state_ = "cancelled";
         expectOnly(ViolationKind::RanPartly);
         // It starts, fails soon, and the first goes on for long.
         evidence_.log_.clear();
@@ -154,18 +155,32 @@
     {
         job().state_ = "missing";
         expectOnly(ViolationKind::AcceptedWorkLost);
+        job().state_ = "failed";
+        expectOnly(ViolationKind::AcceptedWorkLost);
+        evidence_.log_.back().event_ = "failed";
+        CPPUNIT_ASSERT(audit(evidence_).empty());
     }
 
     void findsStartAfterTakenOut()
     {
-        evidence_.takenOut_.push_back({ "palermo", at(0), at(1), Time::max() });
-        evidence_.takenOut_.push_back({ "catania", at(4.5), Time::max(), Time::max() });
-        evidence_.takenOut_.push_back({ "catania", at(0), at(1), at(2) });
+        evidence_.takenOut_.push_back({ "palermo", at(0), at(1), Time::max(), Time::max() });
+        evidence_.takenOut_.push_back({ "catania", at(4.5), Time::max(), Time::max(), Time::max() });
+        evidence_.takenOut_.push_back({ "catania", at(0), at(1), at(2), Time::max() });
         CPPUNIT_ASSERT(audit(evidence_).empty());
-        evidence_.takenOut_.push_back({ "catania", at(4), at(4.9), Time::max() });
+        evidence_.takenOut_.push_back({ "catania", at(4), at(4.9), Time::max(), Time::max() });
         expectOnly(ViolationKind::StartAfterTakenOut);
     }
 
+    void findsWorkThatOutlastsTheDrain()
+    {
+        evidence_.takenOut_.push_back({ "catania", at(6), Time::max(), Time::max(), at(29) });
+        CPPUNIT_ASSERT(audit(evidence_).empty());
+        evidence_.takenOut_.back().deadline_ = at(20);
+        expectOnly(ViolationKind::RunningAfterDeadline);
+        evidence_.takenOut_.back().returned_ = at(21);
+        CPPUNIT_ASSERT(audit(evidence_).empty());
+    }
+
     void findsWorkToLeavingMinion()
     {
         minion(40, "leaving");
