Wait for loans where this instance has no slots; be ready only with slots

Cause: an instance without a share refused at once and so never asked peers to lend; in a rolling replacement 91 of 2835 requests were refused by newly ready instances.

--- a/src/libfescuecleat/daemon/daemon.cpp
+++ b/src/libfescuecleat/daemon/daemon.cpp
@@ -32,6 +32,8 @@
     constexpr Duration instancePollTime = std::chrono::milliseconds(500);
     constexpr Duration confirmPollTime = std::chrono::milliseconds(100);
     constexpr Duration stopPollTime = std::chrono::milliseconds(10);
+    /** A new instance is not ready for want of slots for this long at most; then it borrows. */
+    constexpr Duration joinTime = std::chrono::seconds(5);
     constexpr Duration storeTime = std::chrono::seconds(2);
     constexpr Duration handOverTime = std::chrono::seconds(2);
     constexpr unsigned operatorThreads = 8;
@@ -131,6 +133,8 @@
             return "the instance is stopping";
         if (!watcher_.isCurrent())
             return "the newest configuration isn't known or not in force yet";
+        if (!sharing_.isEstablished() && monotonicNow() < startedAt_ + joinTime)
+            return "the peers have not yet made room at the minions";
         return {};
     }
 
@@ -214,6 +218,7 @@
     }
 
     const Settings settings_;
+    Time startedAt_ = monotonicNow();
     std::atomic<bool> isStopping_ { false };
     std::atomic<bool> isEnding_ { false };
     Metrics metrics_;
--- a/src/libfescuecleat/routing/dispatcher.cpp
+++ b/src/libfescuecleat/routing/dispatcher.cpp
@@ -57,7 +57,7 @@
     }
     if (queue_.isEmpty() && trySend(request, now, actions))
         return;
-    if (usableSlots(now) == 0) {
+    if (!hasUsableMinion(now)) {
         refuse(request.ticket_, "no minion of the service can be used now", now, actions);
         return;
     }
@@ -69,7 +69,10 @@
         return;
     }
     waiting_[request.ticket_] = request;
-    queue_.push({ request.ticket_, request.organisation_, cost, request.deadline_ - cost });
+    // Without a slot the request waits for peers to lend one, but not for long.
+    const Time latest = request.deadline_ - cost;
+    const Time startBefore = usableSlots(now) > 0 ? latest : std::min(latest, now + (request.deadline_ - now) / waitDivisor);
+    queue_.push({ request.ticket_, request.organisation_, cost, startBefore });
 }
 
 void Dispatcher::on(const Withdraw& withdrawal, Time, Actions&)
@@ -297,6 +300,13 @@
     return slots;
 }
 
+bool Dispatcher::hasUsableMinion(Time now) const
+{
+    return std::any_of(minions_.begin(), minions_.end(), [&](const MinionState& state) {
+        return state.isListed_ && !isLeaving(state) && state.health_.condition(now) != MinionCondition::Ejected;
+    });
+}
+
 bool Dispatcher::isLeaving(const MinionState& state) const
 {
     return state.isSeenLeaving_ || state.minion_.isLeaving_;
--- a/src/libfescuecleat/routing/dispatcher.h
+++ b/src/libfescuecleat/routing/dispatcher.h
@@ -121,6 +121,7 @@
     Duration expectedTime(const std::string& kind) const;
     Duration expectedWait(const OrganisationId&, Time now) const;
     int usableSlots(Time now) const;
+    bool hasUsableMinion(Time now) const;
     bool isLeaving(const MinionState&) const;
     bool hasRoom(const MinionState&, const Submit&, Time attemptEnd, Time now) const;
     std::optional<std::size_t> choose(const Submit&, Time attemptEnd, Time now);
--- a/src/libfescuecleat/routing/slotsharing.cpp
+++ b/src/libfescuecleat/routing/slotsharing.cpp
@@ -91,6 +91,12 @@
     membership_.send(to, settled);
 }
 
+bool SlotSharing::isEstablished() const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return limiter_.isEstablished();
+}
+
 JsonValue SlotSharing::dump() const
 {
     const std::lock_guard<std::mutex> lock(mutex_);
--- a/src/libfescuecleat/routing/slotsharing.h
+++ b/src/libfescuecleat/routing/slotsharing.h
@@ -25,6 +25,9 @@
     SlotSharing(const SlotSharing&) = delete;
     SlotSharing& operator=(const SlotSharing&) = delete;
 
+    /** True once this instance uses a share of its own. */
+    bool isEstablished() const;
+
     /** Standing and loans, for operators. */
     JsonValue dump() const;
 
--- a/tests/routing/dispatchertest.cpp
+++ b/tests/routing/dispatchertest.cpp
@@ -98,6 +98,7 @@
     CPPUNIT_TEST(sharesSlotsFairly);
     CPPUNIT_TEST(ejectsAtMostAThirdAndTakesBack);
     CPPUNIT_TEST(spreadsReturns);
+    CPPUNIT_TEST(waitsForALoan);
     CPPUNIT_TEST_SUITE_END();
 
     void agreesWithPlainBooks()
@@ -206,6 +207,23 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), dispatcher.summary(now).ejected_);
     }
 
+    void waitsForALoan()
+    {
+        Dispatcher dispatcher = makeDispatcher(1, 0);
+        CPPUNIT_ASSERT(dispatcher.apply(submission(1, start + std::chrono::seconds(4)), start).empty());
+        CPPUNIT_ASSERT(dispatcher.apply(submission(2, start + std::chrono::seconds(40)), start).empty());
+        CPPUNIT_ASSERT_EQUAL(2, dispatcher.summary(start).wantedSlots_);
+        const auto refused = dispatcher.apply(ClockTick {}, start + std::chrono::milliseconds(1001));
+        CPPUNIT_ASSERT(refused.size() == 1 && std::get<RefuseRequest>(refused.at(0)).ticket_ == 1);
+        // A loan that would lapse before the attempt ends is of no use; one that doesn't is.
+        const Time now = start + std::chrono::seconds(2);
+        AllowancesChanged changed;
+        changed.allowances_[nameOf(0)].loans_ = { { 1, start + std::chrono::seconds(39) } };
+        CPPUNIT_ASSERT(dispatcher.apply(changed, now).empty());
+        changed.allowances_[nameOf(0)].loans_ = { { 1, start + std::chrono::seconds(41) } };
+        CPPUNIT_ASSERT(std::get<SendToMinion>(dispatcher.apply(changed, now).at(0)).ticket_ == 2);
+    }
+
     void spreadsReturns()
     {
         Dispatcher dispatcher = makeDispatcher(1, 1);
