--- a/src/libfescuecleat/load/audit.cpp
+++ b/src/libfescuecleat/load/audit.cpp
@@ -146,6 +146,8 @@
         {
             if (sent_.state_ == "missing")
                 return report(ViolationKind::AcceptedWorkLost, "an accepted job is not known any more");
+            if (sent_.state_ == "failed" && sent_.isIdempotent_ && !hasFailedTask())
+                return report(ViolationKind::AcceptedWorkLost, "a job failed although no task of it did: " + sent_.reason_);
             if (sent_.state_ != "finished")
                 return;
             const bool isWhole = std::any_of(history_.attempts_.begin(), history_.attempts_.end(), [this](const auto& item) { return finishedTasks(item.second) == sent_.tasks_; });
@@ -153,6 +155,17 @@
                 report(ViolationKind::RanPartly, "a finished job has no attempt in which all tasks finished");
         }
 
+        bool hasFailedTask() const
+        {
+            for (const auto& [number, attempt] : history_.attempts_) {
+                for (const auto& [index, task] : attempt) {
+                    if (task.end_ == "failed")
+                        return true;
+                }
+            }
+            return false;
+        }
+
         const SentJob& sent_;
         const JobHistory& history_;
         Violations& found_;
@@ -183,6 +196,31 @@
         }
     }
 
+    /** Tasks that went on in a data centre after operators were promised that they end. */
+    void auditDrain(const Evidence& evidence, const AuditLimits& limits, Violations& found)
+    {
+        const Time end = logEnd(evidence);
+        for (const TakenOut& out : evidence.takenOut_) {
+            if (out.deadline_ >= Time::max() - limits.runAfterDeadline_ || out.returned_ < out.deadline_ + limits.runAfterDeadline_)
+                continue;
+            std::map<std::string, const LogEntry*> running;
+            const Time last = out.deadline_ + limits.runAfterDeadline_;
+            if (end <= last)
+                continue;
+            for (const LogEntry& entry : evidence.log_) {
+                if (entry.source_ != LogSource::Worker || entry.dataCentre_ != out.dataCentre_ || entry.field("job").empty() || entry.at_ > last)
+                    continue;
+                const std::string task = entry.field("job") + "/" + entry.field("attempt") + "/" + entry.field("index");
+                if (entry.event_ == "started")
+                    running[task] = &entry;
+                else if (entry.event_ != "prepared" && entry.event_ != "start_refused")
+                    running.erase(task);
+            }
+            for (const auto& [task, started] : running)
+                found.push_back({ ViolationKind::RunningAfterDeadline, task, "a task still ran in " + out.dataCentre_ + " " + seconds(limits.runAfterDeadline_) + " after the deadline for running work", { describe(*started) } });
+        }
+    }
+
     void auditLeavingMinions(const Evidence& evidence, const AuditLimits& limits, Violations& found)
     {
         std::map<std::string, Time> leaving;
@@ -228,6 +266,8 @@
         return "not_run_that_ran";
     case ViolationKind::StartAfterTakenOut:
         return "start_after_taken_out";
+    case ViolationKind::RunningAfterDeadline:
+        return "running_after_deadline";
     case ViolationKind::WorkToLeavingMinion:
         return "work_to_leaving_minion";
     case ViolationKind::ConfigurationReverted:
@@ -260,6 +300,7 @@
     auditRequests(evidence, found);
     auditJobs(evidence, limits, found);
     auditTakenOut(evidence, limits, found);
+    auditDrain(evidence, limits, found);
     auditLeavingMinions(evidence, limits, found);
     auditConfiguration(evidence, found);
     return found;
