Record checkpoint shares in millionths, refuse overlays without a name

Cause: a longer fuzz run showed that a share such as 1/3 lost digits on its way, so a holder that repeated a record after a lost answer found a row unlike its own; and that an overlay under an empty name could not be written back. Change: shares are whole millionths in records; empty names are refused. Conclusion: the lost-answer test now records a share of one third.

--- a/src/libfescuecleat/control/configurationrecords.cpp
+++ b/src/libfescuecleat/control/configurationrecords.cpp
@@ -38,8 +38,11 @@
         if (!object)
             return overlays;
         ObjectReader overlayReader(*object, reader.pathOf("overlays"), errors);
-        for (const JsonValue& member : *object)
+        for (const JsonValue& member : *object) {
+            if (member.name().empty())
+                reader.report(ErrorKind::OutOfRange, "data centre has no name", "write the data centre's id", "overlays");
             overlays[DataCentreId(member.name())] = readOptionalText(overlayReader, member.name().c_str(), longestContent);
+        }
         return overlays;
     }
 
--- a/src/libfescuecleat/state/jobrecord.cpp
+++ b/src/libfescuecleat/state/jobrecord.cpp
@@ -2,6 +2,8 @@
 
 #include "state/recordreader.h"
 
+#include <algorithm>
+#include <cmath>
 #include <limits>
 #include <optional>
 
@@ -15,6 +17,9 @@
     constexpr std::size_t longestReason = 4096;
     constexpr std::size_t longestPayload = 1U << 20U;
 
+    /** Millionths in a share of 1. */
+    constexpr std::int64_t wholeShare = 1'000'000;
+
     const JobState allStates[] = { JobState::Submitted, JobState::Queued, JobState::Placed, JobState::Prepared, JobState::Running,
         JobState::Checkpointed, JobState::Finished, JobState::Failed, JobState::Cancelled, JobState::Unknown };
 
@@ -99,6 +104,14 @@
         return placement;
     }
 
+    /** Whole numbers survive being written and read; the digits of a fraction may not. */
+    std::int64_t millionths(double share)
+    {
+        if (!(share > 0))
+            return 0;
+        return std::llround(std::min(share, 1.0) * wholeShare);
+    }
+
     /** What must fit together in a record that this project wrote. */
     void checkRecord(ObjectReader& reader, const JobRecord& record)
     {
@@ -125,7 +138,7 @@
     placement.setCategory(JsonValue::Array);
     for (const WorkerId& worker : record.placement_)
         placement.addMember("") <<= worker.value();
-    value.addMember("checkpointed_share") <<= record.checkpointedShare_;
+    value.addMember("checkpointed_millionths") <<= millionths(record.checkpointedShare_);
     value.addMember("reason") <<= record.reason_;
     value.addMember("submitted_at_ms") <<= record.submittedAt_;
     value.addMember("ended_at_ms") <<= record.endedAt_;
@@ -152,7 +165,7 @@
     record.epoch_ = static_cast<std::uint64_t>(reader.integer("epoch", 0, maxInteger));
     record.change_ = static_cast<std::uint64_t>(reader.integer("change", 0, maxInteger));
     record.placement_ = readPlacement(reader);
-    record.checkpointedShare_ = reader.number("checkpointed_share", 0, 1);
+    record.checkpointedShare_ = static_cast<double>(reader.integer("checkpointed_millionths", 0, wholeShare)) / wholeShare;
     record.reason_ = readOptionalText(reader, "reason", longestReason);
     record.submittedAt_ = reader.integer("submitted_at_ms", 0, maxInteger);
     record.endedAt_ = reader.integer("ended_at_ms", 0, maxInteger);
@@ -172,6 +185,11 @@
     return parseJobRecord(*value, location);
 }
 
+double recordedShare(double share)
+{
+    return static_cast<double>(millionths(share)) / wholeShare;
+}
+
 std::string submissionFingerprint(const JobSpec& spec)
 {
     JsonValue value = jsonObject();
--- a/src/libfescuecleat/state/jobrecord.h
+++ b/src/libfescuecleat/state/jobrecord.h
@@ -55,6 +55,9 @@
 Result<JobRecord> parseJobRecord(const JsonValue&, const std::string& location);
 Result<JobRecord> parseJobRecordText(const std::string& text, const std::string& location);
 
+/** The share as a record can hold it: from 0 to 1, in millionths. */
+double recordedShare(double share);
+
 /** Text that is equal exactly for submissions that ask for the same; id and key are left out. */
 std::string submissionFingerprint(const JobSpec&);
 
--- a/src/libfescuecleat/state/jobstore.cpp
+++ b/src/libfescuecleat/state/jobstore.cpp
@@ -52,7 +52,7 @@
         record.epoch_ = fence.epoch_;
         ++record.change_;
         record.placement_ = change.placement_;
-        record.checkpointedShare_ = change.checkpointedShare_;
+        record.checkpointedShare_ = recordedShare(change.checkpointedShare_);
         record.reason_ = change.reason_;
         record.endedAt_ = isFinal(change.state_) ? wallClock : 0;
         return record;
--- a/tests/state/jobstoretest.cpp
+++ b/tests/state/jobstoretest.cpp
@@ -89,7 +89,8 @@
         StoredJob job = submitted("a");
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, store_.readInbox(catania, noDeadline)->submitted_.size());
         for (const JobState state : { JobState::Queued, JobState::Placed, JobState::Running, JobState::Finished }) {
-            const JobChange change = toState(job, state);
+            JobChange change = toState(job, state);
+            change.checkpointedShare_ = 1.0 / 3;
             table_.loseAnswers(1);
             CPPUNIT_ASSERT(store_.record({ change }, fence, 2000, noDeadline).error().kind_ == ErrorKind::OutcomeUnknown);
             job = recorded(change, fence);
