--- a/src/libfescuecleat/daemon/callerhandler.cpp
+++ b/src/libfescuecleat/daemon/callerhandler.cpp
@@ -208,7 +208,12 @@
     if (!found)
         return writeError(found.error());
     JsonValue answer = writeJob(found->record_);
-    const std::optional<std::string> explanation = isFinal(found->record_.state_) ? std::nullopt : scheduler_.explain(job);
+    if (isFinal(found->record_.state_)) {
+        answer.addValue("explanation", std::string("the job has ended"));
+        answer.addValue("explained", true);
+        return writeAnswer(answer);
+    }
+    const std::optional<std::string> explanation = scheduler_.explain(job);
     answer.addValue("explanation", explanation.value_or("ask an instance that schedules " + found->record_.dataCentre_.value()));
     answer.addValue("explained", explanation.has_value());
     return writeAnswer(answer);
