--- a/src/libfescuecleat/routing/requestrouter.cpp
+++ b/src/libfescuecleat/routing/requestrouter.cpp
@@ -18,6 +18,9 @@
     /** A repeated call waits this long for the first one's answer. */
     constexpr Duration recordPatience { std::chrono::seconds(2) };
     constexpr Duration recordPollTime { std::chrono::milliseconds(100) };
+    /** A minion that said it leaves while the list shows it in service is asked this often whether it still does. */
+    constexpr Duration leavingPollTime { std::chrono::seconds(2) };
+    constexpr Duration healthTime { std::chrono::milliseconds(500) };
     /** Refusals that know no queue ask callers back within [shortest, shortest + spread). */
     constexpr Duration shortestReturn { std::chrono::milliseconds(500) };
     constexpr std::uint64_t returnSpreadMicroseconds = 2'000'000;
@@ -90,6 +93,7 @@
     , identity_(std::move(identity))
     , claims_(table, objects, identity_.instance_.value(), uniqueName(identity_))
     , ticker_([this] { tick(); })
+    , leavingWatcher_([this] { watchLeaving(); })
 {
 }
 
@@ -101,6 +105,7 @@
     }
     tickStop_.notify_all();
     ticker_.join();
+    leavingWatcher_.join();
 }
 
 RequestOutcome RequestRouter::route(const ServiceRequest& request)
@@ -329,7 +334,33 @@
         allowances.allowances_[id].own_ = service.configuration_.slotsPerMinion_;
     }
     service.shard_.apply(listed);
-    service.shard_.apply(allowances);
+    if (!isSharing_)
+        service.shard_.apply(allowances);
+}
+
+void RequestRouter::beginSharing()
+{
+    isSharing_ = true;
+    setAllowances({});
+}
+
+void RequestRouter::setAllowances(const std::map<MinionId, SlotAllowance>& allowances)
+{
+    for (const ServicePointer& service : services())
+        service->shard_.apply(AllowancesChanged { allowances });
+}
+
+SlotUsage RequestRouter::slotUsage() const
+{
+    SlotUsage usage;
+    for (const ServicePointer& service : services()) {
+        for (const MinionSummary& minion : service->shard_.minionSummaries()) {
+            const int slots = service->configuration_.slotsPerMinion_;
+            usage.minions_[minion.minion_.id_] = { minion.minion_.dataCentre_, slots, minion.busy_ };
+        }
+        usage.wanted_ += service->shard_.summary().wantedSlots_;
+    }
+    return usage;
 }
 
 void RequestRouter::noteLeaving(const MinionId& minion)
@@ -380,12 +411,65 @@
     }
 }
 
+void RequestRouter::watchLeaving()
+{
+    std::unique_lock<std::mutex> lock(tickMutex_);
+    while (!tickStop_.wait_for(lock, leavingPollTime, [&] { return isTickStopping_; })) {
+        lock.unlock();
+        for (const ServicePointer& service : services()) {
+            for (const MinionSummary& minion : service->shard_.minionSummaries()) {
+                if (!minion.isOnlySeenLeaving_ || !saysItStays(minion.minion_))
+                    continue;
+                service->shard_.apply(StayingSeen { minion.minion_.id_ });
+                const std::lock_guard<std::mutex> leavingLock(leavingMutex_);
+                leaving_.erase(minion.minion_.id_);
+            }
+        }
+        lock.lock();
+    }
+}
+
+bool RequestRouter::saysItStays(const Minion& minion)
+{
+    HttpRequest request;
+    request.path_ = "/v1/health";
+    const auto answer = client_.send(minion.address_, request, monotonicNow() + healthTime, true);
+    if (!answer || saysLeaving(*answer))
+        return false;
+    const Result<JsonValue> health = parseJson(answer->body_, "health");
+    bool isLeaving = true;
+    return health && health->getMember("leaving", isLeaving) && !isLeaving;
+}
+
+JsonValue RequestRouter::dumpCounters() const
+{
+    JsonValue value = jsonObject();
+    value.addMember("requests") <<= counters_.requests_.load();
+    value.addMember("answered") <<= counters_.answered_.load();
+    value.addMember("not_run") <<= counters_.notRun_.load();
+    value.addMember("outcome_unknown") <<= counters_.outcomeUnknown_.load();
+    value.addMember("dispatches") <<= counters_.dispatches_.load();
+    value.addMember("retries") <<= counters_.retries_.load();
+    value.addMember("retries_denied") <<= counters_.retriesDenied_.load();
+    value.addMember("not_started") <<= counters_.notStarted_.load();
+    value.addMember("unusable_answers") <<= counters_.unusableAnswers_.load();
+    value.addMember("claims_taken") <<= counters_.claimsTaken_.load();
+    value.addMember("claims_repeated") <<= counters_.claimsRepeated_.load();
+    value.addMember("claims_impossible") <<= counters_.claimsImpossible_.load();
+    value.addMember("ejections") <<= counters_.ejections_.load();
+    value.addMember("departures") <<= counters_.departures_.load();
+    return value;
+}
+
 JsonValue RequestRouter::dump() const
 {
     JsonValue value = jsonObject();
     value.addMember("in_progress") <<= inProgress_.load();
     value.addMember("claims_pending") <<= claims_.pending();
     value.addMember("stopping") <<= isStopping_.load();
+    JsonValue& counters = value.addMember("counters");
+    counters = dumpCounters();
+    counters.setName("counters");
     JsonValue& list = value.addMember("services");
     list.setCategory(JsonValue::Array);
     for (const ServicePointer& service : services()) {
