--- a/src/fescuecleatd/main.cpp
+++ b/src/fescuecleatd/main.cpp
@@ -22,6 +22,9 @@
 constexpr int exitStart = 4;
 constexpr int exitCutOff = 5;
 
+/** Time that threads and connections get to end after a stop. */
+constexpr Duration tearDownTime = std::chrono::seconds(3);
+
 constexpr int optionSettings = 1;
 
 int readArguments(int argc, const char** argv, std::vector<std::string>& files)
@@ -70,13 +73,27 @@
     }).detach();
 }
 
+/**
+ * Ends the process even if tearing down takes for ever: the HTTP library waits
+ * for TLS handshakes that never end. Everything that lasts is written by then.
+ */
+void exitSoon(int status)
+{
+    std::thread([status] {
+        std::this_thread::sleep_for(tearDownTime);
+        std::_Exit(status);
+    }).detach();
+}
+
 int run(const Settings& settings, const sigset_t& signals)
 {
     Daemon daemon(settings);
     int signal = 0;
     sigwait(&signals, &signal);
     exitOnSignal(signals);
-    return daemon.stop(monotonicNow() + settings.stopTime_) ? exitOk : exitCutOff;
+    const int status = daemon.stop(monotonicNow() + settings.stopTime_) ? exitOk : exitCutOff;
+    exitSoon(status);
+    return status;
 }
 
 }
