--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -31,5 +31,5 @@
     add_test(NAME ${subject} COMMAND test_${subject})
     set_tests_properties(${subject} PROPERTIES
         ENVIRONMENT "RC_PARAMS=seed=20261203;FESCUECLEAT_BIN=${CMAKE_BINARY_DIR}/bin;FESCUECLEAT_SOURCE=${CMAKE_SOURCE_DIR}"
-        TIMEOUT 300)
+        TIMEOUT 900)
 endfunction()
