Keep failure counts, declare vanished workers lost, remove expired jobs

Cause: a takeover forgot how often a job had failed; a worker that left the instance list during a takeover was never declared lost, so its gang waited for ever; stops to a lost worker were repeated for ever; ended jobs were never removed. Change: failures are part of the record; the fleet expects every worker that a record names; a lost worker is no target; the holder runs retention each minute. Conclusion: a takeover carries on from what is durable.

--- a/benchmarks/statebench.cpp
+++ b/benchmarks/statebench.cpp
@@ -61,7 +61,7 @@
     std::printf("job: submission writes %llu rows\n", static_cast<unsigned long long>(table.rowsWritten() - rowsBefore));
     StoredJob job = **store.find(JobId("job-1"), { dataCentre }, noDeadline);
     for (const JobState state : { JobState::Queued, JobState::Placed, JobState::Running, JobState::Finished })
-        job = std::get<Recorded>(*store.record({ { job, state, 1, { WorkerId("w1") }, 0, {}, false } }, fence, 2, noDeadline)).jobs_.front();
+        job = std::get<Recorded>(*store.record({ { job, state, 1, { WorkerId("w1") }, 0, 0, {}, false } }, fence, 2, noDeadline)).jobs_.front();
     store.markDelivered(job, 3, noDeadline);
     const std::uint64_t live = table.rowsWritten() - rowsBefore;
     removeExpired(table, writeIds, fence, {}, 1LL << 50, noDeadline);
--- a/src/libfescuecleat/daemon/daemon.cpp
+++ b/src/libfescuecleat/daemon/daemon.cpp
@@ -20,6 +20,7 @@
 #include "platform/httptable.h"
 #include "routing/requestrouter.h"
 #include "routing/slotsharing.h"
+#include "state/retention.h"
 #include "telemetry/log.h"
 #include "worker/httpworkerclient.h"
 
@@ -33,6 +34,7 @@
 
     constexpr Duration instancePollTime = std::chrono::milliseconds(500);
     constexpr Duration confirmPollTime = std::chrono::milliseconds(100);
+    constexpr Duration retentionTime = std::chrono::minutes(1);
     constexpr Duration stopPollTime = std::chrono::milliseconds(10);
     /** A new instance is not ready for want of slots for this long at most; then it borrows. */
     constexpr Duration joinTime = std::chrono::seconds(5);
@@ -91,7 +93,7 @@
         , callerServer_(settings.callerAddress_, callerHandler_, limits(settings, static_cast<unsigned>(settings.callerThreads_)))
         , operatorServer_(settings.operatorAddress_, operatorHandler_, limits(settings, operatorThreads))
         , instanceThread_([this] { watchInstances(); })
-        , confirmThread_([this] { confirmConfiguration(); })
+        , houseThread_([this] { keepHouse(); })
     {
         logStateChange("daemon", "started", { { "instance", settings.instance_.value() }, { "data_centre", settings.dataCentre_.value() } });
     }
@@ -100,7 +102,7 @@
     {
         isEnding_ = true;
         instanceThread_.join();
-        confirmThread_.join();
+        houseThread_.join();
     }
 
     Impl(const Impl&) = delete;
@@ -179,13 +181,19 @@
         scheduler_.setWorkers(own);
     }
 
-    /** The holder of the lease tells the table which version its data centre has in force. */
-    void confirmConfiguration()
+    /** What the holder of the lease does besides scheduling: confirms configurations and removes expired jobs. */
+    void keepHouse()
     {
         std::uint64_t confirmed = 0;
+        Time nextRetention = monotonicNow() + retentionTime;
         while (!isEnding_) {
             pause(confirmPollTime);
-            const ControlStatus status = lease_.status(monotonicNow());
+            const Time now = monotonicNow();
+            const ControlStatus status = lease_.status(now);
+            if (status.isHeld_ && now >= nextRetention) {
+                removeExpired(table_, writeIds_, status.fence_, {}, wallClockMillis(), now + storeTime);
+                nextRetention = now + retentionTime;
+            }
             const std::uint64_t version = peers_.versionInForceHere();
             if (!status.isHeld_ || version == confirmed)
                 continue;
@@ -253,7 +261,7 @@
     HttpServer callerServer_;
     HttpServer operatorServer_;
     std::thread instanceThread_;
-    std::thread confirmThread_;
+    std::thread houseThread_;
 };
 
 Daemon::Daemon(const Settings& settings)
--- a/src/libfescuecleat/daemon/datacentrescheduler.cpp
+++ b/src/libfescuecleat/daemon/datacentrescheduler.cpp
@@ -5,6 +5,7 @@
 #include "telemetry/log.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace fescuecleat {
@@ -34,6 +35,15 @@
         return now - std::chrono::milliseconds(std::max<std::int64_t>(0, wallClockMillis() - wallMillis));
     }
 
+    /** Workers that the records name; one that never answers has to be declared lost some time. */
+    std::set<WorkerId> placedWorkers(const std::vector<StoredJob>& jobs)
+    {
+        std::set<WorkerId> workers;
+        for (const StoredJob& job : jobs)
+            workers.insert(job.record_.placement_.begin(), job.record_.placement_.end());
+        return workers;
+    }
+
     JobSubmitted submittedEvent(const JobRecord& record, Time now)
     {
         JobSubmitted event;
@@ -43,6 +53,7 @@
         event.checkpointedShare_ = record.checkpointedShare_;
         event.state_ = record.state_;
         event.placement_ = record.placement_;
+        event.failures_ = record.failures_;
         return event;
     }
 
@@ -169,7 +180,7 @@
     }
     posted_.notify_all();
     takeovers_.add();
-    fleet_.begin(status.fence_.epoch_);
+    fleet_.begin(status.fence_.epoch_, placedWorkers(*live));
     logStateChange("scheduler", "took over", { { "data_centre", dataCentre_.value() }, { "epoch", std::to_string(status.fence_.epoch_) }, { "jobs", std::to_string(live->size()) } });
 }
 
@@ -443,6 +454,7 @@
         change.state_ = record.state_;
         change.attempt_ = record.attempt_;
         change.placement_ = record.placement_;
+        change.failures_ = record.failures_;
         change.checkpointedShare_ = record.checkpointedShare_;
         change.reason_ = record.reason_;
         change.clearsCancellation_ = isFinal(record.state_);
--- a/src/libfescuecleat/state/jobrecord.cpp
+++ b/src/libfescuecleat/state/jobrecord.cpp
@@ -138,6 +138,7 @@
     placement.setCategory(JsonValue::Array);
     for (const WorkerId& worker : record.placement_)
         placement.addMember("") <<= worker.value();
+    value.addMember("failures") <<= record.failures_;
     value.addMember("checkpointed_millionths") <<= millionths(record.checkpointedShare_);
     value.addMember("reason") <<= record.reason_;
     value.addMember("submitted_at_ms") <<= record.submittedAt_;
@@ -165,6 +166,7 @@
     record.epoch_ = static_cast<std::uint64_t>(reader.integer("epoch", 0, maxInteger));
     record.change_ = static_cast<std::uint64_t>(reader.integer("change", 0, maxInteger));
     record.placement_ = readPlacement(reader);
+    record.failures_ = static_cast<int>(reader.integerOr("failures", 0, 0, std::numeric_limits<int>::max()));
     record.checkpointedShare_ = static_cast<double>(reader.integer("checkpointed_millionths", 0, wholeShare)) / wholeShare;
     record.reason_ = readOptionalText(reader, "reason", longestReason);
     record.submittedAt_ = reader.integer("submitted_at_ms", 0, maxInteger);
--- a/src/libfescuecleat/state/jobrecord.h
+++ b/src/libfescuecleat/state/jobrecord.h
@@ -25,6 +25,8 @@
     std::uint64_t change_ = 0;
     /** Workers of the gang by task index; empty unless placed. */
     std::vector<WorkerId> placement_;
+    /** Attempts that failed in a row; a successor counts on from here. */
+    int failures_ = 0;
     /** Share of the work that a checkpoint holds, 0 to 1. */
     double checkpointedShare_ = 0;
     /** Why, for people; empty if plain. */
@@ -38,8 +40,8 @@
 
     bool operator==(const JobRecord& other) const
     {
-        return std::tie(spec_, state_, dataCentre_, attempt_, epoch_, change_, placement_, checkpointedShare_, reason_, submittedAt_, endedAt_, deliveredAt_)
-            == std::tie(other.spec_, other.state_, other.dataCentre_, other.attempt_, other.epoch_, other.change_, other.placement_, other.checkpointedShare_, other.reason_, other.submittedAt_, other.endedAt_, other.deliveredAt_);
+        return std::tie(spec_, state_, dataCentre_, attempt_, epoch_, change_, placement_, failures_, checkpointedShare_, reason_, submittedAt_, endedAt_, deliveredAt_)
+            == std::tie(other.spec_, other.state_, other.dataCentre_, other.attempt_, other.epoch_, other.change_, other.placement_, other.failures_, other.checkpointedShare_, other.reason_, other.submittedAt_, other.endedAt_, other.deliveredAt_);
     }
     bool operator!=(const JobRecord& other) const { return !(*this == other); }
 };
--- a/src/libfescuecleat/state/jobstore.cpp
+++ b/src/libfescuecleat/state/jobstore.cpp
@@ -52,6 +52,7 @@
         record.epoch_ = fence.epoch_;
         ++record.change_;
         record.placement_ = change.placement_;
+        record.failures_ = change.failures_;
         record.checkpointedShare_ = recordedShare(change.checkpointedShare_);
         record.reason_ = change.reason_;
         record.endedAt_ = isFinal(change.state_) ? wallClock : 0;
--- a/src/libfescuecleat/state/jobstore.h
+++ b/src/libfescuecleat/state/jobstore.h
@@ -34,6 +34,7 @@
     JobState state_ = JobState::Queued;
     int attempt_ = 0;
     std::vector<WorkerId> placement_;
+    int failures_ = 0;
     double checkpointedShare_ = 0;
     std::string reason_;
     /** The change answers a cancellation, whose row goes with it. */
--- a/src/libfescuecleat/worker/workerfleet.cpp
+++ b/src/libfescuecleat/worker/workerfleet.cpp
@@ -56,8 +56,13 @@
     }
 }
 
-void WorkerFleet::begin(std::uint64_t epoch)
+void WorkerFleet::begin(std::uint64_t epoch, const std::set<WorkerId>& expected)
 {
+    for (const WorkerId& worker : expected) {
+        Shard& shard = shardOf(worker);
+        const std::lock_guard<std::mutex> lock(shard.mutex_);
+        shard.workers_.emplace(worker, Entry {});
+    }
     const Time now = monotonicNow();
     // Earlier holders renew for the grace time after their lease lapsed, and
     // their last renewal reaches one permit further.
@@ -107,7 +112,7 @@
     const Shard& shard = shardOf(worker);
     const std::lock_guard<std::mutex> lock(shard.mutex_);
     const auto found = shard.workers_.find(worker);
-    if (found == shard.workers_.end())
+    if (found == shard.workers_.end() || found->second.isLost_)
         return std::nullopt;
     target.address_ = found->second.address_;
     return target;
@@ -199,7 +204,8 @@
     for (auto& [id, entry] : shard.workers_) {
         if (!entry.link_)
             entry.link_.emplace(policy_, now + waitToCover(policy_.graceTime_ + policy_.permitTime_), now);
-        if (entry.link_->nextRenewal() > now)
+        const bool hasAddress = entry.address_.port_ != 0;
+        if (!hasAddress || entry.link_->nextRenewal() > now)
             continue;
         return Renewal { id, entry.address_, entry.link_->plan(now), entry.ended_, now };
     }
--- a/src/libfescuecleat/worker/workerfleet.h
+++ b/src/libfescuecleat/worker/workerfleet.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <thread>
 #include <vector>
 
@@ -57,8 +58,12 @@
     /** The workers of the instance list. One that vanished from it is kept until it is lost. */
     void setWorkers(const std::vector<ListedInstance>&);
 
-    /** This instance holds the lease of the epoch: renew, report, and declare losses. */
-    void begin(std::uint64_t epoch);
+    /**
+     * This instance holds the lease of the epoch: renew, report, and declare
+     * losses. A worker of `expected` that isn't listed is declared lost too, once
+     * no earlier holder's permit can be valid on it.
+     */
+    void begin(std::uint64_t epoch, const std::set<WorkerId>& expected);
 
     /** The lease lapsed: go on renewing for the grace time, report nothing. */
     void suspend();
@@ -66,6 +71,7 @@
     /** Stop renewing. */
     void end();
 
+    /** Empty if the worker isn't known, is lost, or this instance doesn't hold the lease. */
     std::optional<WorkerTarget> target(const WorkerId&) const;
 
     /** A prepare is on its way: a report without the task says nothing yet. */
--- a/tests/state/jobstoretest.cpp
+++ b/tests/state/jobstoretest.cpp
@@ -26,7 +26,7 @@
 
 JobChange toState(const StoredJob& job, JobState state)
 {
-    JobChange change { job, state, job.record_.attempt_, job.record_.placement_, job.record_.checkpointedShare_, {}, false };
+    JobChange change { job, state, job.record_.attempt_, job.record_.placement_, job.record_.failures_, job.record_.checkpointedShare_, {}, false };
     if (state == JobState::Placed) {
         ++change.attempt_;
         change.placement_ = { WorkerId("w1"), WorkerId("w2") };
--- a/tests/state/recoverytest.cpp
+++ b/tests/state/recoverytest.cpp
@@ -132,7 +132,7 @@
         }
         for (const char* id : { "fetched", "waiting" }) {
             const StoredJob job = **store.find(JobId(id), { catania }, noDeadline);
-            CPPUNIT_ASSERT(store.record({ { job, JobState::Failed, 0, {}, 0, "no space", false } }, fence, 1, noDeadline));
+            CPPUNIT_ASSERT(store.record({ { job, JobState::Failed, 0, {}, 0, 0, "no space", false } }, fence, 1, noDeadline));
         }
         CPPUNIT_ASSERT(store.markDelivered(**store.find(JobId("fetched"), { catania }, noDeadline), 2, noDeadline));
 
@@ -144,7 +144,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, counts.removedUndelivered_);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, store.loadLive(catania, noDeadline)->size());
         const auto fencedOff = [&] {
-            CPPUNIT_ASSERT(store.record({ { **store.find(JobId("live"), { catania }, noDeadline), JobState::Failed, 0, {}, 0, {}, false } }, fence, 1, noDeadline));
+            CPPUNIT_ASSERT(store.record({ { **store.find(JobId("live"), { catania }, noDeadline), JobState::Failed, 0, {}, 0, 0, {}, false } }, fence, 1, noDeadline));
             return removeExpired(table, writeIds, { catania, 0, lease + 1 }, {}, 80 * dayMillis, noDeadline).error().kind_;
         };
         CPPUNIT_ASSERT(fencedOff() == ErrorKind::Conflict);
