--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -17,7 +17,7 @@
         return()
     endif()
     add_executable(${name} ${sources})
-    target_link_libraries(${name} PRIVATE fescuecleat_options libfescuecleat ${ARGN})
+    target_link_libraries(${name} PRIVATE fescuecleat_options ${ARGN})
 endfunction()
 
 # One test program per folder of tests/, run by CTest under the folder's name.
--- /dev/null
+++ b/src/fescuecleat-poold/main.cpp
@@ -0,0 +1,116 @@
+#include "callermessages.h"
+#include "net/httpclient.h"
+#include "node/instance.h"
+#include "node/instancesettings.h"
+#include "operatorrows.h"
+#include "registryrows.h"
+#include "rowstoreclient.h"
+#include "workerorders.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+#include <popt.h>
+#include <sodium.h>
+#include <string>
+
+using namespace fescuecleat;
+
+namespace {
+
+constexpr int exitBadUse = 64;
+constexpr int exitBadSettings = 78;
+constexpr int exitUnavailable = 69;
+/** Names the settings file where the command line doesn't. */
+constexpr const char* settingsVariable = "FESCUECLEAT_CONFIG";
+
+Result<InstanceSettings> readSettings(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file)
+        return failure(ErrorKind::NotFound, "can't open " + path, "name a settings file with --settings");
+    return parseInstanceSettings(std::string(std::istreambuf_iterator<char>(file), {}));
+}
+
+void awaitStop(boost::asio::signal_set& signals, Instance& instance, EventLog& log, boost::asio::io_context& loop, const std::string& path)
+{
+    signals.async_wait([&, path](const boost::system::error_code& error, int signal) {
+        if (error)
+            return;
+        if (signal == SIGHUP) {
+            const auto settings = readSettings(path);
+            log.write("instance.reload", { { "isReadable", settings.has_value() }, { "effect", "addresses stay until the next start" } });
+        } else {
+            instance.stop([&loop] { loop.stop(); });
+        }
+        awaitStop(signals, instance, log, loop, path);
+    });
+}
+
+int run(const std::string& path, bool checksOnly)
+{
+    const auto settings = readSettings(path);
+    if (!settings) {
+        std::fprintf(stderr, "fescuecleat-poold: %s\n", describe(settings.error()).c_str());
+        return exitBadSettings;
+    }
+    if (checksOnly)
+        return EXIT_SUCCESS;
+    if (sodium_init() < 0) {
+        std::fprintf(stderr, "fescuecleat-poold: libsodium can't be initialised\n");
+        return exitUnavailable;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    boost::asio::io_context loop(1);
+    EventLog log(settings->instance_);
+    HttpClient client(loop);
+    RowStoreClient store(client, settings->store_);
+    WorkerOrders workers(client);
+    const OperatorRows operatorRows;
+    const RegistryRows registryRows;
+    const CallerMessages callerMessages;
+    StoreClock clock;
+    Instance instance({ loop, *settings, log, store, workers, operatorRows, registryRows, callerMessages, clock });
+    if (const auto started = instance.start(); !started) {
+        std::fprintf(stderr, "fescuecleat-poold: %s\n", describe(started.error()).c_str());
+        return exitUnavailable;
+    }
+    boost::asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
+    awaitStop(signals, instance, log, loop, path);
+    loop.run();
+    return EXIT_SUCCESS;
+}
+
+}
+
+int main(int argc, const char** argv)
+{
+    char* settingsPath = nullptr;
+    int checksOnly = 0;
+    const poptOption options[] = {
+        { "settings", 's', POPT_ARG_STRING, &settingsPath, 0, "the settings file; otherwise FESCUECLEAT_CONFIG names it", "FILE" },
+        { "check", 'c', POPT_ARG_NONE, &checksOnly, 0, "check the settings and exit", nullptr },
+        POPT_AUTOHELP POPT_TABLEEND
+    };
+    const poptContext context = poptGetContext("fescuecleat-poold", argc, argv, options, 0);
+    const int parsed = poptGetNextOpt(context);
+    if (parsed < -1 || poptPeekArg(context) != nullptr) {
+        std::fprintf(stderr, "fescuecleat-poold: %s; see --help\n", parsed < -1 ? poptStrerror(parsed) : "no arguments are taken");
+        poptFreeContext(context);
+        return exitBadUse;
+    }
+    const char* const fromEnvironment = std::getenv(settingsVariable);
+    std::string path = settingsPath != nullptr ? settingsPath : fromEnvironment != nullptr ? fromEnvironment
+                                                                                           : "";
+    std::free(settingsPath);
+    poptFreeContext(context);
+    if (path.empty()) {
+        std::fprintf(stderr, "fescuecleat-poold: no settings; name a file with --settings or %s\n", settingsVariable);
+        return exitBadUse;
+    }
+    return run(path, checksOnly != 0);
+}
--- /dev/null
+++ b/src/libfescuecleat/net/httpclient.cpp
@@ -0,0 +1,155 @@
+#include "net/httpclient.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace fescuecleat {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+/** The largest answer that is read; a page of rows has at most 1 MB before encoding. */
+constexpr std::uint64_t maxAnswerBytes = 8ULL << 20;
+/** Idle connections that are kept a peer and lane. */
+constexpr std::size_t maxIdleConnections = 4;
+
+}
+
+/** One connection to a peer; carries one call at a time. */
+class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
+public:
+    HttpConnection(HttpClient& client, HttpClient::Key key)
+        : client_(&client)
+        , alive_(client.alive_)
+        , key_(std::move(key))
+        , stream_(client.context_)
+    {
+    }
+
+    void start(HttpCall call, Duration timeLimit, HttpClient::Handler handler)
+    {
+        handler_ = std::move(handler);
+        request_ = {};
+        request_.version(11);
+        request_.method_string(call.method_);
+        request_.target(call.target_);
+        request_.set(http::field::host, toString(key_.first));
+        for (const auto& [name, value] : call.headers_)
+            request_.set(name, value);
+        if (!call.body_.empty()) {
+            request_.set(http::field::content_type, "application/json");
+            request_.body() = std::move(call.body_);
+        }
+        request_.prepare_payload();
+        parser_.emplace();
+        parser_->body_limit(maxAnswerBytes);
+        stream_.expires_after(timeLimit);
+        if (isOpen_)
+            return send();
+        const asio::ip::tcp::endpoint peer(asio::ip::make_address_v4(key_.first.address_), key_.first.port_);
+        ++client_->connectionsOpened_;
+        stream_.async_connect(peer, [self = shared_from_this()](beast::error_code error) {
+            if (error)
+                return self->finish(tl::unexpected<HttpFailure>(HttpFailure::NotSent));
+            self->isOpen_ = true;
+            beast::error_code ignored; // only latency suffers without it
+            self->stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+            self->send();
+        });
+    }
+
+    void close()
+    {
+        isOpen_ = false;
+        stream_.close();
+    }
+
+private:
+    void send()
+    {
+        http::async_write(stream_, request_, [self = shared_from_this()](beast::error_code error, std::size_t) {
+            if (error)
+                return self->finish(tl::unexpected<HttpFailure>(HttpFailure::NoAnswer));
+            self->receive();
+        });
+    }
+
+    void receive()
+    {
+        http::async_read(stream_, buffer_, *parser_, [self = shared_from_this()](beast::error_code error, std::size_t) {
+            if (error)
+                return self->finish(tl::unexpected<HttpFailure>(HttpFailure::NoAnswer));
+            self->keepAlive_ = self->parser_->get().keep_alive();
+            HttpAnswer answer { static_cast<int>(self->parser_->get().result_int()), std::move(self->parser_->get().body()) };
+            self->finish(std::move(answer));
+        });
+    }
+
+    void finish(tl::expected<HttpAnswer, HttpFailure> outcome)
+    {
+        const bool reusable = outcome.has_value() && keepAlive_;
+        parser_.reset();
+        request_.body().clear();
+        stream_.expires_never();
+        HttpClient::Handler handler = std::move(handler_);
+        handler_ = nullptr;
+        if (!*alive_)
+            return;
+        auto& idle = client_->idle_[key_];
+        if (reusable && idle.size() < maxIdleConnections)
+            idle.push_back(shared_from_this());
+        else
+            close();
+        handler(std::move(outcome));
+    }
+
+    HttpClient* client_;
+    std::shared_ptr<bool> alive_;
+    HttpClient::Key key_;
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_;
+    http::request<http::string_body> request_;
+    std::optional<http::response_parser<http::string_body>> parser_;
+    HttpClient::Handler handler_;
+    bool isOpen_ = false;
+    bool keepAlive_ = false;
+};
+
+HttpClient::HttpClient(asio::io_context& context)
+    : context_(context)
+{
+}
+
+HttpClient::~HttpClient()
+{
+    *alive_ = false;
+}
+
+void HttpClient::call(const Endpoint& endpoint, const std::string& lane, HttpCall call, Duration timeLimit, Handler handler)
+{
+    const Key key(endpoint, lane);
+    auto& idle = idle_[key];
+    std::shared_ptr<HttpConnection> connection;
+    if (idle.empty()) {
+        connection = std::make_shared<HttpConnection>(*this, key);
+    } else {
+        connection = std::move(idle.back());
+        idle.pop_back();
+    }
+    connection->start(std::move(call), timeLimit, std::move(handler));
+}
+
+void HttpClient::forget(const Endpoint& endpoint)
+{
+    for (auto it = idle_.lower_bound(Key(endpoint, {})); it != idle_.end() && it->first.first == endpoint;) {
+        for (const auto& connection : it->second)
+            connection->close();
+        it = idle_.erase(it);
+    }
+}
+
+}
--- /dev/null
+++ b/src/libfescuecleat/net/httpclient.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "base/time.h"
+#include "net/endpoint.h"
+#include "net/httpmessage.h"
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace fescuecleat {
+
+class HttpConnection;
+
+/**
+ * Calls peers over kept connections, each call with a time limit. Never sends a
+ * call twice. A connection that fails or times out is closed.
+ */
+class HttpClient {
+public:
+    using Handler = std::function<void(tl::expected<HttpAnswer, HttpFailure>)>;
+
+    explicit HttpClient(boost::asio::io_context&);
+    ~HttpClient();
+    HttpClient(const HttpClient&) = delete;
+    HttpClient& operator=(const HttpClient&) = delete;
+
+    /** Calls the peer. `lane` keeps long calls and short ones on connections of their own. */
+    void call(const Endpoint&, const std::string& lane, HttpCall, Duration timeLimit, Handler);
+    /** Closes the idle connections to a peer that is gone. */
+    void forget(const Endpoint&);
+
+    std::uint64_t connectionsOpened() const { return connectionsOpened_; }
+
+private:
+    friend class HttpConnection;
+    using Key = std::pair<Endpoint, std::string>;
+
+    boost::asio::io_context& context_;
+    std::map<Key, std::vector<std::shared_ptr<HttpConnection>>> idle_;
+    std::uint64_t connectionsOpened_ = 0;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}
--- /dev/null
+++ b/src/libfescuecleat/net/httpmessage.cpp
@@ -0,0 +1,16 @@
+#include "net/httpmessage.h"
+
+#include <strings.h>
+
+namespace fescuecleat {
+
+std::optional<std::string> HttpRequest::header(const std::string& name) const
+{
+    for (const auto& [key, value] : headers_) {
+        if (::strcasecmp(key.c_str(), name.c_str()) == 0)
+            return value;
+    }
+    return std::nullopt;
+}
+
+}
--- /dev/null
+++ b/src/libfescuecleat/net/httpserver.cpp
@@ -0,0 +1,222 @@
+#include "net/httpserver.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace fescuecleat {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+/** Pause before accepting again when descriptors have run out. */
+constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
+
+int statusOfReadError(const beast::error_code& error)
+{
+    if (error == http::error::header_limit)
+        return 431;
+    if (error == http::error::body_limit)
+        return 413;
+    if (error == beast::error::timeout)
+        return 408;
+    return 400;
+}
+
+}
+
+/** One caller's connection; its requests are answered in order. */
+class HttpSession : public std::enable_shared_from_this<HttpSession> {
+public:
+    HttpSession(HttpServer& server, asio::ip::tcp::socket socket)
+        : server_(&server)
+        , alive_(server.alive_)
+        , stream_(std::move(socket))
+    {
+    }
+
+    void awaitRequest()
+    {
+        parser_.emplace();
+        parser_->header_limit(server_->limits_.maxHeaderBytes_);
+        parser_->body_limit(server_->limits_.maxBodyBytes_);
+        isIdle_ = true;
+        if (server_->isDraining_)
+            return close();
+        stream_.expires_after(server_->limits_.idleTimeLimit_);
+        if (buffer_.size() > 0)
+            return readRequest();
+        // Waits for the first byte apart, so that an idle connection is closed without an answer.
+        stream_.async_read_some(buffer_.prepare(readBytes), [self = shared_from_this()](beast::error_code error, std::size_t size) {
+            if (error)
+                return self->close();
+            self->buffer_.commit(size);
+            self->readRequest();
+        });
+    }
+
+    void closeIfIdle()
+    {
+        if (isIdle_)
+            stream_.cancel();
+    }
+
+private:
+    static constexpr std::size_t readBytes = 4096;
+
+    void readRequest()
+    {
+        isIdle_ = false;
+        stream_.expires_after(server_->limits_.requestTimeLimit_);
+        http::async_read(stream_, buffer_, *parser_, [self = shared_from_this()](beast::error_code error, std::size_t) {
+            if (!*self->alive_)
+                return;
+            if (error)
+                return self->refuse(error);
+            self->handle();
+        });
+    }
+
+    void refuse(const beast::error_code& error)
+    {
+        if (error == http::error::end_of_stream || error == http::error::partial_message || !error.category().name()
+            || error == asio::error::connection_reset || error == asio::error::operation_aborted)
+            return close();
+        keepAlive_ = false;
+        write({ statusOfReadError(error), R"({"error":"the request can't be read: )" + error.message() + "\"}", {}, "application/json" });
+    }
+
+    void handle()
+    {
+        stream_.expires_never();
+        auto& message = parser_->get();
+        keepAlive_ = message.keep_alive();
+        HttpRequest request;
+        request.method_ = std::string(message.method_string());
+        request.path_ = std::string(message.target());
+        request.host_ = std::string(message[http::field::host]);
+        request.authorization_ = std::string(message[http::field::authorization]);
+        for (const auto& field : message)
+            request.headers_.emplace_back(std::string(field.name_string()), std::string(field.value()));
+        request.body_ = std::move(message.body());
+        ++server_->requestsInProgress_;
+        server_->handler_(std::move(request), [self = shared_from_this()](HttpResponse response) {
+            if (!*self->alive_)
+                return;
+            --self->server_->requestsInProgress_;
+            self->write(std::move(response));
+        });
+    }
+
+    void write(HttpResponse answer)
+    {
+        const bool closes = !keepAlive_ || server_->isDraining_;
+        response_ = {};
+        response_.version(11);
+        response_.result(static_cast<unsigned>(answer.status_));
+        response_.keep_alive(!closes);
+        for (const auto& [name, value] : answer.headers_)
+            response_.set(name, value);
+        response_.set(http::field::content_type, answer.contentType_);
+        response_.body() = std::move(answer.body_);
+        response_.prepare_payload();
+        stream_.expires_after(server_->limits_.idleTimeLimit_);
+        http::async_write(stream_, response_, [self = shared_from_this(), closes](beast::error_code error, std::size_t) {
+            if (!*self->alive_)
+                return;
+            if (error || closes)
+                return self->close();
+            self->awaitRequest();
+        });
+    }
+
+    void close()
+    {
+        if (!*alive_)
+            return;
+        beast::error_code ignored; // the peer may have closed first
+        stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        stream_.close();
+        server_->sessions_.erase(shared_from_this());
+    }
+
+    HttpServer* server_;
+    std::shared_ptr<bool> alive_;
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_;
+    std::optional<http::request_parser<http::string_body>> parser_;
+    http::response<http::string_body> response_;
+    bool keepAlive_ = false;
+    bool isIdle_ = false;
+};
+
+HttpServer::HttpServer(asio::io_context& context, Handler handler)
+    : context_(context)
+    , acceptor_(context)
+    , handler_(std::move(handler))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    *alive_ = false;
+}
+
+Result<void> HttpServer::listen(const Endpoint& endpoint)
+{
+    const asio::ip::tcp::endpoint local(asio::ip::make_address_v4(endpoint.address_), endpoint.port_);
+    beast::error_code error;
+    acceptor_.open(local.protocol(), error);
+    if (!error)
+        acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error)
+        acceptor_.bind(local, error);
+    if (!error)
+        acceptor_.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return failure(ErrorKind::Unavailable, "can't listen on " + toString(endpoint) + ": " + error.message(), "free the address or set another");
+    accept();
+    return {};
+}
+
+void HttpServer::accept()
+{
+    acceptor_.async_accept([this, alive = alive_](beast::error_code error, asio::ip::tcp::socket socket) {
+        if (!*alive || error == asio::error::operation_aborted)
+            return;
+        if (error) {
+            auto timer = std::make_shared<asio::steady_timer>(context_, acceptRetryDelay);
+            timer->async_wait([this, alive, timer](beast::error_code) {
+                if (*alive && acceptor_.is_open())
+                    accept();
+            });
+            return;
+        }
+        if (sessions_.size() < limits_.maxConnections_) {
+            beast::error_code ignored; // only latency suffers without it
+            socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+            auto session = std::make_shared<HttpSession>(*this, std::move(socket));
+            sessions_.insert(session);
+            session->awaitRequest();
+        }
+        accept();
+    });
+}
+
+void HttpServer::drain()
+{
+    isDraining_ = true;
+    for (const auto& session : std::set<std::shared_ptr<HttpSession>>(sessions_))
+        session->closeIfIdle();
+}
+
+void HttpServer::stopListening()
+{
+    beast::error_code ignored; // nothing is left to close
+    acceptor_.close(ignored);
+}
+
+}
--- /dev/null
+++ b/src/libfescuecleat/net/timer.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "base/time.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+
+namespace fescuecleat {
+
+/** Runs a callback once after a while. Ends with its owner. */
+class Timer {
+public:
+    explicit Timer(boost::asio::io_context& context)
+        : timer_(context)
+    {
+    }
+
+    /** Replaces what was set before. */
+    void start(Duration after, std::function<void()> callback)
+    {
+        timer_.expires_after(after);
+        timer_.async_wait([callback = std::move(callback), alive = std::weak_ptr<bool>(alive_)](const boost::system::error_code& error) {
+            if (!error && alive.lock())
+                callback();
+        });
+    }
+    void cancel() { timer_.cancel(); }
+
+private:
+    boost::asio::steady_timer timer_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}
--- /dev/null
+++ b/src/libfescuecleat/node/calleredge.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "net/httpserver.h"
+#include "node/lifetime.h"
+#include "node/nodecontext.h"
+#include "node/poolconfiguration.h"
+#include "node/poolcontroller.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace fescuecleat {
+
+/**
+ * Callers' calls: submit a job, ask for its state, cancel it, count what waits.
+ * A job is accepted when the store has confirmed its row.
+ */
+class CallerEdge {
+public:
+    struct Sources {
+        /** The configuration in force; nothing before the first. */
+        std::function<std::shared_ptr<const PoolConfiguration>()> configuration_;
+        /** Whether the configuration is known to be the newest. */
+        std::function<bool()> isConfigurationProven_;
+        /** The scheduler, if this instance runs it. */
+        std::function<const PoolController*()> scheduler_;
+    };
+
+    CallerEdge(const NodeContext&, Sources);
+
+    void handle(HttpRequest, HttpServer::Respond);
+
+    const std::map<int, std::uint64_t>& answersByStatus() const { return answersByStatus_; }
+
+private:
+    struct Call;
+    using CallPointer = std::shared_ptr<Call>;
+
+    void submit(const CallPointer&);
+    void sendSubmission(const CallPointer&);
+    void submissionFailed(const CallPointer&, const StoreFailure&);
+    void status(const CallPointer&);
+    void statusFromIntake(const CallPointer&);
+    void cancel(const CallPointer&);
+    void sendCancellation(const CallPointer&, std::uint64_t jobVersion);
+    void waiting(const CallPointer&);
+    void storeFailed(const CallPointer&, const StoreFailure&, void (CallerEdge::*again)(const CallPointer&));
+    void answer(const CallPointer&, int status, std::string body, const char* cause);
+    void refuse(const CallPointer&, int status, const char* cause);
+
+    NodeContext context_;
+    Sources sources_;
+    Lifetime lifetime_;
+    std::map<int, std::uint64_t> answersByStatus_;
+};
+
+}
--- /dev/null
+++ b/src/libfescuecleat/node/eventlog.cpp
@@ -0,0 +1,57 @@
+#include "node/eventlog.h"
+
+#include "node/nodeclock.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace fescuecleat {
+
+namespace {
+
+/** Bytes of lines that wait for the reader. */
+constexpr std::size_t maxQueuedBytes = 256 * 1024;
+
+}
+
+EventLog::EventLog(std::string instance)
+    : instance_(std::move(instance))
+{
+    const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0)
+        ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
+EventLog::~EventLog()
+{
+    flush();
+}
+
+void EventLog::write(const char* event, nlohmann::json fields)
+{
+    if (queue_.size() > maxQueuedBytes) {
+        ++dropped_;
+        return;
+    }
+    fields["event"] = event;
+    fields["instance"] = instance_;
+    fields["unixMs"] = unixMsNow();
+    if (dropped_ != reportedDropped_) {
+        fields["linesDroppedBefore"] = dropped_ - reportedDropped_;
+        reportedDropped_ = dropped_;
+    }
+    queue_ += fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    queue_ += '\n';
+}
+
+void EventLog::flush()
+{
+    while (!queue_.empty()) {
+        const ssize_t written = ::write(STDOUT_FILENO, queue_.data(), queue_.size());
+        if (written <= 0)
+            return; // the reader is slow; the queue is bounded
+        queue_.erase(0, static_cast<std::size_t>(written));
+    }
+}
+
+}
--- /dev/null
+++ b/src/libfescuecleat/node/eventlog.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace fescuecleat {
+
+/**
+ * JSON lines on standard output. Never blocks: lines that the reader doesn't
+ * take in time are dropped and counted.
+ */
+class EventLog {
+public:
+    explicit EventLog(std::string instance);
+    ~EventLog();
+    EventLog(const EventLog&) = delete;
+    EventLog& operator=(const EventLog&) = delete;
+
+    /** Queues a line: the event's name and its fields. */
+    void write(const char* event, nlohmann::json fields);
+    /** Hands the reader what it takes. */
+    void flush();
+
+    std::uint64_t droppedLines() const { return dropped_; }
+
+private:
+    std::string instance_;
+    std::string queue_;
+    std::uint64_t dropped_ = 0;
+    std::uint64_t reportedDropped_ = 0;
+};
+
+}
--- /dev/null
+++ b/src/libfescuecleat/node/formats.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "base/result.h"
+#include "net/httpmessage.h"
+#include "node/poolconfiguration.h"
+#include "node/rowstore.h"
+#include "pool/jobspec.h"
+#include "pool/jobstate.h"
+#include "pool/workerinfo.h"
+
+#include <optional>
+#include <string>
+
+namespace fescuecleat {
+
+/** How the operator's rows are written. */
+class OperatorFormat {
+public:
+    virtual ~OperatorFormat() = default;
+    virtual std::string table() const = 0;
+    virtual OperatorChange decode(const StoredRow&) const = 0;
+};
+
+/** How workers write themselves into the registry. */
+class RegistryFormat {
+public:
+    virtual ~RegistryFormat() = default;
+    virtual std::string table() const = 0;
+    /** An error says why the row names no worker to use. */
+    virtual Result<WorkerInfo> decode(const StoredRow&) const = 0;
+};
+
+/** How callers write their calls and read our answers. */
+class CallerFormat {
+public:
+    virtual ~CallerFormat() = default;
+    virtual Result<JobSpec> decodeJob(const std::string& body) const = 0;
+    virtual std::string encodeState(JobState) const = 0;
+    virtual std::string encodeWaiting(int jobs) const = 0;
+    /** The key that a call carries; empty if none. */
+    virtual std::string apiKey(const HttpRequest&) const = 0;
+    /** How long the caller waits for an answer. */
+    virtual std::optional<Duration> timeLimit(const HttpRequest&) const = 0;
+};
+
+}
--- /dev/null
+++ b/src/libfescuecleat/node/instance.cpp
@@ -0,0 +1,193 @@
+#include "node/instance.h"
+
+#include "base/overloaded.h"
+#include "node/nodeclock.h"
+
+#include <boost/asio/post.hpp>
+
+namespace fescuecleat {
+
+namespace {
+
+/** Long polls of the configuration: short, since each proves contact. */
+constexpr Duration operatorWait = std::chrono::milliseconds(1000);
+/** The part of the revocation limit after which unproven keys are refused. */
+constexpr double provenShare = 0.55;
+constexpr Duration logFlushInterval = std::chrono::milliseconds(200);
+/** The balancer looks each second and takes an instance out after two misses. */
+constexpr Duration balancerNotice = std::chrono::milliseconds(2500);
+/** Kept of the stop limit for the exit itself. */
+constexpr Duration stopReserve = std::chrono::milliseconds(1200);
+constexpr Duration idleCheckInterval = std::chrono::milliseconds(50);
+
+}
+
+Instance::Instance(const NodeContext& context)
+    : context_(context)
+    , operator_(context.loop_, context.store_, context.clock_, context.log_, context.operatorFormat_.table(), operatorWait,
+          { [this](const std::vector<StoredRow>& rows) { operatorRows(rows); }, [this](const StoredRow& row) { operatorRow(row); }, nullptr })
+    , lease_(context.loop_, context.store_, context.clock_, context.log_, context.settings_.instance_,
+          { [this](std::int64_t epoch, std::uint64_t chainVersion) { leaseAcquired(epoch, chainVersion); }, [this](const std::string&) { leaseLost(); } })
+    , edge_(context, { [this] { return configuration_; }, [this] { return isConfigurationProven(); }, [this] { return controller_.get(); } })
+    , callers_(context.loop_, [this](HttpRequest request, HttpServer::Respond respond) { edge_.handle(std::move(request), std::move(respond)); })
+    , readiness_(context.loop_, [this](const HttpRequest&, const HttpServer::Respond& respond) {
+        HttpResponse response;
+        response.status_ = isReady() ? 200 : 503;
+        respond(std::move(response));
+    })
+    , metrics_(context.loop_, [this](const HttpRequest&, const HttpServer::Respond& respond) {
+        HttpResponse response;
+        response.contentType_ = "text/plain";
+        response.body_ = metrics();
+        respond(std::move(response));
+    })
+    , logTimer_(context.loop_)
+    , stopTimer_(context.loop_)
+{
+}
+
+Instance::~Instance() = default;
+
+Result<void> Instance::start()
+{
+    context_.log_.write("instance.start", { { "dataCentre", context_.settings_.dataCentre_ }, { "store", toString(context_.settings_.store_) } });
+    flushLog();
+    if (auto listening = callers_.listen(context_.settings_.callers_); !listening)
+        return listening;
+    if (auto listening = readiness_.listen(context_.settings_.readiness_); !listening)
+        return listening;
+    if (auto listening = metrics_.listen(context_.settings_.metrics_); !listening)
+        return listening;
+    operator_.start();
+    lease_.start();
+    return {};
+}
+
+void Instance::flushLog()
+{
+    context_.log_.flush();
+    logTimer_.start(logFlushInterval, [this] { flushLog(); });
+}
+
+void Instance::operatorRows(const std::vector<StoredRow>& rows)
+{
+    closedDataCentres_.clear();
+    for (const StoredRow& row : rows)
+        operatorRow(row);
+    if (controller_)
+        controller_->setClosedDataCentres(closedDataCentres_);
+}
+
+void Instance::operatorRow(const StoredRow& row)
+{
+    const OperatorChange change = context_.operatorFormat_.decode(row);
+    std::visit(Overloaded {
+                   [](const IgnoredRow&) {},
+                   [this, &row](const UnreadableRow& unreadable) {
+                       context_.log_.write("operator.unreadable", { { "key", row.key_ }, { "version", row.version_ }, { "cause", unreadable.reason_ } });
+                   },
+                   [this](const PoolConfiguration& configuration) { apply(configuration); },
+                   [this](const DataCentreClosure& closure) { apply(closure); },
+               },
+        change);
+}
+
+void Instance::apply(const PoolConfiguration& configuration)
+{
+    if (configuration_ && configuration_->version_ >= configuration.version_)
+        return;
+    context_.log_.write("configuration.applied", { { "version", configuration.version_ }, { "former", configuration_ ? configuration_->version_ : 0 },
+                                                     { "queues", configuration.queues_.size() }, { "organisations", configuration.organisations_.size() } });
+    configuration_ = std::make_shared<const PoolConfiguration>(configuration);
+    HttpLimits limits;
+    limits.maxHeaderBytes_ = configuration.maxHeaderBytes_;
+    limits.maxBodyBytes_ = configuration.maxBodyBytes_;
+    limits.requestTimeLimit_ = configuration.requestTimeLimit_;
+    limits.idleTimeLimit_ = configuration.idleTimeLimit_;
+    callers_.setLimits(limits);
+    if (controller_)
+        controller_->setConfiguration(configuration);
+}
+
+void Instance::apply(const DataCentreClosure& closure)
+{
+    context_.log_.write("data_centre.closure", { { "dataCentre", closure.dataCentre_ }, { "isClosed", closure.isClosed_ } });
+    if (closure.isClosed_)
+        closedDataCentres_.insert(closure.dataCentre_);
+    else
+        closedDataCentres_.erase(closure.dataCentre_);
+    if (controller_)
+        controller_->setClosedDataCentres(closedDataCentres_);
+}
+
+bool Instance::isConfigurationProven() const
+{
+    const auto limit = std::chrono::duration_cast<Duration>(context_.settings_.revocationLimit_ * provenShare);
+    return bootTimeNow() - operator_.provenAt() < limit;
+}
+
+bool Instance::isReady() const
+{
+    return !isStopping_ && configuration_ && isConfigurationProven();
+}
+
+void Instance::leaseAcquired(std::int64_t epoch, std::uint64_t chainVersion)
+{
+    controller_ = std::make_unique<PoolController>(context_, epoch, chainVersion,
+        PoolController::Listener { [this] { return lease_.isHeld(bootTimeNow()); }, [this](const std::string& cause) { lease_.giveUp(cause); } });
+    if (configuration_)
+        controller_->setConfiguration(*configuration_);
+    controller_->setClosedDataCentres(closedDataCentres_);
+    controller_->start();
+}
+
+void Instance::leaseLost()
+{
+    // The controller may be the caller.
+    boost::asio::post(context_.loop_, [controller = std::shared_ptr<PoolController>(std::move(controller_))] {});
+}
+
+void Instance::stop(std::function<void()> done)
+{
+    if (isStopping_)
+        return;
+    isStopping_ = true;
+    context_.log_.write("instance.stop", { { "callsInProgress", callers_.requestsInProgress() } });
+    const Time now = bootTimeNow();
+    const Time deadline = now + context_.settings_.stopLimit_ - stopReserve;
+    lease_.release([] {});
+    stopTimer_.start(std::min(balancerNotice, remaining(deadline, now)), [this, deadline, done = std::move(done)] {
+        callers_.stopListening();
+        callers_.drain();
+        awaitIdle(deadline, done);
+    });
+}
+
+void Instance::awaitIdle(Time deadline, std::function<void()> done)
+{
+    if (callers_.requestsInProgress() == 0 || bootTimeNow() >= deadline) {
+        context_.log_.write("instance.stopped", { { "callsInProgress", callers_.requestsInProgress() } });
+        context_.log_.flush();
+        return done();
+    }
+    stopTimer_.start(idleCheckInterval, [this, deadline, done = std::move(done)] { awaitIdle(deadline, done); });
+}
+
+std::string Instance::metrics() const
+{
+    std::string text;
+    const auto add = [&text](const std::string& name, std::uint64_t value) { text += "fescuecleat_" + name + " " + std::to_string(value) + "\n"; };
+    for (const auto& [status, count] : edge_.answersByStatus())
+        add("answers_total{status=\"" + std::to_string(status) + "\"}", count);
+    add("configuration_version", configuration_ ? configuration_->version_ : 0);
+    add("is_scheduler", controller_ ? 1 : 0);
+    add("log_lines_dropped_total", context_.log_.droppedLines());
+    if (controller_) {
+        add("jobs_open", controller_->openJobs());
+        add("workers", controller_->state().workers_.size());
+        add("runs", controller_->state().runs_.size());
+    }
+    return text;
+}
+
+}
--- /dev/null
+++ b/src/libfescuecleat/node/instance.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "net/httpserver.h"
+#include "net/timer.h"
+#include "node/calleredge.h"
+#include "node/nodecontext.h"
+#include "node/poolcontroller.h"
+#include "node/schedulerlease.h"
+#include "node/tablefollower.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace fescuecleat {
+
+/** One instance: takes calls, follows the configuration, and schedules while it holds the lease. */
+class Instance {
+public:
+    explicit Instance(const NodeContext&);
+    ~Instance();
+
+    Result<void> start();
+    /** Graceful shutdown; `done` is called when nothing is left to answer. */
+    void stop(std::function<void()> done);
+
+private:
+    void operatorRows(const std::vector<StoredRow>&);
+    void operatorRow(const StoredRow&);
+    void apply(const PoolConfiguration&);
+    void apply(const DataCentreClosure&);
+    bool isConfigurationProven() const;
+    bool isReady() const;
+    void leaseAcquired(std::int64_t epoch, std::uint64_t chainVersion);
+    void leaseLost();
+    void flushLog();
+    void awaitIdle(Time deadline, std::function<void()> done);
+    std::string metrics() const;
+
+    NodeContext context_;
+    std::shared_ptr<const PoolConfiguration> configuration_;
+    std::set<std::string> closedDataCentres_;
+    TableFollower operator_;
+    SchedulerLease lease_;
+    std::unique_ptr<PoolController> controller_;
+    CallerEdge edge_;
+    HttpServer callers_;
+    HttpServer readiness_;
+    HttpServer metrics_;
+    Timer logTimer_;
+    Timer stopTimer_;
+    bool isStopping_ = false;
+    bool wasReady_ = false;
+};
+
+}
--- /dev/null
+++ b/src/libfescuecleat/node/instancesettings.cpp
@@ -0,0 +1,51 @@
+#include "node/instancesettings.h"
+
+#include <nlohmann/json.hpp>
+
+namespace fescuecleat {
+
+namespace {
+
+using Json = nlohmann::json;
+
+Endpoint readEndpoint(const Json& json, const char* name)
+{
+    const auto parsed = parseEndpoint(json.at(name).get<std::string>());
+    if (!parsed)
+        throw Json::other_error::create(500, std::string(name) + ": " + parsed.error().message_, &json);
+    return *parsed;
+}
+
+Duration readSeconds(const Json& json, const char* name)
+{
+    const double seconds = json.at(name).get<double>();
+    if (!(seconds > 0) || seconds > 3600)
+        throw Json::other_error::create(500, std::string(name) + " must lie between 0 and 3600 seconds", &json);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+}
+
+Result<InstanceSettings> parseInstanceSettings(const std::string& text)
+{
+    try {
+        const Json json = Json::parse(text, nullptr, true, true);
+        InstanceSettings settings;
+        settings.instance_ = json.at("instance").get<std::string>();
+        settings.dataCentre_ = json.at("dataCentre").get<std::string>();
+        settings.callers_ = readEndpoint(json, "callers");
+        settings.readiness_ = readEndpoint(json, "readiness");
+        settings.metrics_ = readEndpoint(json, "metrics");
+        settings.store_ = readEndpoint(json, "store");
+        if (!json.value("advice", std::string()).empty())
+            settings.advice_ = readEndpoint(json, "advice");
+        settings.maxWorkerLease_ = readSeconds(json, "maxWorkerLeaseSeconds");
+        settings.revocationLimit_ = readSeconds(json, "revocationLimitSeconds");
+        settings.stopLimit_ = readSeconds(json, "stopLimitSeconds");
+        return settings;
+    } catch (const Json::exception& error) {
+        return failure(ErrorKind::InvalidSyntax, std::string("the settings can't be read: ") + error.what(), "mend the member that is named");
+    }
+}
+
+}
--- /dev/null
+++ b/src/libfescuecleat/node/instancesettings.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "base/result.h"
+#include "base/time.h"
+#include "net/endpoint.h"
+
+#include <cstdint>
+#include <string>
+
+namespace fescuecleat {
+
+/** What an instance is told at its start. */
+struct InstanceSettings {
+    std::string instance_;
+    std::string dataCentre_;
+    /** For callers. */
+    Endpoint callers_;
+    /** Answers whether the instance takes callers. */
+    Endpoint readiness_;
+    /** Metrics. */
+    Endpoint metrics_;
+    Endpoint store_;
+    /** The service that says which workers may run a step; no port: there is none. */
+    Endpoint advice_;
+    /** The longest lease that a worker grants. */
+    Duration maxWorkerLease_ {};
+    /** A key that was taken away must be refused this soon. */
+    Duration revocationLimit_ {};
+    /** Time from the request to stop until the process is killed. */
+    Duration stopLimit_ {};
+};
+
+/** Reads settings: JSON with comments. Unknown members are left alone. */
+Result<InstanceSettings> parseInstanceSettings(const std::string& text);
+
+}
--- /dev/null
+++ b/src/libfescuecleat/node/jobintake.cpp
@@ -0,0 +1,124 @@
+#include "node/jobintake.h"
+
+#include <nlohmann/json.hpp>
+
+namespace fescuecleat {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/** Sorts a job's cancel row right behind its own. */
+constexpr char cancelSuffix = '!';
+
+Json encodeStep(const StepSpec& step)
+{
+    Json json { { "tasks", step.taskCount_ }, { "cpu", step.resources_.cpuMillis_ }, { "memory", step.resources_.memoryMb_ },
+        { "accelerators", step.resources_.accelerators_ }, { "estimateUs", step.estimate_.count() } };
+    const auto flag = [&json](const char* name, bool value) {
+        if (value)
+            json[name] = true;
+    };
+    flag("gang", step.isGang_);
+    flag("oneRack", step.wantsOneRack_);
+    flag("saves", step.savesProgress_);
+    flag("speculative", step.isSpeculative_);
+    flag("lasts", step.isLongRunning_);
+    flag("filler", step.isFiller_);
+    if (!step.after_.empty())
+        json["after"] = step.after_;
+    if (!step.requiredLabel_.empty())
+        json["label"] = step.requiredLabel_;
+    if (!step.preferredRack_.empty())
+        json["rack"] = step.preferredRack_;
+    if (step.maxTasksPerWorker_ > 0)
+        json["perWorker"] = step.maxTasksPerWorker_;
+    if (step.maxUnavailable_ > 0)
+        json["maxUnavailable"] = step.maxUnavailable_;
+    if (!step.image_.empty())
+        json["image"] = step.image_;
+    return json;
+}
+
+StepSpec decodeStep(const Json& json)
+{
+    StepSpec step;
+    step.taskCount_ = json.at("tasks");
+    step.resources_ = { json.at("cpu"), json.at("memory"), json.at("accelerators") };
+    step.estimate_ = Duration(json.at("estimateUs").get<std::int64_t>());
+    step.isGang_ = json.value("gang", false);
+    step.wantsOneRack_ = json.value("oneRack", false);
+    step.savesProgress_ = json.value("saves", false);
+    step.isSpeculative_ = json.value("speculative", false);
+    step.isLongRunning_ = json.value("lasts", false);
+    step.isFiller_ = json.value("filler", false);
+    step.after_ = json.value("after", std::vector<int>());
+    step.requiredLabel_ = json.value("label", std::string());
+    step.preferredRack_ = json.value("rack", std::string());
+    step.maxTasksPerWorker_ = json.value("perWorker", 0);
+    step.maxUnavailable_ = json.value("maxUnavailable", 0);
+    step.image_ = json.value("image", std::string());
+    return step;
+}
+
+}
+
+std::string cancelKey(const std::string& job)
+{
+    return job + cancelSuffix;
+}
+
+std::optional<std::string> jobOfCancelKey(const std::string& key)
+{
+    if (key.empty() || key.back() != cancelSuffix)
+        return std::nullopt;
+    return key.substr(0, key.size() - 1);
+}
+
+std::string encodeJobIntake(const JobIntake& intake)
+{
+    const JobPolicy& policy = intake.policy_;
+    Json steps = Json::array();
+    for (const StepSpec& step : intake.spec_.steps_)
+        steps.push_back(encodeStep(step));
+    Json json { { "queue", policy.queue_ }, { "service", policy.service_ }, { "organisation", policy.organisation_ },
+        { "priority", policy.priority_ }, { "attempts", policy.maxAttempts_ }, { "stretch", policy.stretch_ },
+        { "latencyUs", policy.latencyTarget_.count() }, { "submittedMs", intake.submittedMs_ },
+        { "payload", intake.spec_.payload_ }, { "steps", std::move(steps) } };
+    if (policy.needsAdvice_)
+        json["advice"] = true;
+    if (intake.spec_.isTimed())
+        json["times"] = { intake.spec_.occurrences_, intake.spec_.firstDueUnixMs_, intake.spec_.periodMs_ };
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::optional<JobIntake> decodeJobIntake(const std::string& text)
+{
+    try {
+        const Json json = Json::parse(text);
+        JobIntake intake;
+        JobPolicy& policy = intake.policy_;
+        policy.queue_ = json.at("queue");
+        policy.service_ = json.at("service");
+        policy.organisation_ = json.at("organisation");
+        policy.priority_ = json.at("priority");
+        policy.maxAttempts_ = json.at("attempts");
+        policy.stretch_ = json.at("stretch");
+        policy.latencyTarget_ = Duration(json.at("latencyUs").get<std::int64_t>());
+        policy.needsAdvice_ = json.value("advice", false);
+        intake.submittedMs_ = json.at("submittedMs");
+        intake.spec_.payload_ = json.at("payload");
+        for (const Json& step : json.at("steps"))
+            intake.spec_.steps_.push_back(decodeStep(step));
+        if (json.contains("times")) {
+            intake.spec_.occurrences_ = json["times"].at(0);
+            intake.spec_.firstDueUnixMs_ = json["times"].at(1);
+            intake.spec_.periodMs_ = json["times"].at(2);
+        }
+        return intake;
+    } catch (const Json::exception&) {
+        return std::nullopt;
+    }
+}
+
+}
--- /dev/null
+++ b/src/libfescuecleat/node/jobintake.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "pool/jobpolicy.h"
+#include "pool/jobspec.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace fescuecleat {
+
+/** The row that makes a job accepted. Written once, under the condition that there is none. */
+struct JobIntake {
+    JobPolicy policy_;
+    JobSpec spec_;
+    /** On the store's clock. */
+    std::int64_t submittedMs_ = 0;
+};
+
+constexpr const char* intakeTable = "intake";
+/** Key of the row that asks for a job's end. */
+std::string cancelKey(const std::string& job);
+/** The job of a cancel row's key. */
+std::optional<std::string> jobOfCancelKey(const std::string& key);
+
+std::string encodeJobIntake(const JobIntake&);
+std::optional<JobIntake> decodeJobIntake(const std::string& text);
+
+}
--- /dev/null
+++ b/src/libfescuecleat/node/jobrecorder.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "net/timer.h"
+#include "node/eventlog.h"
+#include "node/lifetime.h"
+#include "node/rowstore.h"
+
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fescuecleat {
+
+/**
+ * Stores job records in group commits, one at a time. Each commit expects the
+ * one before it, so a commit whose answer was lost is found out or shut out,
+ * and a former holder's can't land any more.
+ */
+class JobRecorder {
+public:
+    struct Listener {
+        /** The value of a job's row, as it is now. */
+        std::function<std::string(const std::string& job)> encode_;
+        /** The chain belongs to a newer holder. */
+        std::function<void(const std::string& cause)> superseded_;
+    };
+
+    JobRecorder(boost::asio::io_context&, RowStore&, EventLog&, std::int64_t epoch, std::uint64_t chainVersion, Listener);
+
+    /** The job's record has changed. */
+    void markChanged(const std::string& job) { changed_.insert(job); }
+    /** A row beside the records, written with the next commit. */
+    void writeBeside(RowWrite write);
+    /** Calls back when everything that has changed so far is stored. */
+    void whenStored(std::function<void()>);
+    /** Begins a commit unless one is on its way. */
+    void flush();
+
+    bool isIdle() const { return !isCommitting_ && changed_.empty(); }
+    std::uint64_t commits() const { return sequence_; }
+
+    static constexpr const char* table = "records";
+
+private:
+    void send();
+    void committed(std::uint64_t version);
+
+    RowStore& store_;
+    EventLog& log_;
+    std::int64_t epoch_;
+    std::uint64_t chainVersion_;
+    Listener listener_;
+    Timer retry_;
+    Lifetime lifetime_;
+
+    std::set<std::string> changed_;
+    std::vector<RowWrite> beside_;
+    std::vector<std::function<void()>> waiting_;
+    std::vector<std::function<void()>> committing_;
+    RowTransaction transaction_;
+    bool isCommitting_ = false;
+    std::uint64_t sequence_ = 0;
+};
+
+}
--- /dev/null
+++ b/src/libfescuecleat/node/nodecontext.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "node/eventlog.h"
+#include "node/formats.h"
+#include "node/instancesettings.h"
+#include "node/rowstore.h"
+#include "node/storeclock.h"
+#include "node/workerclient.h"
+
+#include <boost/asio/io_context.hpp>
+
+namespace fescuecleat {
+
+/** What the parts of an instance share. */
+struct NodeContext {
+    boost::asio::io_context& loop_;
+    const InstanceSettings& settings_;
+    EventLog& log_;
+    RowStore& store_;
+    WorkerClient& workers_;
+    const OperatorFormat& operatorFormat_;
+    const RegistryFormat& registryFormat_;
+    const CallerFormat& callerFormat_;
+    StoreClock& clock_;
+};
+
+}
--- /dev/null
+++ b/src/libfescuecleat/node/poolconfiguration.cpp
@@ -0,0 +1,30 @@
+#include "node/poolconfiguration.h"
+
+#include <algorithm>
+
+namespace fescuecleat {
+
+const QueueConfiguration* PoolConfiguration::findQueue(const std::string& host, const std::string& path) const
+{
+    const QueueConfiguration* best = nullptr;
+    for (const QueueConfiguration& queue : queues_) {
+        if (queue.host_ != host || path.compare(0, queue.prefix_.size(), queue.prefix_) != 0)
+            continue;
+        if (best == nullptr || queue.prefix_.size() > best->prefix_.size())
+            best = &queue;
+    }
+    return best;
+}
+
+const OrganisationConfiguration* PoolConfiguration::findByKey(const std::string& key) const
+{
+    if (key.empty())
+        return nullptr;
+    for (const OrganisationConfiguration& organisation : organisations_) {
+        if (std::find(organisation.keys_.begin(), organisation.keys_.end(), key) != organisation.keys_.end())
+            return &organisation;
+    }
+    return nullptr;
+}
+
+}
--- /dev/null
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -0,0 +1,424 @@
+#include "node/poolcontroller.h"
+
+#include "node/jobintake.h"
+#include "node/nodeclock.h"
+
+#include <boost/asio/post.hpp>
+
+namespace fescuecleat {
+
+namespace {
+
+constexpr Duration intakeWait = std::chrono::milliseconds(2000);
+constexpr Duration registryWait = std::chrono::milliseconds(2000);
+constexpr Duration readTimeLimit = std::chrono::milliseconds(1500);
+constexpr Duration readRetryDelay = std::chrono::milliseconds(100);
+/** A worker's clock may be this much slower than ours. */
+constexpr double clockDrift = 0.02;
+/** Added to leases of former schedulers, for orders on their way. */
+constexpr Duration formerLeaseSlack = std::chrono::milliseconds(500);
+/** The summary of waiting jobs is at most this old while it changes. */
+constexpr Duration summaryInterval = std::chrono::milliseconds(1000);
+constexpr Duration minWake = std::chrono::milliseconds(1);
+
+std::string describeEnd(EndReason reason)
+{
+    switch (reason) {
+    case EndReason::Done:
+        return "done";
+    case EndReason::Failed:
+        return "failed";
+    case EndReason::Stopped:
+        return "stopped";
+    case EndReason::LeaseLapsed:
+        return "lease_lapsed";
+    case EndReason::GangBroken:
+        return "gang_broken";
+    case EndReason::GangIncomplete:
+        return "gang_incomplete";
+    }
+    return "unknown";
+}
+
+std::string describeState(JobState state)
+{
+    switch (state) {
+    case JobState::Queued:
+        return "queued";
+    case JobState::Running:
+        return "running";
+    case JobState::Completed:
+        return "completed";
+    case JobState::Failed:
+        return "failed";
+    case JobState::Cancelled:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
+}
+
+PoolController::PoolController(const NodeContext& context, std::int64_t epoch, std::uint64_t chainVersion, Listener listener)
+    : context_(context)
+    , epoch_(epoch)
+    , listener_(std::move(listener))
+    , recorder_(context.loop_, context.store_, context.log_, epoch, chainVersion,
+          { [this](const std::string& job) { return encodeJobRecord(scheduler_.record(job)); },
+              [this](const std::string& cause) { listener_.superseded_(cause); } })
+    , intake_(context.loop_, context.store_, context.clock_, context.log_, intakeTable, intakeWait,
+          { [this](const std::vector<StoredRow>& rows) {
+               for (const StoredRow& row : rows)
+                   intakeRow(row);
+               wake();
+           },
+              [this](const StoredRow& row) {
+                  intakeRow(row);
+                  wake();
+              },
+              nullptr })
+    , registry_(context.loop_, context.store_, context.clock_, context.log_, context.registryFormat_.table(), registryWait,
+          { [this](const std::vector<StoredRow>& rows) { registryReset(rows); }, [this](const StoredRow& row) { registryRow(row); }, nullptr })
+    , timer_(context.loop_)
+    , startedAt_(bootTimeNow())
+{
+}
+
+PoolController::~PoolController() = default;
+
+void PoolController::start()
+{
+    loadRecords({});
+}
+
+void PoolController::loadRecords(const std::string& from)
+{
+    context_.store_.read(JobRecorder::table, from, {}, readTimeLimit, lifetime_.guard([this, from](const tl::expected<RowPage, StoreFailure>& page) {
+        if (!page)
+            return timer_.start(readRetryDelay, [this, from] { loadRecords(from); });
+        for (const StoredRow& row : page->rows_) {
+            JobRecord record;
+            if (decodeJobRecord(row.value_, record))
+                records_[row.key_] = std::move(record);
+            else
+                context_.log_.write("record.unreadable", { { "job", row.key_ }, { "version", row.version_ } });
+        }
+        if (page->hasMore_ && !page->rows_.empty())
+            return loadRecords(boundAfter(page->rows_.back().key_));
+        recordsLoaded();
+    }));
+}
+
+void PoolController::recordsLoaded()
+{
+    context_.log_.write("scheduler.records_loaded", { { "epoch", epoch_ }, { "records", records_.size() } });
+    isReady_ = true;
+    registry_.start();
+    intake_.start();
+}
+
+void PoolController::setConfiguration(const PoolConfiguration& configuration)
+{
+    std::map<std::string, std::int64_t> guarantees;
+    for (const OrganisationConfiguration& organisation : configuration.organisations_)
+        guarantees[organisation.name_] = organisation.guaranteedAccelerators_;
+    scheduler_.setGuarantees(std::move(guarantees));
+    wake();
+}
+
+void PoolController::setClosedDataCentres(const std::set<std::string>& dataCentres)
+{
+    scheduler_.setClosedDataCentres(dataCentres);
+    wake();
+}
+
+void PoolController::intakeRow(const StoredRow& row)
+{
+    if (row.isDeleted_)
+        return;
+    const auto cancelled = jobOfCancelKey(row.key_);
+    if (!cancelled)
+        return addJob(row.key_, row);
+    if (!cancelled_.insert(*cancelled).second)
+        return;
+    context_.log_.write("job.cancel_seen", { { "job", *cancelled }, { "version", row.version_ } });
+    scheduler_.cancelJob(*cancelled, bootTimeNow());
+}
+
+void PoolController::addJob(const std::string& id, const StoredRow& row)
+{
+    if (scheduler_.state().jobs_.count(id) > 0)
+        return;
+    auto intake = decodeJobIntake(row.value_);
+    if (!intake) {
+        context_.log_.write("job.unreadable", { { "job", id }, { "version", row.version_ } });
+        return;
+    }
+    const Time now = bootTimeNow();
+    const auto record = records_.find(id);
+    const JobRecord* const stored = record == records_.end() ? nullptr : &record->second;
+    const Time submittedAt = std::min(now, context_.clock_.localTime(intake->submittedMs_, now));
+    context_.log_.write("job.seen", { { "job", id }, { "version", row.version_ }, { "queue", intake->policy_.queue_ }, { "organisation", intake->policy_.organisation_ },
+                                        { "ageMs", std::chrono::duration_cast<std::chrono::milliseconds>(now - submittedAt).count() },
+                                        { "state", stored == nullptr ? "new" : describeState(stored->state_) } });
+    storedStates_[id] = stored == nullptr ? JobState::Queued : stored->state_;
+    payloads_[id] = intake->spec_.payload_;
+    intake->spec_.payload_.clear();
+    scheduler_.addJob(id, std::move(intake->spec_), intake->policy_, submittedAt, stored, now);
+    if (cancelled_.count(id) > 0)
+        scheduler_.cancelJob(id, now);
+    if (record != records_.end())
+        records_.erase(record);
+}
+
+void PoolController::registryReset(const std::vector<StoredRow>& rows)
+{
+    std::set<std::string> listed;
+    for (const StoredRow& row : rows) {
+        listed.insert(row.key_);
+        registryRow(row);
+    }
+    for (const auto& [id, link] : links_) {
+        if (listed.count(id) == 0)
+            scheduler_.delistWorker(id);
+    }
+    // Runs of workers that the registry no longer names are looked after until they have lapsed.
+    std::vector<WorkerInfo> unlisted;
+    for (const auto& [key, worker] : scheduler_.state().workers_) {
+        if (links_.count(key.id_) == 0)
+            unlisted.push_back(worker.info_);
+    }
+    for (const WorkerInfo& info : unlisted)
+        openLink(info);
+    wake();
+}
+
+void PoolController::registryRow(const StoredRow& row)
+{
+    if (row.isDeleted_) {
+        context_.log_.write("worker.delisted", { { "worker", row.key_ }, { "version", row.version_ } });
+        scheduler_.delistWorker(row.key_);
+        return wake();
+    }
+    const Result<WorkerInfo> info = context_.registryFormat_.decode(row);
+    if (!info) {
+        context_.log_.write("worker.unreadable", { { "worker", row.key_ }, { "version", row.version_ }, { "cause", info.error().message_ } });
+        scheduler_.delistWorker(row.key_);
+        return wake();
+    }
+    const auto link = links_.find(row.key_);
+    WorkerInfo current = *info;
+    if (link != links_.end() && link->second->key().bornUnixMs_ > current.key_.bornUnixMs_)
+        current.key_ = link->second->key(); // the worker itself told of a newer life
+    context_.log_.write("worker.seen", { { "worker", row.key_ }, { "version", row.version_ }, { "born", current.key_.bornUnixMs_ }, { "isDraining", current.isDraining_ }, { "dataCentre", current.dataCentre_ } });
+    scheduler_.putWorker(current, bootTimeNow());
+    if (link == links_.end() || link->second->key() != current.key_) {
+        links_.erase(row.key_);
+        openLink(current);
+    } else {
+        link->second->update(current);
+    }
+    wake();
+}
+
+void PoolController::openLink(const WorkerInfo& info)
+{
+    WorkerLink::Terms terms;
+    terms.fence_ = epoch_;
+    terms.maxLease_ = context_.settings_.maxWorkerLease_;
+    const auto former = std::chrono::duration_cast<Duration>(context_.settings_.maxWorkerLease_ / (1 - clockDrift));
+    terms.formerLeasesLapse_ = startedAt_ + former + formerLeaseSlack;
+    auto link = std::make_unique<WorkerLink>(context_.loop_, context_.workers_, info, terms, linkListener(info.key_.id_));
+    WorkerLink& opened = *link;
+    links_[info.key_.id_] = std::move(link);
+    opened.open();
+}
+
+WorkerLink* PoolController::findLink(const WorkerKey& key)
+{
+    const auto link = links_.find(key.id_);
+    return link == links_.end() || link->second->key() != key ? nullptr : link->second.get();
+}
+
+WorkerLink::Listener PoolController::linkListener(const std::string& id)
+{
+    WorkerLink::Listener listener;
+    listener.reported_ = [this, id](const WorkerReport& report, Time askedAt) {
+        WorkerLink& link = *links_.at(id);
+        logEnds(report, id);
+        scheduler_.report(link.key(), report, askedAt, bootTimeNow());
+        std::int64_t last = 0;
+        for (const ReportedEnd& end : report.ended_)
+            last = std::max(last, end.sequence_);
+        if (last > 0) {
+            decide();
+            recorder_.whenStored([this, key = link.key(), last] {
+                if (WorkerLink* current = findLink(key))
+                    current->endsStored(last);
+            });
+            recorder_.flush();
+        }
+        wake();
+    };
+    listener.reborn_ = [this](const WorkerKey& former, const WorkerKey& current) {
+        context_.log_.write("worker.reborn", { { "worker", current.id_ }, { "formerBorn", former.bornUnixMs_ }, { "born", current.bornUnixMs_ } });
+        scheduler_.workerReborn(former, current, bootTimeNow());
+        wake();
+    };
+    listener.reachabilityChanged_ = [this, id](bool isReachable, const char* cause) {
+        context_.log_.write("worker.reachability", { { "worker", id }, { "isReachable", isReachable }, { "cause", cause } });
+        scheduler_.setReachable(links_.at(id)->key(), isReachable);
+        wake();
+    };
+    listener.lapsed_ = [this, id] {
+        context_.log_.write("worker.lapsed", { { "worker", id } });
+        scheduler_.workerLost(links_.at(id)->key(), bootTimeNow());
+        wake();
+    };
+    listener.isStartWanted_ = [this](const RunId& run) {
+        const auto entry = scheduler_.state().runs_.find(run);
+        return listener_.isLeaseHeld_() && entry != scheduler_.state().runs_.end() && entry->second.phase_ == RunPhase::Starting;
+    };
+    listener.startAnswered_ = [this, id](const RunId& run, StartAnswer answer) {
+        if (answer != StartAnswer::Accepted)
+            context_.log_.write("run.start_refused", { { "job", run.task_.job_ }, { "task", toString(run.task_) }, { "run", run.number_ }, { "worker", id }, { "cause", answer == StartAnswer::RunIsOld ? "old" : "refused" } });
+        scheduler_.startAnswered(run, answer, bootTimeNow());
+        wake();
+    };
+    listener.isStopWanted_ = [this](const RunId& run) {
+        const auto entry = scheduler_.state().runs_.find(run);
+        return entry == scheduler_.state().runs_.end() || entry->second.phase_ == RunPhase::Stopping;
+    };
+    listener.stopConfirmed_ = [this](const RunId& run) {
+        scheduler_.stopConfirmed(run, bootTimeNow());
+        wake();
+    };
+    listener.superseded_ = [this](const std::string& cause) { listener_.superseded_(cause); };
+    return listener;
+}
+
+void PoolController::logEnds(const WorkerReport& report, const std::string& worker)
+{
+    for (const ReportedEnd& end : report.ended_)
+        context_.log_.write("run.ended", { { "job", end.run_.task_.job_ }, { "task", toString(end.run_.task_) }, { "run", end.run_.number_ }, { "worker", worker }, { "end", end.sequence_ }, { "how", describeEnd(end.reason_) } });
+}
+
+void PoolController::wake()
+{
+    if (isPassPosted_)
+        return;
+    isPassPosted_ = true;
+    boost::asio::post(context_.loop_, lifetime_.guard([this] { pass(); }));
+}
+
+void PoolController::pass()
+{
+    isPassPosted_ = false;
+    decide();
+    dropIdleLinks();
+    const Time now = bootTimeNow();
+    const Duration sleep = std::max(minWake, remaining(scheduler_.nextWake(now, unixMsNow()), now));
+    timer_.start(sleep, [this] { pass(); });
+}
+
+void PoolController::decide()
+{
+    const Time now = bootTimeNow();
+    if (isReady_ && intake_.isLoaded() && registry_.isLoaded() && listener_.isLeaseHeld_()) {
+        scheduler_.schedule(now, unixMsNow());
+        writeSummary();
+    }
+    carryOut(scheduler_.takeDecisions());
+}
+
+void PoolController::carryOut(const Decisions& decisions)
+{
+    for (const StopDecision& stop : decisions.stops_) {
+        context_.log_.write("run.stop", { { "job", stop.run_.task_.job_ }, { "task", toString(stop.run_.task_) }, { "run", stop.run_.number_ }, { "worker", stop.worker_.id_ }, { "cause", stop.cause_ } });
+        if (WorkerLink* link = findLink(stop.worker_))
+            link->stop(stop.run_);
+    }
+    if (decisions.changedJobs_.empty() && decisions.starts_.empty())
+        return recorder_.flush();
+    std::map<std::string, JobState> states;
+    for (const std::string& job : decisions.changedJobs_) {
+        recorder_.markChanged(job);
+        const auto found = scheduler_.state().jobs_.find(job);
+        if (found != scheduler_.state().jobs_.end())
+            states[job] = found->second.state_;
+    }
+    recorder_.whenStored([this, starts = decisions.starts_, states = std::move(states)] {
+        for (const auto& [job, state] : states) {
+            JobState& stored = storedStates_[job];
+            if (stored != state)
+                context_.log_.write("job.state", { { "job", job }, { "state", describeState(state) } });
+            stored = state;
+        }
+        for (const StartDecision& start : starts)
+            sendStart(start);
+    });
+    recorder_.flush();
+}
+
+void PoolController::sendStart(const StartDecision& decision)
+{
+    if (!listener_.isLeaseHeld_() || !scheduler_.beginStart(decision.run_, bootTimeNow()))
+        return;
+    WorkerLink* link = findLink(decision.worker_);
+    context_.log_.write("run.start", { { "job", decision.run_.task_.job_ }, { "task", toString(decision.run_.task_) }, { "run", decision.run_.number_ }, { "worker", decision.worker_.id_ }, { "epoch", epoch_ }, { "resumes", !decision.checkpoint_.empty() } });
+    if (link == nullptr)
+        return;
+    StartOrder order;
+    order.run_ = decision.run_;
+    order.payload_ = payloads_[decision.run_.task_.job_];
+    order.checkpoint_ = decision.checkpoint_;
+    link->start(std::move(order));
+}
+
+void PoolController::writeSummary()
+{
+    const Time now = bootTimeNow();
+    if (now - summaryAt_ < summaryInterval)
+        return;
+    const std::map<std::string, int> waiting = scheduler_.waitingJobs();
+    if (waiting == summary_)
+        return;
+    summaryAt_ = now;
+    summary_ = waiting;
+    recorder_.writeBeside({ summaryTable, summaryKey, nlohmann::json(waiting).dump() });
+}
+
+void PoolController::dropIdleLinks()
+{
+    for (auto it = links_.begin(); it != links_.end();) {
+        const bool isKnown = scheduler_.state().workers_.count(it->second->key()) > 0;
+        it = isKnown ? std::next(it) : links_.erase(it);
+    }
+}
+
+std::optional<JobState> PoolController::stateOf(const std::string& job) const
+{
+    const auto state = storedStates_.find(job);
+    if (state == storedStates_.end())
+        return std::nullopt;
+    return state->second;
+}
+
+std::optional<int> PoolController::waitingJobs(const std::string& queue) const
+{
+    if (!isReady_ || !intake_.isLoaded())
+        return std::nullopt;
+    const std::map<std::string, int> waiting = scheduler_.waitingJobs();
+    const auto found = waiting.find(queue);
+    return found == waiting.end() ? 0 : found->second;
+}
+
+std::size_t PoolController::openJobs() const
+{
+    std::size_t open = 0;
+    for (const auto& [id, job] : scheduler_.state().jobs_)
+        open += job.isOpen() ? 1 : 0;
+    return open;
+}
+
+}
--- /dev/null
+++ b/src/libfescuecleat/node/poolcontroller.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "net/timer.h"
+#include "node/jobrecorder.h"
+#include "node/lifetime.h"
+#include "node/nodecontext.h"
+#include "node/poolconfiguration.h"
+#include "node/schedulerlease.h"
+#include "node/tablefollower.h"
+#include "node/workerlink.h"
+#include "pool/poolscheduler.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace fescuecleat {
+
+/**
+ * Runs the scheduler of the pool while this instance holds the lease: follows
+ * jobs and workers, stores what is decided, then gives the orders.
+ */
+class PoolController {
+public:
+    struct Listener {
+        std::function<bool()> isLeaseHeld_;
+        std::function<void(const std::string& cause)> superseded_;
+    };
+
+    PoolController(const NodeContext&, std::int64_t epoch, std::uint64_t chainVersion, Listener);
+    ~PoolController();
+
+    void start();
+    void setConfiguration(const PoolConfiguration&);
+    void setClosedDataCentres(const std::set<std::string>&);
+
+    /** The state of a job as stored; nothing if this instance does not know the job. */
+    std::optional<JobState> stateOf(const std::string& job) const;
+    std::optional<int> waitingJobs(const std::string& queue) const;
+    const PoolState& state() const { return scheduler_.state(); }
+    std::size_t openJobs() const;
+
+    static constexpr const char* summaryTable = "summary";
+    static constexpr const char* summaryKey = "waiting";
+
+private:
+    void loadRecords(const std::string& from);
+    void recordsLoaded();
+    void intakeRow(const StoredRow&);
+    void addJob(const std::string& id, const StoredRow&);
+    void registryRow(const StoredRow&);
+    void registryReset(const std::vector<StoredRow>&);
+    void openLink(const WorkerInfo&);
+    WorkerLink* findLink(const WorkerKey&);
+    WorkerLink::Listener linkListener(const std::string& id);
+    void dropIdleLinks();
+
+    void wake();
+    void pass();
+    void decide();
+    void carryOut(const Decisions&);
+    void sendStart(const StartDecision&);
+    void writeSummary();
+    void logEnds(const WorkerReport&, const std::string& worker);
+
+    NodeContext context_;
+    std::int64_t epoch_;
+    Listener listener_;
+    PoolScheduler scheduler_;
+    JobRecorder recorder_;
+    TableFollower intake_;
+    TableFollower registry_;
+    Timer timer_;
+    Lifetime lifetime_;
+    Time startedAt_ {};
+    bool isPassPosted_ = false;
+    bool isReady_ = false;
+
+    std::map<std::string, JobRecord> records_;
+    std::set<std::string> cancelled_;
+    std::map<std::string, std::string> payloads_;
+    std::map<std::string, JobState> storedStates_;
+    std::map<std::string, std::unique_ptr<WorkerLink>> links_;
+    std::map<std::string, int> summary_;
+    Time summaryAt_ {};
+};
+
+}
--- /dev/null
+++ b/src/libfescuecleat/node/schedulerlease.cpp
@@ -0,0 +1,229 @@
+#include "node/schedulerlease.h"
+
+#include "node/nodeclock.h"
+
+#include <nlohmann/json.hpp>
+
+namespace fescuecleat {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr const char* leaseTable = "lease";
+constexpr const char* leaseKey = "pool";
+/** How long a lease holds from its renewal. */
+constexpr std::int64_t leaseMs = 2400;
+constexpr Duration renewalInterval = std::chrono::milliseconds(700);
+constexpr Duration writeTimeLimit = std::chrono::milliseconds(700);
+/** The holder stops this long before its lease lapses: covers the drift of clocks and orders on their way. */
+constexpr std::int64_t safetyMarginMs = 150;
+constexpr Duration watchInterval = std::chrono::milliseconds(100);
+constexpr Duration pollWait = std::chrono::milliseconds(1000);
+/** Candidates try at different times within this span. */
+constexpr int acquireSpreadMs = 80;
+
+std::string encodeLease(const LeaseRecord& lease)
+{
+    return Json { { "holder", lease.holder_ }, { "epoch", lease.epoch_ }, { "untilMs", lease.untilMs_ } }.dump();
+}
+
+std::optional<LeaseRecord> decodeLease(const std::string& text)
+{
+    try {
+        const Json json = Json::parse(text);
+        return LeaseRecord { json.at("holder"), json.at("epoch"), json.at("untilMs") };
+    } catch (const Json::exception&) {
+        return std::nullopt;
+    }
+}
+
+}
+
+std::string SchedulerLease::chainValue(std::int64_t epoch, std::uint64_t sequence)
+{
+    return std::to_string(epoch) + ":" + std::to_string(sequence);
+}
+
+SchedulerLease::SchedulerLease(boost::asio::io_context& context, RowStore& store, StoreClock& clock, EventLog& log, std::string instance, Listener listener)
+    : context_(context)
+    , store_(store)
+    , clock_(clock)
+    , log_(log)
+    , instance_(std::move(instance))
+    , listener_(std::move(listener))
+    , follower_(context, store, clock, log, leaseTable, pollWait,
+          { [this](const std::vector<StoredRow>& rows) {
+               if (rows.empty()) {
+                   seen_.reset();
+                   seenVersion_ = 0;
+               }
+               for (const StoredRow& row : rows)
+                   observe(row);
+           },
+              [this](const StoredRow& row) { observe(row); }, [this] { considerAcquiring(); } })
+    , timer_(context)
+    , watchTimer_(context)
+{
+}
+
+void SchedulerLease::start()
+{
+    follower_.start();
+    watch();
+}
+
+void SchedulerLease::watch()
+{
+    watchTimer_.start(watchInterval, [this] {
+        if (isHolder_ && !isHeld(bootTimeNow()))
+            lose("the lease could not be renewed in time");
+        else if (!isHolder_)
+            considerAcquiring();
+        watch();
+    });
+}
+
+bool SchedulerLease::isHeld(Time now) const
+{
+    return isHolder_ && clock_.latest(now) + safetyMarginMs < untilMs_;
+}
+
+void SchedulerLease::observe(const StoredRow& row)
+{
+    if (row.key_ != leaseKey || row.version_ < seenVersion_)
+        return;
+    const auto lease = decodeLease(row.value_);
+    if (!lease) {
+        log_.write("lease.unreadable", { { "version", row.version_ } });
+        return;
+    }
+    if (!seen_ || seen_->holder_ != lease->holder_ || seen_->epoch_ != lease->epoch_)
+        log_.write("lease.seen", { { "holder", lease->holder_ }, { "epoch", lease->epoch_ }, { "version", row.version_ } });
+    seen_ = lease;
+    seenVersion_ = row.version_;
+    if (isHolder_ && lease->epoch_ > epoch_)
+        lose("another instance took the lease");
+}
+
+void SchedulerLease::considerAcquiring()
+{
+    if (isHolder_ || isWriting_ || isStopping_ || !follower_.isLoaded() || !clock_.isKnown())
+        return;
+    const Time now = bootTimeNow();
+    if (seen_ && seen_->untilMs_ > clock_.earliest(now))
+        return;
+    // Without fresh contact the row may have been renewed since.
+    if (now - follower_.provenAt() > 2 * pollWait)
+        return;
+    isWriting_ = true;
+    const auto spread = std::hash<std::string>()(instance_) % acquireSpreadMs;
+    timer_.start(std::chrono::milliseconds(spread), [this] {
+        isWriting_ = false;
+        if (!seen_ || seen_->untilMs_ <= clock_.earliest(bootTimeNow()))
+            acquire();
+    });
+}
+
+void SchedulerLease::write(LeaseRecord lease, bool isNew, std::function<void(tl::expected<StoreMoment, StoreFailure>)> handler)
+{
+    isWriting_ = true;
+    RowTransaction transaction;
+    transaction.expectations_.push_back({ leaseTable, leaseKey, seenVersion_ });
+    transaction.writes_.push_back({ leaseTable, leaseKey, encodeLease(lease) });
+    if (isNew)
+        transaction.writes_.push_back({ chainTable, chainKey, chainValue(lease.epoch_, 0) });
+    store_.commit(std::move(transaction), writeTimeLimit, lifetime_.guard([this, lease, handler = std::move(handler)](tl::expected<StoreMoment, StoreFailure> outcome) {
+        isWriting_ = false;
+        if (outcome) {
+            seen_ = lease;
+            seenVersion_ = outcome->version_;
+            clock_.observe(*outcome);
+        } else {
+            for (const StoredRow& row : outcome.error().rows_)
+                observe(row);
+        }
+        handler(std::move(outcome));
+    }));
+}
+
+void SchedulerLease::acquire()
+{
+    const std::int64_t epoch = (seen_ ? seen_->epoch_ : 0) + 1;
+    const std::int64_t until = clock_.earliest(bootTimeNow()) + leaseMs;
+    write({ instance_, epoch, until }, true, [this, epoch, until](const tl::expected<StoreMoment, StoreFailure>& outcome) {
+        if (!outcome) {
+            // If it landed all the same, the lease lapses unused.
+            log_.write("lease.acquire_failed", { { "epoch", epoch }, { "cause", storeFailureName(outcome.error().kind_) } });
+            return;
+        }
+        if (isStopping_)
+            return;
+        isHolder_ = true;
+        epoch_ = epoch;
+        untilMs_ = until;
+        log_.write("lease.acquired", { { "epoch", epoch }, { "version", outcome->version_ } });
+        scheduleRenewal();
+        listener_.acquired_(epoch, outcome->version_);
+    });
+}
+
+void SchedulerLease::scheduleRenewal()
+{
+    timer_.start(renewalInterval, [this] { renew(); });
+}
+
+void SchedulerLease::renew()
+{
+    if (!isHolder_ || isStopping_)
+        return;
+    if (isWriting_)
+        return scheduleRenewal();
+    const std::int64_t until = clock_.earliest(bootTimeNow()) + leaseMs;
+    write({ instance_, epoch_, until }, false, [this, until](const tl::expected<StoreMoment, StoreFailure>& outcome) {
+        if (!isHolder_)
+            return;
+        if (outcome) {
+            untilMs_ = until;
+            return scheduleRenewal();
+        }
+        const StoreFailure& failure = outcome.error();
+        const bool isOurs = seen_ && seen_->epoch_ == epoch_ && seen_->holder_ == instance_;
+        if (failure.kind_ == StoreFailureKind::Conflict && isOurs) {
+            // An earlier renewal landed without an answer.
+            untilMs_ = std::max(untilMs_, seen_->untilMs_);
+            return renew();
+        }
+        log_.write("lease.renewal_failed", { { "epoch", epoch_ }, { "cause", storeFailureName(failure.kind_) }, { "detail", failure.message_ } });
+        timer_.start(std::chrono::milliseconds(100), [this] { renew(); });
+    });
+}
+
+void SchedulerLease::lose(const std::string& cause)
+{
+    if (!isHolder_)
+        return;
+    isHolder_ = false;
+    timer_.cancel();
+    log_.write("lease.lost", { { "epoch", epoch_ }, { "cause", cause } });
+    listener_.lost_(cause);
+}
+
+void SchedulerLease::giveUp(const std::string& cause)
+{
+    lose(cause);
+}
+
+void SchedulerLease::release(std::function<void()> done)
+{
+    isStopping_ = true;
+    if (!isHolder_)
+        return done();
+    lose("the instance stops");
+    write({ instance_, epoch_, 0 }, false, [this, done = std::move(done)](const tl::expected<StoreMoment, StoreFailure>& outcome) {
+        log_.write("lease.released", { { "epoch", epoch_ }, { "isConfirmed", outcome.has_value() } });
+        done();
+    });
+}
+
+}
--- /dev/null
+++ b/src/libfescuecleat/node/schedulerlease.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "net/timer.h"
+#include "node/eventlog.h"
+#include "node/lifetime.h"
+#include "node/rowstore.h"
+#include "node/storeclock.h"
+#include "node/tablefollower.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace fescuecleat {
+
+/** What the lease row says. */
+struct LeaseRecord {
+    std::string holder_;
+    /** Rises with each new holder. */
+    std::int64_t epoch_ = 0;
+    /** On the store's clock. */
+    std::int64_t untilMs_ = 0;
+};
+
+/**
+ * The lease of the pool's scheduler: one row, changed under the condition of
+ * its version. A holder counts its lease as lapsed before anyone else may.
+ */
+class SchedulerLease {
+public:
+    struct Listener {
+        /** We hold it, with this epoch and the version of the commit chain. */
+        std::function<void(std::int64_t epoch, std::uint64_t chainVersion)> acquired_;
+        /** It lapsed or was taken; nothing may be started. */
+        std::function<void(const std::string& cause)> lost_;
+    };
+
+    SchedulerLease(boost::asio::io_context&, RowStore&, StoreClock&, EventLog&, std::string instance, Listener);
+
+    void start();
+    /** Gives the lease up; `done` is called when the store has confirmed it, or can't. */
+    void release(std::function<void()> done);
+    /** Whether our lease certainly still holds. */
+    bool isHeld(Time now) const;
+    /** Someone else showed that a newer scheduler is at work. */
+    void giveUp(const std::string& cause);
+
+    static constexpr const char* chainTable = "chain";
+    static constexpr const char* chainKey = "pool";
+    static std::string chainValue(std::int64_t epoch, std::uint64_t sequence);
+
+private:
+    void observe(const StoredRow&);
+    void considerAcquiring();
+    void acquire();
+    void renew();
+    void scheduleRenewal();
+    void write(LeaseRecord, bool isNew, std::function<void(tl::expected<StoreMoment, StoreFailure>)>);
+    void lose(const std::string& cause);
+    void watch();
+
+    boost::asio::io_context& context_;
+    RowStore& store_;
+    StoreClock& clock_;
+    EventLog& log_;
+    std::string instance_;
+    Listener listener_;
+    TableFollower follower_;
+    Timer timer_;
+    Timer watchTimer_;
+    Lifetime lifetime_;
+
+    std::optional<LeaseRecord> seen_;
+    std::uint64_t seenVersion_ = 0;
+    bool isHolder_ = false;
+    bool isWriting_ = false;
+    bool isStopping_ = false;
+    std::int64_t epoch_ = 0;
+    std::int64_t untilMs_ = 0;
+    int conflicts_ = 0;
+};
+
+}
--- /dev/null
+++ b/src/libfescuecleat/node/tablefollower.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "net/timer.h"
+#include "node/eventlog.h"
+#include "node/lifetime.h"
+#include "node/rowstore.h"
+#include "node/storeclock.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace fescuecleat {
+
+/**
+ * Follows a table: reads it whole, then its changes. Reads it again when its
+ * history is gone. Each answer proves contact with the store.
+ */
+class TableFollower {
+public:
+    struct Listener {
+        /** The whole table. */
+        std::function<void(const std::vector<StoredRow>&)> reset_;
+        std::function<void(const StoredRow&)> changed_;
+        /** After each answer of the store. */
+        std::function<void()> contact_;
+    };
+
+    TableFollower(boost::asio::io_context&, RowStore&, StoreClock&, EventLog&, std::string table, Duration wait, Listener);
+
+    void start();
+    bool isLoaded() const { return isLoaded_; }
+    /** What we know was so at this moment or later. */
+    Time provenAt() const { return provenAt_; }
+    std::uint64_t version() const { return version_; }
+
+private:
+    void readPage();
+    void followChanges();
+    void failed(const StoreFailure&);
+    void succeeded(const StoreMoment&);
+
+    RowStore& store_;
+    StoreClock& clock_;
+    EventLog& log_;
+    std::string table_;
+    Duration wait_;
+    Listener listener_;
+    Timer retry_;
+    Lifetime lifetime_;
+
+    std::vector<StoredRow> loading_;
+    std::uint64_t version_ = 0;
+    bool isLoaded_ = false;
+    bool isInContact_ = false;
+    int failures_ = 0;
+    Time provenAt_ {};
+};
+
+}
--- /dev/null
+++ b/src/libfescuecleat/node/workerlink.cpp
@@ -0,0 +1,218 @@
+#include "node/workerlink.h"
+
+#include "base/overloaded.h"
+#include "node/nodeclock.h"
+
+namespace fescuecleat {
+
+namespace {
+
+/** How long a look waits for an end. */
+constexpr Duration lookWait = std::chrono::milliseconds(1500);
+/** What a look may take beyond its wait. */
+constexpr Duration lookSlack = std::chrono::milliseconds(600);
+constexpr Duration lookRetryDelay = std::chrono::milliseconds(300);
+/** While ends wait to be stored, leases are still prolonged this often. */
+constexpr Duration lookWhileStoring = std::chrono::milliseconds(1000);
+constexpr Duration orderTimeLimit = std::chrono::milliseconds(500);
+constexpr Duration orderRetryDelay = std::chrono::milliseconds(150);
+constexpr std::size_t maxOrdersInFlight = 4;
+/** The part of the longest lease that is asked for. */
+constexpr double leaseShare = 0.95;
+/** A worker's clock may be this much slower than ours. */
+constexpr double clockDrift = 0.02;
+/** Added to the end of a lease before it counts as lapsed. */
+constexpr Duration lapseSlack = std::chrono::milliseconds(200);
+
+std::int64_t milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+}
+
+WorkerLink::WorkerLink(boost::asio::io_context& context, WorkerClient& client, WorkerInfo info, Terms terms, Listener listener)
+    : client_(client)
+    , info_(std::move(info))
+    , terms_(terms)
+    , listener_(std::move(listener))
+    , holdTimer_(context)
+    , orderTimer_(context)
+    , lapseAt_(terms.formerLeasesLapse_)
+{
+}
+
+void WorkerLink::update(const WorkerInfo& info)
+{
+    const WorkerKey key = info_.key_;
+    info_ = info;
+    info_.key_ = key;
+}
+
+std::int64_t WorkerLink::leaseEnd()
+{
+    const auto grant = std::chrono::duration_cast<Duration>(terms_.maxLease_ * leaseShare);
+    const std::int64_t end = clockMs_ + milliseconds(bootTimeNow() - clockAt_) + milliseconds(grant);
+    const auto left = std::chrono::milliseconds(static_cast<std::int64_t>(static_cast<double>(end - clockMs_) / (1 - clockDrift)));
+    lapseAt_ = std::max<Time>(lapseAt_, clockAt_ + left + lapseSlack);
+    isLapsed_ = false;
+    return end;
+}
+
+void WorkerLink::hold(bool isPatient)
+{
+    if (isHolding_)
+        return;
+    isHolding_ = true;
+    holdTimer_.cancel();
+    HoldOrder order;
+    order.fence_ = terms_.fence_;
+    order.seenEnds_ = storedEnds_;
+    order.wait_ = isPatient ? lookWait : Duration::zero();
+    if (isClockKnown_)
+        order.leaseUntilMs_ = leaseEnd();
+    const Time askedAt = bootTimeNow();
+    client_.hold(info_, order, order.wait_ + lookSlack, lifetime_.guard([this, askedAt](const tl::expected<WorkerReport, WorkerFailure>& report) {
+        isHolding_ = false;
+        if (report)
+            holdAnswered(*report, askedAt);
+        else
+            holdFailed(report.error());
+    }));
+}
+
+void WorkerLink::holdAnswered(const WorkerReport& report, Time askedAt)
+{
+    if (report.bornUnixMs_ != 0 && report.bornUnixMs_ != info_.key_.bornUnixMs_) {
+        const WorkerKey former = info_.key_;
+        info_.key_.bornUnixMs_ = report.bornUnixMs_;
+        storedEnds_ = 0;
+        reportedEnds_ = 0;
+        listener_.reborn_(former, info_.key_);
+    }
+    const bool wasClockKnown = isClockKnown_;
+    isClockKnown_ = true;
+    clockMs_ = report.clockMs_;
+    clockAt_ = bootTimeNow();
+    isLapsed_ = false;
+    setReachable(true, "answered");
+    for (const ReportedEnd& end : report.ended_)
+        reportedEnds_ = std::max(reportedEnds_, end.sequence_);
+    auto next = lifetime_.guard([this, wasClockKnown] {
+        if (isHolding_)
+            return;
+        if (!wasClockKnown)
+            return hold(false);
+        if (reportedEnds_ <= storedEnds_)
+            return hold(true);
+        holdTimer_.start(lookWhileStoring, [this] { hold(false); });
+    });
+    listener_.reported_(report, askedAt);
+    next();
+    sendOrders();
+}
+
+void WorkerLink::endsStored(std::int64_t sequence)
+{
+    storedEnds_ = std::max(storedEnds_, std::min(sequence, reportedEnds_));
+    if (reportedEnds_ <= storedEnds_)
+        hold(true);
+}
+
+void WorkerLink::holdFailed(WorkerFailure failure)
+{
+    if (failure == WorkerFailure::FenceIsOld)
+        return listener_.superseded_("worker " + info_.key_.id_ + " has seen a higher fence");
+    setReachable(false, workerFailureName(failure));
+    checkLapse();
+    holdTimer_.start(lookRetryDelay, [this] { hold(false); });
+}
+
+void WorkerLink::checkLapse()
+{
+    if (isLapsed_ || bootTimeNow() < lapseAt_)
+        return;
+    isLapsed_ = true;
+    listener_.lapsed_();
+}
+
+void WorkerLink::setReachable(bool isReachable, const char* cause)
+{
+    if (isReachable_ == isReachable)
+        return;
+    isReachable_ = isReachable;
+    listener_.reachabilityChanged_(isReachable, cause);
+}
+
+void WorkerLink::start(StartOrder order)
+{
+    order.fence_ = terms_.fence_;
+    orders_.emplace_back(std::move(order));
+    sendOrders();
+}
+
+void WorkerLink::stop(const RunId& run)
+{
+    orders_.emplace_front(StopOrder { run, terms_.fence_ });
+    sendOrders();
+}
+
+void WorkerLink::sendOrders()
+{
+    while (!orders_.empty() && ordersInFlight_ < maxOrdersInFlight) {
+        Order order = std::move(orders_.front());
+        orders_.pop_front();
+        std::visit(Overloaded {
+                       [this](StartOrder& start) { send(std::move(start)); },
+                       [this](StopOrder& stop) { send(stop); },
+                   },
+            order);
+    }
+}
+
+void WorkerLink::send(StartOrder order)
+{
+    if (!isClockKnown_ || !listener_.isStartWanted_(order.run_))
+        return;
+    order.leaseUntilMs_ = leaseEnd();
+    ++ordersInFlight_;
+    client_.start(info_, order, orderTimeLimit, lifetime_.guard([this, order](const tl::expected<StartAnswer, WorkerFailure>& answer) {
+        --ordersInFlight_;
+        if (answer)
+            listener_.startAnswered_(order.run_, *answer);
+        else if (answer.error() == WorkerFailure::FenceIsOld)
+            return listener_.superseded_("worker " + info_.key_.id_ + " has seen a higher fence");
+        else
+            retry(order);
+        sendOrders();
+    }));
+}
+
+void WorkerLink::send(const StopOrder& order)
+{
+    if (!listener_.isStopWanted_(order.run_))
+        return;
+    ++ordersInFlight_;
+    client_.stop(info_, order, orderTimeLimit, lifetime_.guard([this, order](const tl::expected<void, WorkerFailure>& answer) {
+        --ordersInFlight_;
+        if (answer)
+            listener_.stopConfirmed_(order.run_);
+        else if (answer.error() == WorkerFailure::FenceIsOld)
+            return listener_.superseded_("worker " + info_.key_.id_ + " has seen a higher fence");
+        else
+            retry(order);
+        sendOrders();
+    }));
+}
+
+void WorkerLink::retry(Order order)
+{
+    delayed_.push_back(std::move(order));
+    orderTimer_.start(orderRetryDelay, [this] {
+        for (Order& delayed : std::exchange(delayed_, {}))
+            orders_.push_back(std::move(delayed));
+        sendOrders();
+    });
+}
+
+}
--- /dev/null
+++ b/src/libfescuecleat/pool/placementview.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "base/time.h"
+#include "pool/jobspec.h"
+#include "pool/workerstate.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fescuecleat {
+
+/** What is to be placed. */
+struct PlacementRequest {
+    const StepSpec* step_ = nullptr;
+    std::string service_;
+    int taskCount_ = 1;
+    /** Workers that may take fewer tasks of the step, since some are there already. */
+    std::map<WorkerKey, int> tasksThere_;
+    /** Workers to be used only where no others will do. */
+    std::set<std::string> disliked_;
+    /** A gang that wants one rack may be spread over several. */
+    bool maySpanRacks_ = false;
+};
+
+/** Room that counts for a placement. */
+enum class RoomKind {
+    Free,
+    /** Free, or about to be: its tasks are being stopped. */
+    FreeSoon,
+};
+
+/** The pool's room during one scheduling pass: what is placed or reserved in the pass is taken off. */
+class PlacementView {
+public:
+    using Placement = std::vector<WorkerState*>;
+
+    PlacementView(std::map<WorkerKey, WorkerState>& workers, const std::set<std::string>& closedDataCentres, Time now);
+
+    /** One worker a task, or nothing. */
+    std::optional<Placement> find(const PlacementRequest&, RoomKind) const;
+    /** Takes the room of a placement off, both kinds. */
+    void take(const Placement&, const Resources& each);
+    /** Adds room that is about to become free. */
+    void addSoon(const WorkerState*, const Resources&);
+    /** Undoes addSoon. */
+    void removeSoon(const WorkerState*, const Resources&);
+    /** Keeps the rack that comes closest to holding the request from all that is placed later in the pass. */
+    void reserveRack(const PlacementRequest&);
+
+    /** Workers that the request may use at all, whatever their room. */
+    std::vector<const WorkerState*> eligible(const PlacementRequest&) const;
+    /** The request would fit into one rack if that were empty. */
+    bool couldFitOneRack(const PlacementRequest&) const;
+    /** Workers a rack. */
+    const std::map<std::string, std::vector<std::size_t>>& racks() const { return racks_; }
+
+private:
+    struct Slot {
+        WorkerState* worker_;
+        Resources free_;
+        Resources soon_;
+        bool isAvoided_;
+    };
+
+    bool isEligible(const Slot&, const PlacementRequest&) const;
+    bool isDisliked(const Slot&, const PlacementRequest&) const;
+    std::int64_t fitting(const Slot&, const PlacementRequest&, RoomKind, std::int64_t limit) const;
+    std::optional<Placement> findSingle(const PlacementRequest&, RoomKind) const;
+    std::optional<Placement> findGang(const PlacementRequest&, RoomKind, bool withDisliked) const;
+    Placement fill(std::vector<std::pair<std::size_t, std::int64_t>> rooms, const PlacementRequest&, RoomKind) const;
+    const Resources& room(const Slot& slot, RoomKind kind) const { return kind == RoomKind::Free ? slot.free_ : slot.soon_; }
+
+    std::vector<Slot> slots_;
+    std::map<const WorkerState*, std::size_t> slotOf_;
+    std::map<std::string, std::vector<std::size_t>> racks_;
+};
+
+}
--- /dev/null
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -0,0 +1,475 @@
+#include "pool/poolscheduler.h"
+
+#include "pool/schedulingpass.h"
+
+namespace fescuecleat {
+
+namespace {
+
+/** A worker that has failed a run is used only where others won't do, for this long. */
+constexpr Duration avoidAfterFailure = std::chrono::seconds(3);
+/** The same after runs that failed in a row. */
+constexpr Duration avoidAfterFailuresInARow = std::chrono::seconds(9);
+constexpr int failuresInARowToAvoid = 2;
+/** Pause before a unit is placed again that a worker refused. */
+constexpr Duration retryAfterRefusal = std::chrono::milliseconds(200);
+/** A report lists at most this many ends; with so many, more may be left out. */
+constexpr std::size_t endsPerReport = 500;
+/** A start without an answer for this long is given up; well below the time that gang members wait for each other. */
+constexpr Duration startPatience = std::chrono::milliseconds(1500);
+/** Between two looks at what depends on time alone. */
+constexpr Duration longestSleep = std::chrono::seconds(1);
+
+}
+
+void PoolScheduler::addJob(const std::string& id, JobSpec spec, JobPolicy policy, Time submittedAt, const JobRecord* record, Time now)
+{
+    if (state_.jobs_.count(id) > 0)
+        return;
+    Job job;
+    job.id_ = id;
+    job.spec_ = std::move(spec);
+    job.policy_ = std::move(policy);
+    job.submittedAt_ = submittedAt;
+    Job& added = state_.jobs_.emplace(id, std::move(job)).first->second;
+    if (record != nullptr)
+        restore(added, *record, now);
+    else if (!added.spec_.isTimed())
+        openOccurrence(added, 0, now);
+}
+
+void PoolScheduler::restore(Job& job, const JobRecord& record, Time now)
+{
+    job.state_ = record.state_;
+    int occurrences = job.spec_.isTimed() ? 0 : 1;
+    for (const UnitRecord& unit : record.units_)
+        occurrences = std::max(occurrences, unit.occurrence_ + 1);
+    for (int occurrence = 0; occurrence < occurrences; ++occurrence)
+        openOccurrence(job, occurrence, now);
+    for (const UnitRecord& stored : record.units_) {
+        for (std::size_t i = 0; i < job.units_.size(); ++i) {
+            WorkUnit& unit = job.units_[i];
+            if (unit.occurrence_ != stored.occurrence_ || unit.step_ != stored.step_ || unit.index_ != stored.index_)
+                continue;
+            unit.lastRun_ = stored.lastRun_;
+            unit.failures_ = stored.failures_;
+            unit.checkpoint_ = stored.checkpoint_;
+            unit.state_ = stored.isDone_ ? UnitState::Done : UnitState::Waiting;
+            const Resources room = job.step(unit).room();
+            for (const PlacementRecord& placement : stored.placements_) {
+                const RunId run { { job.id_, unit.occurrence_, unit.step_, placement.index_ }, unit.lastRun_ };
+                WorkerState& worker = state_.workers_[placement.worker_];
+                if (worker.info_.key_ != placement.worker_) {
+                    // The registry doesn't list this life of the worker; its runs count until they are known to be over.
+                    worker.info_.key_ = placement.worker_;
+                    worker.isListed_ = false;
+                }
+                worker.used_ += room;
+                worker.runs_.insert(run);
+                unit.openRuns_.insert(run);
+                TaskRun taskRun;
+                taskRun.worker_ = placement.worker_;
+                taskRun.phase_ = RunPhase::Starting;
+                taskRun.room_ = room;
+                taskRun.unit_ = i;
+                taskRun.startedAt_ = now;
+                // Our fence bars what the former holder may still have on its way.
+                taskRun.knownSince_ = now;
+                state_.runs_.emplace(run, taskRun);
+            }
+            if (!stored.placements_.empty() && !stored.isDone_) {
+                unit.state_ = UnitState::Active;
+                if (static_cast<int>(stored.placements_.size()) < unit.taskCount_)
+                    breakRun(job, i, "part of the gang had ended", now);
+            }
+        }
+    }
+    if (isFinal(job.state_)) {
+        for (std::size_t i = 0; i < job.units_.size(); ++i) {
+            if (job.units_[i].state_ == UnitState::Active)
+                state_.stopUnit(job, i, "the job has ended", now);
+        }
+        return;
+    }
+    unblock(job, now);
+    completeIfDone(job);
+}
+
+void PoolScheduler::openOccurrence(Job& job, int occurrence, Time now)
+{
+    for (std::size_t step = 0; step < job.spec_.steps_.size(); ++step) {
+        const StepSpec& spec = job.spec_.steps_[step];
+        WorkUnit unit;
+        unit.occurrence_ = occurrence;
+        unit.step_ = static_cast<int>(step);
+        unit.waitingSince_ = now;
+        if (spec.isGang_ && spec.taskCount_ > 1) {
+            unit.taskCount_ = spec.taskCount_;
+            job.units_.push_back(unit);
+            continue;
+        }
+        for (int index = 0; index < spec.taskCount_; ++index) {
+            unit.index_ = index;
+            job.units_.push_back(unit);
+        }
+    }
+    job.openedOccurrences_ = std::max(job.openedOccurrences_, occurrence + 1);
+    unblock(job, now);
+}
+
+void PoolScheduler::unblock(Job& job, Time now)
+{
+    const auto isStepDone = [&job](int occurrence, int step) {
+        for (const WorkUnit& unit : job.units_) {
+            if (unit.occurrence_ == occurrence && unit.step_ == step && unit.state_ != UnitState::Done)
+                return false;
+        }
+        return true;
+    };
+    for (WorkUnit& unit : job.units_) {
+        if (unit.state_ != UnitState::Blocked)
+            continue;
+        bool isReady = true;
+        for (const int before : job.step(unit).after_)
+            isReady = isReady && isStepDone(unit.occurrence_, before);
+        if (!isReady)
+            continue;
+        unit.state_ = UnitState::Waiting;
+        unit.waitingSince_ = now;
+    }
+}
+
+void PoolScheduler::openUnits(Job& job, std::int64_t unixMs, Time now)
+{
+    while (job.openedOccurrences_ < job.spec_.occurrences_ && job.spec_.dueUnixMs(job.openedOccurrences_) <= unixMs)
+        openOccurrence(job, job.openedOccurrences_, now);
+}
+
+void PoolScheduler::cancelJob(const std::string& id, Time now)
+{
+    Job* job = state_.findJob(id);
+    if (job == nullptr || !job->isOpen())
+        return;
+    endJob(*job, JobState::Cancelled, "the job was cancelled", now);
+}
+
+void PoolScheduler::endJob(Job& job, JobState state, const std::string& cause, Time now)
+{
+    job.state_ = state;
+    for (std::size_t i = 0; i < job.units_.size(); ++i) {
+        if (!job.units_[i].openRuns_.empty())
+            state_.stopUnit(job, i, cause, now);
+    }
+    state_.decisions_.changedJobs_.insert(job.id_);
+}
+
+bool PoolScheduler::forgetJob(const std::string& id)
+{
+    const Job* job = state_.findJob(id);
+    if (job == nullptr || job->isOpen())
+        return false;
+    for (const WorkUnit& unit : job->units_) {
+        if (!unit.openRuns_.empty())
+            return false;
+    }
+    state_.jobs_.erase(id);
+    return true;
+}
+
+void PoolScheduler::putWorker(const WorkerInfo& info, Time now)
+{
+    // A machine has one worker at a time, and a worker one life.
+    std::vector<WorkerKey> former;
+    for (auto& [key, worker] : state_.workers_) {
+        const bool isSameMachine = !info.machine_.empty() && worker.info_.machine_ == info.machine_;
+        if (key != info.key_ && (key.id_ == info.key_.id_ || isSameMachine) && key.bornUnixMs_ < info.key_.bornUnixMs_)
+            former.push_back(key);
+    }
+    for (const WorkerKey& key : former) {
+        if (key.id_ == info.key_.id_) {
+            workerReborn(key, info.key_, now);
+        } else {
+            workerLost(key, now);
+            state_.workers_.erase(key);
+        }
+    }
+    WorkerState& worker = state_.workers_[info.key_];
+    worker.info_ = info;
+    worker.isListed_ = true;
+}
+
+void PoolScheduler::delistWorker(const std::string& id)
+{
+    for (auto it = state_.workers_.begin(); it != state_.workers_.end();) {
+        if (it->first.id_ != id) {
+            ++it;
+            continue;
+        }
+        it->second.isListed_ = false;
+        it = it->second.runs_.empty() ? state_.workers_.erase(it) : std::next(it);
+    }
+}
+
+void PoolScheduler::setReachable(const WorkerKey& key, bool isReachable)
+{
+    if (WorkerState* worker = state_.findWorker(key))
+        worker->isReachable_ = isReachable;
+}
+
+void PoolScheduler::workerLost(const WorkerKey& key, Time now)
+{
+    const WorkerState* worker = state_.findWorker(key);
+    if (worker == nullptr)
+        return;
+    for (const RunId& run : std::set<RunId>(worker->runs_))
+        applyEnd(run, EndReason::LeaseLapsed, {}, now);
+    const WorkerState* left = state_.findWorker(key);
+    if (left != nullptr && !left->isListed_ && left->runs_.empty())
+        state_.workers_.erase(key);
+}
+
+void PoolScheduler::workerReborn(const WorkerKey& former, const WorkerKey& current, Time now)
+{
+    const WorkerState* old = state_.findWorker(former);
+    if (old == nullptr)
+        return;
+    WorkerState& reborn = state_.workers_[current];
+    if (reborn.info_.key_ != current) {
+        reborn.info_ = old->info_;
+        reborn.info_.key_ = current;
+        reborn.isListed_ = old->isListed_;
+    }
+    for (const RunId& run : std::set<RunId>(old->runs_)) {
+        TaskRun& taskRun = state_.runs_.at(run);
+        if (taskRun.startedAt_ <= old->lastReportAskedAt_ || taskRun.phase_ == RunPhase::Recording)
+            continue;
+        // No report of the former life shows this run: its start may have reached the new one.
+        state_.rebindRun(run, taskRun, current);
+    }
+    workerLost(former, now);
+    state_.workers_.erase(former);
+}
+
+void PoolScheduler::report(const WorkerKey& key, const WorkerReport& report, Time askedAt, Time now)
+{
+    WorkerState* worker = state_.findWorker(key);
+    if (worker == nullptr)
+        return;
+    worker->isReachable_ = true;
+    worker->lastReportAskedAt_ = std::max(worker->lastReportAskedAt_, askedAt);
+    std::set<RunId> listed;
+    for (const ReportedEnd& end : report.ended_) {
+        listed.insert(end.run_);
+        if (end.sequence_ <= worker->processedEnds_)
+            continue;
+        worker->processedEnds_ = end.sequence_;
+        const auto entry = state_.runs_.find(end.run_);
+        if (entry == state_.runs_.end() || entry->second.worker_ != key)
+            continue;
+        applyEnd(end.run_, end.reason_, end.checkpoint_, now);
+        worker = state_.findWorker(key);
+        if (worker == nullptr)
+            return;
+    }
+    for (const ReportedRun& reported : report.running_) {
+        listed.insert(reported.run_);
+        const auto entry = state_.runs_.find(reported.run_);
+        if (entry == state_.runs_.end() || entry->second.worker_ != key) {
+            state_.decisions_.stops_.push_back({ reported.run_, key, "no record of this run" });
+            continue;
+        }
+        TaskRun& run = entry->second;
+        run.percentDone_ = reported.percentDone_;
+        if (run.phase_ == RunPhase::Starting) {
+            run.phase_ = RunPhase::Running;
+            run.knownSince_ = now;
+        }
+        Job* job = state_.findJob(reported.run_.task_.job_);
+        if (job != nullptr && !reported.checkpoint_.empty())
+            job->units_[run.unit_].checkpoint_ = reported.checkpoint_;
+    }
+    if (report.ended_.size() >= endsPerReport)
+        return;
+    for (const RunId& run : std::set<RunId>(worker->runs_)) {
+        const auto entry = state_.runs_.find(run);
+        if (entry == state_.runs_.end() || listed.count(run) > 0)
+            continue;
+        if (entry->second.knownSince_ && *entry->second.knownSince_ < askedAt)
+            applyEnd(run, EndReason::LeaseLapsed, {}, now);
+    }
+}
+
+void PoolScheduler::applyEnd(const RunId& run, EndReason reason, const std::string& checkpoint, Time now)
+{
+    const auto entry = state_.runs_.find(run);
+    if (entry == state_.runs_.end())
+        return;
+    const TaskRun taskRun = entry->second;
+    Job* job = state_.findJob(run.task_.job_);
+    if (job == nullptr)
+        return state_.releaseRun(run, now);
+    WorkUnit& unit = job->units_[taskRun.unit_];
+    if (!checkpoint.empty())
+        unit.checkpoint_ = checkpoint;
+    const bool lasts = job->step(unit).isLongRunning_;
+    if (reason == EndReason::Done && !lasts) {
+        unit.state_ = UnitState::Done;
+        if (WorkerState* worker = state_.findWorker(taskRun.worker_))
+            worker->failuresInARow_ = 0;
+    }
+    if (reason == EndReason::Failed && unit.state_ != UnitState::Done)
+        countFailure(*job, unit, taskRun, now);
+    state_.releaseRun(run, now);
+    if (unit.state_ == UnitState::Done) {
+        unblock(*job, now);
+        completeIfDone(*job);
+        return;
+    }
+    if (job->isOpen() && !unit.openRuns_.empty())
+        breakRun(*job, taskRun.unit_, "another task of the gang ended", now);
+}
+
+void PoolScheduler::breakRun(Job& job, std::size_t unit, const std::string& cause, Time now)
+{
+    if (!job.units_[unit].isRunBroken_)
+        state_.stopUnit(job, unit, cause, now);
+}
+
+void PoolScheduler::countFailure(Job& job, WorkUnit& unit, const TaskRun& run, Time now)
+{
+    unit.failedOn_.insert(run.worker_.id_);
+    if (WorkerState* worker = state_.findWorker(run.worker_)) {
+        ++worker->failuresInARow_;
+        worker->avoidedUntil_ = now + (worker->failuresInARow_ >= failuresInARowToAvoid ? avoidAfterFailuresInARow : avoidAfterFailure);
+    }
+    ++unit.failures_;
+    if (!job.step(unit).isLongRunning_ && unit.failures_ >= job.policy_.maxAttempts_ && job.isOpen())
+        endJob(job, JobState::Failed, "a task failed as often as the queue allows", now);
+}
+
+void PoolScheduler::completeIfDone(Job& job)
+{
+    if (!job.isOpen())
+        return;
+    const int occurrences = job.spec_.isTimed() ? job.spec_.occurrences_ : 1;
+    if (job.openedOccurrences_ < occurrences)
+        return;
+    for (const WorkUnit& unit : job.units_) {
+        if (unit.state_ != UnitState::Done)
+            return;
+    }
+    job.state_ = JobState::Completed;
+    state_.decisions_.changedJobs_.insert(job.id_);
+}
+
+bool PoolScheduler::beginStart(const RunId& run, Time now)
+{
+    const auto entry = state_.runs_.find(run);
+    if (entry == state_.runs_.end() || entry->second.phase_ != RunPhase::Recording)
+        return false;
+    entry->second.phase_ = RunPhase::Starting;
+    entry->second.startedAt_ = now;
+    return true;
+}
+
+void PoolScheduler::startAnswered(const RunId& run, StartAnswer answer, Time now)
+{
+    const auto entry = state_.runs_.find(run);
+    if (entry == state_.runs_.end())
+        return;
+    TaskRun& taskRun = entry->second;
+    if (answer == StartAnswer::Refused && taskRun.phase_ == RunPhase::Starting) {
+        Job* job = state_.findJob(run.task_.job_);
+        if (job != nullptr)
+            job->units_[taskRun.unit_].retryAt_ = now + retryAfterRefusal;
+        return applyEnd(run, EndReason::Stopped, {}, now);
+    }
+    taskRun.knownSince_ = now;
+    if (taskRun.phase_ == RunPhase::Starting && answer == StartAnswer::Accepted)
+        taskRun.phase_ = RunPhase::Running;
+}
+
+void PoolScheduler::stopConfirmed(const RunId& run, Time now)
+{
+    const auto entry = state_.runs_.find(run);
+    if (entry != state_.runs_.end())
+        entry->second.knownSince_ = now;
+}
+
+void PoolScheduler::breakStalledStarts(Time now)
+{
+    std::vector<std::pair<std::string, std::size_t>> stalled;
+    for (const auto& [run, taskRun] : state_.runs_) {
+        if (taskRun.phase_ == RunPhase::Starting && taskRun.startedAt_ + startPatience < now)
+            stalled.emplace_back(run.task_.job_, taskRun.unit_);
+    }
+    for (const auto& [id, unit] : stalled) {
+        if (Job* job = state_.findJob(id))
+            breakRun(*job, unit, "a worker does not answer the start", now);
+    }
+}
+
+void PoolScheduler::schedule(Time now, std::int64_t unixMs)
+{
+    breakStalledStarts(now);
+    for (auto& [id, job] : state_.jobs_) {
+        if (job.isOpen())
+            openUnits(job, unixMs, now);
+    }
+    SchedulingPass(state_, now).run();
+}
+
+Time PoolScheduler::nextWake(Time now, std::int64_t unixMs) const
+{
+    Time wake = now + longestSleep;
+    for (const auto& [id, job] : state_.jobs_) {
+        if (!job.isOpen())
+            continue;
+        if (job.openedOccurrences_ < job.spec_.occurrences_) {
+            const std::int64_t left = std::max<std::int64_t>(1, job.spec_.dueUnixMs(job.openedOccurrences_) - unixMs);
+            wake = std::min<Time>(wake, now + std::chrono::milliseconds(std::min<std::int64_t>(left, 1000)));
+        }
+        for (const WorkUnit& unit : job.units_) {
+            if (unit.state_ == UnitState::Waiting && unit.retryAt_ > now)
+                wake = std::min(wake, unit.retryAt_);
+        }
+    }
+    return wake;
+}
+
+Decisions PoolScheduler::takeDecisions()
+{
+    return std::exchange(state_.decisions_, Decisions {});
+}
+
+JobRecord PoolScheduler::record(const std::string& id) const
+{
+    JobRecord record;
+    const auto found = state_.jobs_.find(id);
+    if (found == state_.jobs_.end())
+        return record;
+    const Job& job = found->second;
+    record.state_ = job.state_;
+    for (const WorkUnit& unit : job.units_) {
+        if (unit.lastRun_ == 0)
+            continue;
+        UnitRecord stored { unit.occurrence_, unit.step_, unit.index_, unit.lastRun_, unit.failures_, unit.state_ == UnitState::Done, unit.checkpoint_, {} };
+        for (const RunId& run : unit.openRuns_) {
+            const auto entry = state_.runs_.find(run);
+            if (entry != state_.runs_.end())
+                stored.placements_.push_back({ run.task_.index_, entry->second.worker_ });
+        }
+        record.units_.push_back(std::move(stored));
+    }
+    return record;
+}
+
+std::map<std::string, int> PoolScheduler::waitingJobs() const
+{
+    std::map<std::string, int> waiting;
+    for (const auto& [id, job] : state_.jobs_)
+        waiting[job.policy_.queue_] += job.state_ == JobState::Queued && !job.spec_.isTimed() ? 1 : 0;
+    return waiting;
+}
+
+}
--- /dev/null
+++ b/src/libfescuecleat/pool/poolstate.cpp
@@ -0,0 +1,119 @@
+#include "pool/poolstate.h"
+
+namespace fescuecleat {
+
+Job* PoolState::findJob(const std::string& id)
+{
+    const auto job = jobs_.find(id);
+    return job == jobs_.end() ? nullptr : &job->second;
+}
+
+WorkerState* PoolState::findWorker(const WorkerKey& key)
+{
+    const auto worker = workers_.find(key);
+    return worker == workers_.end() ? nullptr : &worker->second;
+}
+
+void PoolState::place(Job& job, std::size_t unitIndex, const std::vector<WorkerState*>& workers, Time now)
+{
+    WorkUnit& unit = job.units_[unitIndex];
+    const Resources room = job.step(unit).room();
+    ++unit.lastRun_;
+    unit.state_ = UnitState::Active;
+    unit.isRunBroken_ = false;
+    unit.startedAt_ = now;
+    for (std::size_t i = 0; i < workers.size(); ++i) {
+        const int index = unit.isGang() ? static_cast<int>(i) : unit.index_;
+        const RunId run { { job.id_, unit.occurrence_, unit.step_, index }, unit.lastRun_ };
+        WorkerState& worker = *workers[i];
+        worker.used_ += room;
+        worker.runs_.insert(run);
+        unit.openRuns_.insert(run);
+        TaskRun taskRun;
+        taskRun.worker_ = worker.info_.key_;
+        taskRun.room_ = room;
+        taskRun.unit_ = unitIndex;
+        taskRun.startedAt_ = now;
+        runs_.emplace(run, taskRun);
+        decisions_.starts_.push_back({ run, worker.info_.key_, unit.checkpoint_ });
+    }
+    if (job.state_ == JobState::Queued)
+        job.state_ = JobState::Running;
+    decisions_.changedJobs_.insert(job.id_);
+}
+
+void PoolState::stopRun(const RunId& run, TaskRun& taskRun, const std::string& cause)
+{
+    if (taskRun.phase_ == RunPhase::Stopping)
+        return;
+    taskRun.phase_ = RunPhase::Stopping;
+    taskRun.knownSince_.reset();
+    if (WorkerState* worker = findWorker(taskRun.worker_))
+        worker->stopping_ += taskRun.room_;
+    decisions_.stops_.push_back({ run, taskRun.worker_, cause });
+}
+
+void PoolState::rebindRun(const RunId& run, TaskRun& taskRun, const WorkerKey& key)
+{
+    const auto move = [&](WorkerState& worker, bool isAdded) {
+        const Resources none;
+        const Resources room = isAdded ? taskRun.room_ : none - taskRun.room_;
+        worker.used_ += room;
+        if (taskRun.phase_ == RunPhase::Stopping)
+            worker.stopping_ += room;
+    };
+    if (WorkerState* former = findWorker(taskRun.worker_)) {
+        move(*former, false);
+        former->runs_.erase(run);
+    }
+    taskRun.worker_ = key;
+    WorkerState& current = workers_[key];
+    move(current, true);
+    current.runs_.insert(run);
+    decisions_.changedJobs_.insert(run.task_.job_);
+}
+
+void PoolState::stopUnit(Job& job, std::size_t unitIndex, const std::string& cause, Time now)
+{
+    WorkUnit& unit = job.units_[unitIndex];
+    unit.isRunBroken_ = true;
+    for (const RunId& run : std::set<RunId>(unit.openRuns_)) {
+        const auto entry = runs_.find(run);
+        if (entry == runs_.end())
+            continue;
+        if (entry->second.phase_ == RunPhase::Recording)
+            releaseRun(run, now);
+        else
+            stopRun(run, entry->second, cause);
+    }
+    decisions_.changedJobs_.insert(job.id_);
+}
+
+void PoolState::releaseRun(const RunId& run, Time now)
+{
+    const auto entry = runs_.find(run);
+    if (entry == runs_.end())
+        return;
+    const TaskRun taskRun = entry->second;
+    runs_.erase(entry);
+    if (WorkerState* worker = findWorker(taskRun.worker_)) {
+        worker->used_ -= taskRun.room_;
+        if (taskRun.phase_ == RunPhase::Stopping)
+            worker->stopping_ -= taskRun.room_;
+        worker->runs_.erase(run);
+        if (worker->runs_.empty() && !worker->isListed_)
+            workers_.erase(taskRun.worker_);
+    }
+    Job* job = findJob(run.task_.job_);
+    if (job == nullptr)
+        return;
+    WorkUnit& unit = job->units_[taskRun.unit_];
+    unit.openRuns_.erase(run);
+    if (unit.openRuns_.empty() && unit.state_ == UnitState::Active) {
+        unit.state_ = UnitState::Waiting;
+        unit.waitingSince_ = now;
+    }
+    decisions_.changedJobs_.insert(job->id_);
+}
+
+}
--- /dev/null
+++ b/src/libfescuecleat/pool/workerinfo.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "net/endpoint.h"
+#include "pool/resources.h"
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace fescuecleat {
+
+/** One life of a worker: the same id with another start time knows nothing of before. */
+struct WorkerKey {
+    std::string id_;
+    std::int64_t bornUnixMs_ = 0;
+
+    bool operator==(const WorkerKey& other) const { return std::tie(id_, bornUnixMs_) == std::tie(other.id_, other.bornUnixMs_); }
+    bool operator!=(const WorkerKey& other) const { return !(*this == other); }
+    bool operator<(const WorkerKey& other) const { return std::tie(id_, bornUnixMs_) < std::tie(other.id_, other.bornUnixMs_); }
+};
+
+/** What a worker says of itself in the registry. */
+struct WorkerInfo {
+    WorkerKey key_;
+    std::string machine_;
+    std::string service_;
+    std::string dataCentre_;
+    std::string rack_;
+    std::vector<std::string> labels_;
+    Endpoint endpoint_;
+    Resources capacity_;
+    bool isDraining_ = false;
+
+    bool hasLabel(const std::string& label) const
+    {
+        return std::find(labels_.begin(), labels_.end(), label) != labels_.end();
+    }
+};
+
+}
