--- a/src/libfescuecleat/net/httpclient.cpp
+++ b/src/libfescuecleat/net/httpclient.cpp
@@ -1,6 +1,7 @@
 #include "net/httpclient.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -50,7 +51,10 @@
         stream_.expires_after(timeLimit);
         if (isOpen_)
             return send();
-        const asio::ip::tcp::endpoint peer(asio::ip::make_address_v4(key_.first.address_), key_.first.port_);
+        beast::error_code invalid;
+        const asio::ip::tcp::endpoint peer(asio::ip::make_address_v4(key_.first.address_, invalid), key_.first.port_);
+        if (invalid)
+            return asio::post(client_->context_, [self = shared_from_this()] { self->finish(tl::unexpected<HttpFailure>(HttpFailure::NotSent)); });
         ++client_->connectionsOpened_;
         stream_.async_connect(peer, [self = shared_from_this()](beast::error_code error) {
             if (error)
--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -70,6 +70,10 @@
           { [this](const std::vector<StoredRow>& rows) {
                for (const StoredRow& row : rows)
                    intakeRow(row);
+               // Only now can ends that workers report be told from ends of unknown runs.
+               if (!isReady_)
+                   registry_.start();
+               isReady_ = true;
                wake();
            },
               [this](const StoredRow& row) {
@@ -112,8 +116,6 @@
 void PoolController::recordsLoaded()
 {
     context_.log_.write("scheduler.records_loaded", { { "epoch", epoch_ }, { "records", records_.size() } });
-    isReady_ = true;
-    registry_.start();
     intake_.start();
 }
 
@@ -324,7 +326,7 @@
 void PoolController::decide()
 {
     const Time now = bootTimeNow();
-    if (isReady_ && intake_.isLoaded() && registry_.isLoaded() && listener_.isLeaseHeld_()) {
+    if (isReady_ && registry_.isLoaded() && listener_.isLeaseHeld_()) {
         scheduler_.schedule(now, unixMsNow());
         writeSummary();
     }
@@ -406,7 +408,7 @@
 
 std::optional<int> PoolController::waitingJobs(const std::string& queue) const
 {
-    if (!isReady_ || !intake_.isLoaded())
+    if (!isReady_)
         return std::nullopt;
     const std::map<std::string, int> waiting = scheduler_.waitingJobs();
     const auto found = waiting.find(queue);
--- a/src/libfescuecleat/node/workerlink.cpp
+++ b/src/libfescuecleat/node/workerlink.cpp
@@ -63,6 +63,8 @@
 {
     if (isHolding_)
         return;
+    if (info_.endpoint_.port_ == 0)
+        return holdFailed(WorkerFailure::NotSent); // known from a record only; the registry doesn't list it
     isHolding_ = true;
     holdTimer_.cancel();
     HoldOrder order;
