Let leases of silent workers lapse; ask again for stops that got lost

Each look at a worker that didn't answer counted as a longer lease, so it never lapsed. Besides, stops decided while a new holder was still loading had no link to go through and were never sent. Ruled out: placement; the tasks were not waiting, their runs were still open.

--- a/src/libfescuecleat/net/httpclient.cpp
+++ b/src/libfescuecleat/net/httpclient.cpp
@@ -13,10 +13,10 @@
 
 namespace {
 
-/** The largest answer that is read; a page of rows has at most 1 MB before encoding. */
-constexpr std::uint64_t maxAnswerBytes = 8ULL << 20;
-/** Idle connections that are kept a peer and lane. */
-constexpr std::size_t maxIdleConnections = 4;
+    /** The largest answer that is read; a page of rows has at most 1 MB before encoding. */
+    constexpr std::uint64_t maxAnswerBytes = 8ULL << 20;
+    /** Idle connections that are kept a peer and lane. */
+    constexpr std::size_t maxIdleConnections = 4;
 
 }
 
--- a/src/libfescuecleat/net/httpserver.cpp
+++ b/src/libfescuecleat/net/httpserver.cpp
@@ -12,19 +12,19 @@
 
 namespace {
 
-/** Pause before accepting again when descriptors have run out. */
-constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
+    /** Pause before accepting again when descriptors have run out. */
+    constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
 
-int statusOfReadError(const beast::error_code& error)
-{
-    if (error == http::error::header_limit)
-        return 431;
-    if (error == http::error::body_limit)
-        return 413;
-    if (error == beast::error::timeout)
-        return 408;
-    return 400;
-}
+    int statusOfReadError(const beast::error_code& error)
+    {
+        if (error == http::error::header_limit)
+            return 431;
+        if (error == http::error::body_limit)
+            return 413;
+        if (error == beast::error::timeout)
+            return 408;
+        return 400;
+    }
 
 }
 
--- a/src/libfescuecleat/node/calleredge.cpp
+++ b/src/libfescuecleat/node/calleredge.cpp
@@ -9,30 +9,30 @@
 
 namespace {
 
-constexpr std::size_t jobIdLength = 16;
-/** How long a caller waits who doesn't say. */
-constexpr Duration defaultTimeLimit = std::chrono::milliseconds(3000);
-/** Kept of a caller's time for the answer's way back. */
-constexpr Duration answerReserve = std::chrono::milliseconds(250);
-constexpr Duration storeAttempt = std::chrono::milliseconds(900);
-constexpr Duration storeRetryDelay = std::chrono::milliseconds(80);
-/** When a refused caller may come back: outages of the store last some seconds. */
-constexpr const char* retryAfterSeconds = "1";
-
-bool isJobId(const std::string& text)
-{
-    return text.size() == jobIdLength && text.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
-}
+    constexpr std::size_t jobIdLength = 16;
+    /** How long a caller waits who doesn't say. */
+    constexpr Duration defaultTimeLimit = std::chrono::milliseconds(3000);
+    /** Kept of a caller's time for the answer's way back. */
+    constexpr Duration answerReserve = std::chrono::milliseconds(250);
+    constexpr Duration storeAttempt = std::chrono::milliseconds(900);
+    constexpr Duration storeRetryDelay = std::chrono::milliseconds(80);
+    /** When a refused caller may come back: outages of the store last some seconds. */
+    constexpr const char* retryAfterSeconds = "1";
+
+    bool isJobId(const std::string& text)
+    {
+        return text.size() == jobIdLength && text.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
+    }
 
-std::string withoutPort(const std::string& host)
-{
-    return host.substr(0, host.find(':'));
-}
+    std::string withoutPort(const std::string& host)
+    {
+        return host.substr(0, host.find(':'));
+    }
 
-std::string problem(const std::string& text)
-{
-    return nlohmann::json { { "error", text } }.dump();
-}
+    std::string problem(const std::string& text)
+    {
+        return nlohmann::json { { "error", text } }.dump();
+    }
 
 }
 
@@ -237,8 +237,7 @@
     ++answersByStatus_[status];
     if (status != 200 || call->request_.method_ != "GET") {
         const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(bootTimeNow() - call->startedAt_).count();
-        context_.log_.write("call.answered", { { "job", call->job_ }, { "method", call->request_.method_ }, { "status", status }, { "cause", cause }, { "tookMs", took },
-                                                 { "organisation", call->organisation_ }, { "configuration", call->configuration_ ? call->configuration_->version_ : 0 } });
+        context_.log_.write("call.answered", { { "job", call->job_ }, { "method", call->request_.method_ }, { "status", status }, { "cause", cause }, { "tookMs", took }, { "organisation", call->organisation_ }, { "configuration", call->configuration_ ? call->configuration_->version_ : 0 } });
     }
     HttpResponse response;
     response.status_ = status;
--- a/src/libfescuecleat/node/eventlog.cpp
+++ b/src/libfescuecleat/node/eventlog.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/** Bytes of lines that wait for the reader. */
-constexpr std::size_t maxQueuedBytes = 256 * 1024;
+    /** Bytes of lines that wait for the reader. */
+    constexpr std::size_t maxQueuedBytes = 256 * 1024;
 
 }
 
--- a/src/libfescuecleat/node/instance.cpp
+++ b/src/libfescuecleat/node/instance.cpp
@@ -9,16 +9,16 @@
 
 namespace {
 
-/** Long polls of the configuration: short, since each proves contact. */
-constexpr Duration operatorWait = std::chrono::milliseconds(1000);
-/** The part of the revocation limit after which unproven keys are refused. */
-constexpr double provenShare = 0.55;
-constexpr Duration logFlushInterval = std::chrono::milliseconds(200);
-/** The balancer looks each second and takes an instance out after two misses. */
-constexpr Duration balancerNotice = std::chrono::milliseconds(2500);
-/** Kept of the stop limit for the exit itself. */
-constexpr Duration stopReserve = std::chrono::milliseconds(1200);
-constexpr Duration idleCheckInterval = std::chrono::milliseconds(50);
+    /** Long polls of the configuration: short, since each proves contact. */
+    constexpr Duration operatorWait = std::chrono::milliseconds(1000);
+    /** The part of the revocation limit after which unproven keys are refused. */
+    constexpr double provenShare = 0.55;
+    constexpr Duration logFlushInterval = std::chrono::milliseconds(200);
+    /** The balancer looks each second and takes an instance out after two misses. */
+    constexpr Duration balancerNotice = std::chrono::milliseconds(2500);
+    /** Kept of the stop limit for the exit itself. */
+    constexpr Duration stopReserve = std::chrono::milliseconds(1200);
+    constexpr Duration idleCheckInterval = std::chrono::milliseconds(50);
 
 }
 
@@ -96,8 +96,7 @@
 {
     if (configuration_ && configuration_->version_ >= configuration.version_)
         return;
-    context_.log_.write("configuration.applied", { { "version", configuration.version_ }, { "former", configuration_ ? configuration_->version_ : 0 },
-                                                     { "queues", configuration.queues_.size() }, { "organisations", configuration.organisations_.size() } });
+    context_.log_.write("configuration.applied", { { "version", configuration.version_ }, { "former", configuration_ ? configuration_->version_ : 0 }, { "queues", configuration.queues_.size() }, { "organisations", configuration.organisations_.size() } });
     configuration_ = std::make_shared<const PoolConfiguration>(configuration);
     HttpLimits limits;
     limits.maxHeaderBytes_ = configuration.maxHeaderBytes_;
--- a/src/libfescuecleat/node/instancesettings.cpp
+++ b/src/libfescuecleat/node/instancesettings.cpp
@@ -6,23 +6,23 @@
 
 namespace {
 
-using Json = nlohmann::json;
-
-Endpoint readEndpoint(const Json& json, const char* name)
-{
-    const auto parsed = parseEndpoint(json.at(name).get<std::string>());
-    if (!parsed)
-        throw Json::other_error::create(500, std::string(name) + ": " + parsed.error().message_, &json);
-    return *parsed;
-}
+    using Json = nlohmann::json;
+
+    Endpoint readEndpoint(const Json& json, const char* name)
+    {
+        const auto parsed = parseEndpoint(json.at(name).get<std::string>());
+        if (!parsed)
+            throw Json::other_error::create(500, std::string(name) + ": " + parsed.error().message_, &json);
+        return *parsed;
+    }
 
-Duration readSeconds(const Json& json, const char* name)
-{
-    const double seconds = json.at(name).get<double>();
-    if (!(seconds > 0) || seconds > 3600)
-        throw Json::other_error::create(500, std::string(name) + " must lie between 0 and 3600 seconds", &json);
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-}
+    Duration readSeconds(const Json& json, const char* name)
+    {
+        const double seconds = json.at(name).get<double>();
+        if (!(seconds > 0) || seconds > 3600)
+            throw Json::other_error::create(500, std::string(name) + " must lie between 0 and 3600 seconds", &json);
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    }
 
 }
 
--- a/src/libfescuecleat/node/jobintake.cpp
+++ b/src/libfescuecleat/node/jobintake.cpp
@@ -6,60 +6,60 @@
 
 namespace {
 
-using Json = nlohmann::json;
+    using Json = nlohmann::json;
 
-/** Sorts a job's cancel row right behind its own. */
-constexpr char cancelSuffix = '!';
+    /** Sorts a job's cancel row right behind its own. */
+    constexpr char cancelSuffix = '!';
 
-Json encodeStep(const StepSpec& step)
-{
-    Json json { { "tasks", step.taskCount_ }, { "cpu", step.resources_.cpuMillis_ }, { "memory", step.resources_.memoryMb_ },
-        { "accelerators", step.resources_.accelerators_ }, { "estimateUs", step.estimate_.count() } };
-    const auto flag = [&json](const char* name, bool value) {
-        if (value)
-            json[name] = true;
-    };
-    flag("gang", step.isGang_);
-    flag("oneRack", step.wantsOneRack_);
-    flag("saves", step.savesProgress_);
-    flag("speculative", step.isSpeculative_);
-    flag("lasts", step.isLongRunning_);
-    flag("filler", step.isFiller_);
-    if (!step.after_.empty())
-        json["after"] = step.after_;
-    if (!step.requiredLabel_.empty())
-        json["label"] = step.requiredLabel_;
-    if (!step.preferredRack_.empty())
-        json["rack"] = step.preferredRack_;
-    if (step.maxTasksPerWorker_ > 0)
-        json["perWorker"] = step.maxTasksPerWorker_;
-    if (step.maxUnavailable_ > 0)
-        json["maxUnavailable"] = step.maxUnavailable_;
-    if (!step.image_.empty())
-        json["image"] = step.image_;
-    return json;
-}
+    Json encodeStep(const StepSpec& step)
+    {
+        Json json { { "tasks", step.taskCount_ }, { "cpu", step.resources_.cpuMillis_ }, { "memory", step.resources_.memoryMb_ },
+            { "accelerators", step.resources_.accelerators_ }, { "estimateUs", step.estimate_.count() } };
+        const auto flag = [&json](const char* name, bool value) {
+            if (value)
+                json[name] = true;
+        };
+        flag("gang", step.isGang_);
+        flag("oneRack", step.wantsOneRack_);
+        flag("saves", step.savesProgress_);
+        flag("speculative", step.isSpeculative_);
+        flag("lasts", step.isLongRunning_);
+        flag("filler", step.isFiller_);
+        if (!step.after_.empty())
+            json["after"] = step.after_;
+        if (!step.requiredLabel_.empty())
+            json["label"] = step.requiredLabel_;
+        if (!step.preferredRack_.empty())
+            json["rack"] = step.preferredRack_;
+        if (step.maxTasksPerWorker_ > 0)
+            json["perWorker"] = step.maxTasksPerWorker_;
+        if (step.maxUnavailable_ > 0)
+            json["maxUnavailable"] = step.maxUnavailable_;
+        if (!step.image_.empty())
+            json["image"] = step.image_;
+        return json;
+    }
 
-StepSpec decodeStep(const Json& json)
-{
-    StepSpec step;
-    step.taskCount_ = json.at("tasks");
-    step.resources_ = { json.at("cpu"), json.at("memory"), json.at("accelerators") };
-    step.estimate_ = Duration(json.at("estimateUs").get<std::int64_t>());
-    step.isGang_ = json.value("gang", false);
-    step.wantsOneRack_ = json.value("oneRack", false);
-    step.savesProgress_ = json.value("saves", false);
-    step.isSpeculative_ = json.value("speculative", false);
-    step.isLongRunning_ = json.value("lasts", false);
-    step.isFiller_ = json.value("filler", false);
-    step.after_ = json.value("after", std::vector<int>());
-    step.requiredLabel_ = json.value("label", std::string());
-    step.preferredRack_ = json.value("rack", std::string());
-    step.maxTasksPerWorker_ = json.value("perWorker", 0);
-    step.maxUnavailable_ = json.value("maxUnavailable", 0);
-    step.image_ = json.value("image", std::string());
-    return step;
-}
+    StepSpec decodeStep(const Json& json)
+    {
+        StepSpec step;
+        step.taskCount_ = json.at("tasks");
+        step.resources_ = { json.at("cpu"), json.at("memory"), json.at("accelerators") };
+        step.estimate_ = Duration(json.at("estimateUs").get<std::int64_t>());
+        step.isGang_ = json.value("gang", false);
+        step.wantsOneRack_ = json.value("oneRack", false);
+        step.savesProgress_ = json.value("saves", false);
+        step.isSpeculative_ = json.value("speculative", false);
+        step.isLongRunning_ = json.value("lasts", false);
+        step.isFiller_ = json.value("filler", false);
+        step.after_ = json.value("after", std::vector<int>());
+        step.requiredLabel_ = json.value("label", std::string());
+        step.preferredRack_ = json.value("rack", std::string());
+        step.maxTasksPerWorker_ = json.value("perWorker", 0);
+        step.maxUnavailable_ = json.value("maxUnavailable", 0);
+        step.image_ = json.value("image", std::string());
+        return step;
+    }
 
 }
 
--- a/src/libfescuecleat/node/nodeclock.cpp
+++ b/src/libfescuecleat/node/nodeclock.cpp
@@ -6,12 +6,12 @@
 
 namespace {
 
-Duration readClock(clockid_t clock)
-{
-    timespec value {};
-    ::clock_gettime(clock, &value);
-    return std::chrono::seconds(value.tv_sec) + std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(value.tv_nsec));
-}
+    Duration readClock(clockid_t clock)
+    {
+        timespec value {};
+        ::clock_gettime(clock, &value);
+        return std::chrono::seconds(value.tv_sec) + std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(value.tv_nsec));
+    }
 
 }
 
--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -9,53 +9,55 @@
 
 namespace {
 
-constexpr Duration intakeWait = std::chrono::milliseconds(2000);
-constexpr Duration registryWait = std::chrono::milliseconds(2000);
-constexpr Duration readTimeLimit = std::chrono::milliseconds(1500);
-constexpr Duration readRetryDelay = std::chrono::milliseconds(100);
-/** A worker's clock may be this much slower than ours. */
-constexpr double clockDrift = 0.02;
-/** Added to leases of former schedulers, for orders on their way. */
-constexpr Duration formerLeaseSlack = std::chrono::milliseconds(500);
-/** The summary of waiting jobs is at most this old while it changes. */
-constexpr Duration summaryInterval = std::chrono::milliseconds(1000);
-constexpr Duration minWake = std::chrono::milliseconds(1);
-
-std::string describeEnd(EndReason reason)
-{
-    switch (reason) {
-    case EndReason::Done:
-        return "done";
-    case EndReason::Failed:
-        return "failed";
-    case EndReason::Stopped:
-        return "stopped";
-    case EndReason::LeaseLapsed:
-        return "lease_lapsed";
-    case EndReason::GangBroken:
-        return "gang_broken";
-    case EndReason::GangIncomplete:
-        return "gang_incomplete";
+    constexpr Duration intakeWait = std::chrono::milliseconds(2000);
+    constexpr Duration registryWait = std::chrono::milliseconds(2000);
+    /** Workers rewrite their entries all the time; a leaving one must be known well within two seconds. */
+    constexpr Duration registryPause = std::chrono::milliseconds(400);
+    constexpr Duration readTimeLimit = std::chrono::milliseconds(1500);
+    constexpr Duration readRetryDelay = std::chrono::milliseconds(100);
+    /** A worker's clock may be this much slower than ours. */
+    constexpr double clockDrift = 0.02;
+    /** Added to leases of former schedulers, for orders on their way. */
+    constexpr Duration formerLeaseSlack = std::chrono::milliseconds(500);
+    /** The summary of waiting jobs is at most this old while it changes. */
+    constexpr Duration summaryInterval = std::chrono::milliseconds(1000);
+    constexpr Duration minWake = std::chrono::milliseconds(1);
+
+    std::string describeEnd(EndReason reason)
+    {
+        switch (reason) {
+        case EndReason::Done:
+            return "done";
+        case EndReason::Failed:
+            return "failed";
+        case EndReason::Stopped:
+            return "stopped";
+        case EndReason::LeaseLapsed:
+            return "lease_lapsed";
+        case EndReason::GangBroken:
+            return "gang_broken";
+        case EndReason::GangIncomplete:
+            return "gang_incomplete";
+        }
+        return "unknown";
     }
-    return "unknown";
-}
 
-std::string describeState(JobState state)
-{
-    switch (state) {
-    case JobState::Queued:
-        return "queued";
-    case JobState::Running:
-        return "running";
-    case JobState::Completed:
-        return "completed";
-    case JobState::Failed:
-        return "failed";
-    case JobState::Cancelled:
-        return "cancelled";
+    std::string describeState(JobState state)
+    {
+        switch (state) {
+        case JobState::Queued:
+            return "queued";
+        case JobState::Running:
+            return "running";
+        case JobState::Completed:
+            return "completed";
+        case JobState::Failed:
+            return "failed";
+        case JobState::Cancelled:
+            return "cancelled";
+        }
+        return "unknown";
     }
-    return "unknown";
-}
 
 }
 
@@ -86,6 +88,7 @@
     , timer_(context.loop_)
     , startedAt_(bootTimeNow())
 {
+    registry_.setPause(registryPause);
 }
 
 PoolController::~PoolController() = default;
@@ -160,9 +163,7 @@
     const auto record = records_.find(id);
     const JobRecord* const stored = record == records_.end() ? nullptr : &record->second;
     const Time submittedAt = std::min(now, context_.clock_.localTime(intake->submittedMs_, now));
-    context_.log_.write("job.seen", { { "job", id }, { "version", row.version_ }, { "queue", intake->policy_.queue_ }, { "organisation", intake->policy_.organisation_ },
-                                        { "ageMs", std::chrono::duration_cast<std::chrono::milliseconds>(now - submittedAt).count() },
-                                        { "state", stored == nullptr ? "new" : describeState(stored->state_) } });
+    context_.log_.write("job.seen", { { "job", id }, { "version", row.version_ }, { "queue", intake->policy_.queue_ }, { "organisation", intake->policy_.organisation_ }, { "ageMs", std::chrono::duration_cast<std::chrono::milliseconds>(now - submittedAt).count() }, { "state", stored == nullptr ? "new" : describeState(stored->state_) } });
     storedStates_[id] = stored == nullptr ? JobState::Queued : stored->state_;
     payloads_[id] = intake->spec_.payload_;
     intake->spec_.payload_.clear();
@@ -212,6 +213,12 @@
     WorkerInfo current = *info;
     if (link != links_.end() && link->second->key().bornUnixMs_ > current.key_.bornUnixMs_)
         current.key_ = link->second->key(); // the worker itself told of a newer life
+    const WorkerState* known = nullptr;
+    const auto found = scheduler_.state().workers_.find(current.key_);
+    if (found != scheduler_.state().workers_.end())
+        known = &found->second;
+    if (known != nullptr && known->isListed_ && known->info_ == current)
+        return; // a sign of life
     context_.log_.write("worker.seen", { { "worker", row.key_ }, { "version", row.version_ }, { "born", current.key_.bornUnixMs_ }, { "isDraining", current.isDraining_ }, { "dataCentre", current.dataCentre_ } });
     scheduler_.putWorker(current, bootTimeNow());
     if (link == links_.end() || link->second->key() != current.key_) {
--- a/src/libfescuecleat/node/schedulerlease.cpp
+++ b/src/libfescuecleat/node/schedulerlease.cpp
@@ -8,35 +8,35 @@
 
 namespace {
 
-using Json = nlohmann::json;
-
-constexpr const char* leaseTable = "lease";
-constexpr const char* leaseKey = "pool";
-/** How long a lease holds from its renewal. */
-constexpr std::int64_t leaseMs = 2400;
-constexpr Duration renewalInterval = std::chrono::milliseconds(700);
-constexpr Duration writeTimeLimit = std::chrono::milliseconds(700);
-/** The holder stops this long before its lease lapses: covers the drift of clocks and orders on their way. */
-constexpr std::int64_t safetyMarginMs = 150;
-constexpr Duration watchInterval = std::chrono::milliseconds(100);
-constexpr Duration pollWait = std::chrono::milliseconds(1000);
-/** Candidates try at different times within this span. */
-constexpr int acquireSpreadMs = 80;
-
-std::string encodeLease(const LeaseRecord& lease)
-{
-    return Json { { "holder", lease.holder_ }, { "epoch", lease.epoch_ }, { "untilMs", lease.untilMs_ } }.dump();
-}
+    using Json = nlohmann::json;
+
+    constexpr const char* leaseTable = "lease";
+    constexpr const char* leaseKey = "pool";
+    /** How long a lease holds from its renewal. */
+    constexpr std::int64_t leaseMs = 2400;
+    constexpr Duration renewalInterval = std::chrono::milliseconds(700);
+    constexpr Duration writeTimeLimit = std::chrono::milliseconds(700);
+    /** The holder stops this long before its lease lapses: covers the drift of clocks and orders on their way. */
+    constexpr std::int64_t safetyMarginMs = 150;
+    constexpr Duration watchInterval = std::chrono::milliseconds(100);
+    constexpr Duration pollWait = std::chrono::milliseconds(1000);
+    /** Candidates try at different times within this span. */
+    constexpr int acquireSpreadMs = 80;
+
+    std::string encodeLease(const LeaseRecord& lease)
+    {
+        return Json { { "holder", lease.holder_ }, { "epoch", lease.epoch_ }, { "untilMs", lease.untilMs_ } }.dump();
+    }
 
-std::optional<LeaseRecord> decodeLease(const std::string& text)
-{
-    try {
-        const Json json = Json::parse(text);
-        return LeaseRecord { json.at("holder"), json.at("epoch"), json.at("untilMs") };
-    } catch (const Json::exception&) {
-        return std::nullopt;
+    std::optional<LeaseRecord> decodeLease(const std::string& text)
+    {
+        try {
+            const Json json = Json::parse(text);
+            return LeaseRecord { json.at("holder"), json.at("epoch"), json.at("untilMs") };
+        } catch (const Json::exception&) {
+            return std::nullopt;
+        }
     }
-}
 
 }
 
--- a/src/libfescuecleat/node/storeclock.cpp
+++ b/src/libfescuecleat/node/storeclock.cpp
@@ -4,13 +4,13 @@
 
 namespace {
 
-std::int64_t milliseconds(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
+    std::int64_t milliseconds(Duration duration)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    }
 
-/** An estimate as old as this is replaced by any newer one. */
-constexpr Duration maxAge = std::chrono::seconds(5);
+    /** An estimate as old as this is replaced by any newer one. */
+    constexpr Duration maxAge = std::chrono::seconds(5);
 
 }
 
--- a/src/libfescuecleat/node/tablefollower.cpp
+++ b/src/libfescuecleat/node/tablefollower.cpp
@@ -6,12 +6,12 @@
 
 namespace {
 
-/** Time limit of a read; the store answers in 4 ms, or in 240 ms when it is slow. */
-constexpr Duration readTimeLimit = std::chrono::milliseconds(1000);
-/** What a long poll may take beyond its wait before its connection counts as silent. */
-constexpr Duration followSlack = std::chrono::milliseconds(700);
-constexpr Duration firstRetryDelay = std::chrono::milliseconds(50);
-constexpr Duration lastRetryDelay = std::chrono::milliseconds(400);
+    /** Time limit of a read; the store answers in 4 ms, or in 240 ms when it is slow. */
+    constexpr Duration readTimeLimit = std::chrono::milliseconds(1000);
+    /** What a long poll may take beyond its wait before its connection counts as silent. */
+    constexpr Duration followSlack = std::chrono::milliseconds(700);
+    constexpr Duration firstRetryDelay = std::chrono::milliseconds(50);
+    constexpr Duration lastRetryDelay = std::chrono::milliseconds(400);
 
 }
 
@@ -78,7 +78,12 @@
         isInContact_ = true;
         log_.write("store.contact_regained", { { "table", table_ }, { "version", version_ } });
     }
-    auto next = lifetime_.guard([this] { followChanges(); });
+    auto next = lifetime_.guard([this] {
+        if (pause_ > Duration::zero())
+            retry_.start(pause_, [this] { followChanges(); });
+        else
+            followChanges();
+    });
     if (listener_.contact_)
         listener_.contact_();
     next();
--- a/src/libfescuecleat/node/tablefollower.h
+++ b/src/libfescuecleat/node/tablefollower.h
@@ -29,6 +29,8 @@
     TableFollower(boost::asio::io_context&, RowStore&, StoreClock&, EventLog&, std::string table, Duration wait, Listener);
 
     void start();
+    /** Lets changes gather between two polls, where many rows change all the time. */
+    void setPause(Duration pause) { pause_ = pause; }
     bool isLoaded() const { return isLoaded_; }
     /** What we know was so at this moment or later. */
     Time provenAt() const { return provenAt_; }
@@ -45,6 +47,7 @@
     EventLog& log_;
     std::string table_;
     Duration wait_;
+    Duration pause_ {};
     Listener listener_;
     Timer retry_;
     Lifetime lifetime_;
--- a/src/libfescuecleat/node/workerlink.cpp
+++ b/src/libfescuecleat/node/workerlink.cpp
@@ -7,27 +7,27 @@
 
 namespace {
 
-/** How long a look waits for an end. */
-constexpr Duration lookWait = std::chrono::milliseconds(1500);
-/** What a look may take beyond its wait. */
-constexpr Duration lookSlack = std::chrono::milliseconds(600);
-constexpr Duration lookRetryDelay = std::chrono::milliseconds(300);
-/** While ends wait to be stored, leases are still prolonged this often. */
-constexpr Duration lookWhileStoring = std::chrono::milliseconds(1000);
-constexpr Duration orderTimeLimit = std::chrono::milliseconds(500);
-constexpr Duration orderRetryDelay = std::chrono::milliseconds(150);
-constexpr std::size_t maxOrdersInFlight = 4;
-/** The part of the longest lease that is asked for. */
-constexpr double leaseShare = 0.95;
-/** A worker's clock may be this much slower than ours. */
-constexpr double clockDrift = 0.02;
-/** Added to the end of a lease before it counts as lapsed. */
-constexpr Duration lapseSlack = std::chrono::milliseconds(200);
-
-std::int64_t milliseconds(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
+    /** How long a look waits for an end. */
+    constexpr Duration lookWait = std::chrono::milliseconds(1500);
+    /** What a look may take beyond its wait. */
+    constexpr Duration lookSlack = std::chrono::milliseconds(600);
+    constexpr Duration lookRetryDelay = std::chrono::milliseconds(300);
+    /** While ends wait to be stored, leases are still prolonged this often. */
+    constexpr Duration lookWhileStoring = std::chrono::milliseconds(1000);
+    constexpr Duration orderTimeLimit = std::chrono::milliseconds(500);
+    constexpr Duration orderRetryDelay = std::chrono::milliseconds(150);
+    constexpr std::size_t maxOrdersInFlight = 4;
+    /** The part of the longest lease that is asked for. */
+    constexpr double leaseShare = 0.95;
+    /** A worker's clock may be this much slower than ours. */
+    constexpr double clockDrift = 0.02;
+    /** Added to the end of a lease before it counts as lapsed. */
+    constexpr Duration lapseSlack = std::chrono::milliseconds(200);
+
+    std::int64_t milliseconds(Duration duration)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    }
 
 }
 
@@ -51,11 +51,14 @@
 
 std::int64_t WorkerLink::leaseEnd()
 {
+    // A worker that doesn't answer may still take orders: prolonging its lease would put off the moment when it has certainly lapsed.
+    if (!isReachable_ && grantedUntilMs_ > 0)
+        return grantedUntilMs_;
     const auto grant = std::chrono::duration_cast<Duration>(terms_.maxLease_ * leaseShare);
     const std::int64_t end = clockMs_ + milliseconds(bootTimeNow() - clockAt_) + milliseconds(grant);
     const auto left = std::chrono::milliseconds(static_cast<std::int64_t>(static_cast<double>(end - clockMs_) / (1 - clockDrift)));
     lapseAt_ = std::max<Time>(lapseAt_, clockAt_ + left + lapseSlack);
-    isLapsed_ = false;
+    grantedUntilMs_ = std::max(grantedUntilMs_, end);
     return end;
 }
 
@@ -90,6 +93,7 @@
         info_.key_.bornUnixMs_ = report.bornUnixMs_;
         storedEnds_ = 0;
         reportedEnds_ = 0;
+        grantedUntilMs_ = 0;
         listener_.reborn_(former, info_.key_);
     }
     const bool wasClockKnown = isClockKnown_;
--- a/src/libfescuecleat/node/workerlink.h
+++ b/src/libfescuecleat/node/workerlink.h
@@ -79,6 +79,8 @@
     bool isClockKnown_ = false;
     std::int64_t clockMs_ = 0;
     Time clockAt_ {};
+    /** The longest lease that was granted, on the worker's clock. */
+    std::int64_t grantedUntilMs_ = 0;
     /** All leases there have certainly lapsed by then. */
     Time lapseAt_ {};
     bool isLapsed_ = false;
--- a/src/libfescuecleat/pool/job.cpp
+++ b/src/libfescuecleat/pool/job.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-/** A job is worth something until this many times its objective. */
-constexpr int lateFactor = 3;
+    /** A job is worth something until this many times its objective. */
+    constexpr int lateFactor = 3;
 
 }
 
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -6,19 +6,21 @@
 
 namespace {
 
-/** A worker that has failed a run is used only where others won't do, for this long. */
-constexpr Duration avoidAfterFailure = std::chrono::seconds(3);
-/** The same after runs that failed in a row. */
-constexpr Duration avoidAfterFailuresInARow = std::chrono::seconds(9);
-constexpr int failuresInARowToAvoid = 2;
-/** Pause before a unit is placed again that a worker refused. */
-constexpr Duration retryAfterRefusal = std::chrono::milliseconds(200);
-/** A report lists at most this many ends; with so many, more may be left out. */
-constexpr std::size_t endsPerReport = 500;
-/** A start without an answer for this long is given up; well below the time that gang members wait for each other. */
-constexpr Duration startPatience = std::chrono::milliseconds(1500);
-/** Between two looks at what depends on time alone. */
-constexpr Duration longestSleep = std::chrono::seconds(1);
+    /** A worker that has failed a run is used only where others won't do, for this long. */
+    constexpr Duration avoidAfterFailure = std::chrono::seconds(3);
+    /** The same after runs that failed in a row. */
+    constexpr Duration avoidAfterFailuresInARow = std::chrono::seconds(9);
+    constexpr int failuresInARowToAvoid = 2;
+    /** Pause before a unit is placed again that a worker refused. */
+    constexpr Duration retryAfterRefusal = std::chrono::milliseconds(200);
+    /** A report lists at most this many ends; with so many, more may be left out. */
+    constexpr std::size_t endsPerReport = 500;
+    /** A start without an answer for this long is given up; well below the time that gang members wait for each other. */
+    constexpr Duration startPatience = std::chrono::milliseconds(1500);
+    /** A stop without a confirmation for this long is asked for again. */
+    constexpr Duration stopPatience = std::chrono::milliseconds(1000);
+    /** Between two looks at what depends on time alone. */
+    constexpr Duration longestSleep = std::chrono::seconds(1);
 
 }
 
@@ -292,7 +294,15 @@
         return;
     for (const RunId& run : std::set<RunId>(worker->runs_)) {
         const auto entry = state_.runs_.find(run);
-        if (entry == state_.runs_.end() || listed.count(run) > 0)
+        if (entry == state_.runs_.end())
+            continue;
+        TaskRun& taskRun = entry->second;
+        if (taskRun.phase_ == RunPhase::Stopping && !taskRun.knownSince_ && taskRun.stopAskedAt_ + stopPatience < now) {
+            // The stop was lost, or there was no link to the worker yet.
+            taskRun.stopAskedAt_ = now;
+            state_.decisions_.stops_.push_back({ run, key, "the stop is not confirmed" });
+        }
+        if (listed.count(run) > 0)
             continue;
         if (entry->second.knownSince_ && *entry->second.knownSince_ < askedAt)
             applyEnd(run, EndReason::LeaseLapsed, {}, now);
--- a/src/libfescuecleat/pool/poolstate.cpp
+++ b/src/libfescuecleat/pool/poolstate.cpp
@@ -42,12 +42,13 @@
     decisions_.changedJobs_.insert(job.id_);
 }
 
-void PoolState::stopRun(const RunId& run, TaskRun& taskRun, const std::string& cause)
+void PoolState::stopRun(const RunId& run, TaskRun& taskRun, const std::string& cause, Time now)
 {
     if (taskRun.phase_ == RunPhase::Stopping)
         return;
     taskRun.phase_ = RunPhase::Stopping;
     taskRun.knownSince_.reset();
+    taskRun.stopAskedAt_ = now;
     if (WorkerState* worker = findWorker(taskRun.worker_))
         worker->stopping_ += taskRun.room_;
     decisions_.stops_.push_back({ run, taskRun.worker_, cause });
@@ -84,7 +85,7 @@
         if (entry->second.phase_ == RunPhase::Recording)
             releaseRun(run, now);
         else
-            stopRun(run, entry->second, cause);
+            stopRun(run, entry->second, cause, now);
     }
     decisions_.changedJobs_.insert(job.id_);
 }
--- a/src/libfescuecleat/pool/poolstate.h
+++ b/src/libfescuecleat/pool/poolstate.h
@@ -34,7 +34,7 @@
     /** Moves a run to another life of its worker. */
     void rebindRun(const RunId&, TaskRun&, const WorkerKey&);
     /** Marks a run as being stopped and asks for the stop. */
-    void stopRun(const RunId&, TaskRun&, const std::string& cause);
+    void stopRun(const RunId&, TaskRun&, const std::string& cause, Time now);
 };
 
 }
--- a/src/libfescuecleat/pool/schedulingpass.cpp
+++ b/src/libfescuecleat/pool/schedulingpass.cpp
@@ -7,19 +7,19 @@
 
 namespace {
 
-/** How long urgent work waits for room in one rack before it is spread over several. */
-constexpr Duration urgentRackPatience = std::chrono::milliseconds(1200);
-/** An accelerator-second counts as this many core-seconds. */
-constexpr double coresPerAccelerator = 8;
-/** Work that is lost at most when a task stops that saves its progress. */
-constexpr double checkpointLossSeconds = 1.0;
-/** Gangs without room for which a rack is kept free in one pass. */
-constexpr int reservedGangs = 1;
-
-double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
+    /** How long urgent work waits for room in one rack before it is spread over several. */
+    constexpr Duration urgentRackPatience = std::chrono::milliseconds(1200);
+    /** An accelerator-second counts as this many core-seconds. */
+    constexpr double coresPerAccelerator = 8;
+    /** Work that is lost at most when a task stops that saves its progress. */
+    constexpr double checkpointLossSeconds = 1.0;
+    /** Gangs without room for which a rack is kept free in one pass. */
+    constexpr int reservedGangs = 1;
+
+    double seconds(Duration duration)
+    {
+        return std::chrono::duration<double>(duration).count();
+    }
 
 }
 
--- a/src/libfescuecleat/pool/taskrun.h
+++ b/src/libfescuecleat/pool/taskrun.h
@@ -28,6 +28,8 @@
     /** Since when the worker certainly knows the run: a report asked for later that doesn't list it shows that it is over. */
     std::optional<Time> knownSince_;
     Time startedAt_ {};
+    /** When the stop was last asked for. */
+    Time stopAskedAt_ {};
     int percentDone_ = 0;
 };
 
--- a/src/libfescuecleat/pool/workerinfo.h
+++ b/src/libfescuecleat/pool/workerinfo.h
@@ -32,6 +32,13 @@
     Resources capacity_;
     bool isDraining_ = false;
 
+    bool operator==(const WorkerInfo& other) const
+    {
+        return std::tie(key_, machine_, service_, dataCentre_, rack_, labels_, endpoint_, capacity_, isDraining_)
+            == std::tie(other.key_, other.machine_, other.service_, other.dataCentre_, other.rack_, other.labels_, other.endpoint_, other.capacity_, other.isDraining_);
+    }
+    bool operator!=(const WorkerInfo& other) const { return !(*this == other); }
+
     bool hasLabel(const std::string& label) const
     {
         return std::find(labels_.begin(), labels_.end(), label) != labels_.end();
