Fill racks one after the other; choose what to preempt rack by rack

Cause: single tasks spread over all racks, so gangs that want one rack preempted much; victims were taken cheapest first over the whole pool, though only room in one rack helps such a gang. Change: the fullest rack that fits goes first; victims are chosen for each rack apart, and the cheapest set wins.

--- a/src/libfescuecleat/pool/placementview.cpp
+++ b/src/libfescuecleat/pool/placementview.cpp
@@ -14,7 +14,10 @@
         const Resources free = info.capacity_ - worker.used_;
         slotOf_[&worker] = slots_.size();
         racks_[info.rack_].push_back(slots_.size());
-        slots_.push_back({ &worker, free, free + worker.stopping_, worker.avoidedUntil_ > now });
+        slots_.push_back({ &worker, free, free + worker.stopping_, worker.avoidedUntil_ > now, &info.rack_ });
+        RackRoom& rack = rackRooms_[info.rack_];
+        rack.free_ += free.accelerators_;
+        rack.soon_ += free.accelerators_ + worker.stopping_.accelerators_;
     }
 }
 
@@ -56,8 +59,8 @@
 
 std::optional<PlacementView::Placement> PlacementView::findSingle(const PlacementRequest& request, RoomKind kind) const
 {
-    // Best fit, so that whole workers stay free for large tasks.
-    using Score = std::tuple<bool, bool, std::int64_t, std::int64_t>;
+    // The fullest rack first, then best fit, so that whole racks and workers stay free for large gangs.
+    using Score = std::tuple<bool, bool, std::int64_t, std::int64_t, std::int64_t>;
     const Slot* best = nullptr;
     Score bestScore;
     const std::string& rack = request.step_->preferredRack_;
@@ -66,7 +69,7 @@
             continue;
         const Resources& left = room(slot, kind);
         const bool isFar = !rack.empty() && slot.worker_->info_.rack_ != rack;
-        const Score score(isDisliked(slot, request), isFar, left.accelerators_, left.memoryMb_);
+        const Score score(isDisliked(slot, request), isFar, rackRoom(slot, kind), left.accelerators_, left.memoryMb_);
         if (best == nullptr || score < bestScore) {
             best = &slot;
             bestScore = score;
@@ -79,16 +82,18 @@
 
 std::optional<PlacementView::Placement> PlacementView::findGang(const PlacementRequest& request, RoomKind kind, bool withDisliked) const
 {
-    struct RackRoom {
+    struct RackFit {
         std::vector<std::pair<std::size_t, std::int64_t>> rooms_;
         std::int64_t total_ = 0;
+        std::int64_t free_ = 0;
         bool isFar_ = false;
     };
-    std::vector<RackRoom> candidates;
+    std::vector<RackFit> candidates;
     const bool staysInRack = request.step_->wantsOneRack_;
-    RackRoom everywhere;
+    RackFit everywhere;
     for (const auto& [rack, members] : racks_) {
-        RackRoom room;
+        RackFit room;
+        room.free_ = rackRoom(slots_[members.front()], kind);
         for (const std::size_t index : members) {
             if (!withDisliked && isDisliked(slots_[index], request))
                 continue;
@@ -103,11 +108,11 @@
         everywhere.rooms_.insert(everywhere.rooms_.end(), room.rooms_.begin(), room.rooms_.end());
         candidates.push_back(std::move(room));
     }
-    const RackRoom* best = nullptr;
-    for (const RackRoom& room : candidates) {
+    const RackFit* best = nullptr;
+    for (const RackFit& room : candidates) {
         if (room.total_ < request.taskCount_)
             continue;
-        if (best == nullptr || std::tie(room.isFar_, room.total_) < std::tie(best->isFar_, best->total_))
+        if (best == nullptr || std::tie(room.isFar_, room.free_) < std::tie(best->isFar_, best->free_))
             best = &room;
     }
     if (best != nullptr)
@@ -133,27 +138,32 @@
     return placement;
 }
 
+void PlacementView::changeRoom(Slot& slot, const Resources& free, const Resources& soon)
+{
+    slot.free_ += free;
+    slot.soon_ += soon;
+    RackRoom& rack = rackRooms_.at(*slot.rack_);
+    rack.free_ += free.accelerators_;
+    rack.soon_ += soon.accelerators_;
+}
+
 void PlacementView::take(const Placement& placement, const Resources& each)
 {
-    for (const WorkerState* worker : placement) {
-        Slot& slot = slots_[slotOf_.at(worker)];
-        slot.free_ -= each;
-        slot.soon_ -= each;
-    }
+    const Resources taken = Resources {} - each;
+    for (const WorkerState* worker : placement)
+        changeRoom(slots_[slotOf_.at(worker)], taken, taken);
 }
 
 void PlacementView::addSoon(const WorkerState* worker, const Resources& resources)
 {
     const auto slot = slotOf_.find(worker);
     if (slot != slotOf_.end())
-        slots_[slot->second].soon_ += resources;
+        changeRoom(slots_[slot->second], {}, resources);
 }
 
 void PlacementView::removeSoon(const WorkerState* worker, const Resources& resources)
 {
-    const auto slot = slotOf_.find(worker);
-    if (slot != slotOf_.end())
-        slots_[slot->second].soon_ -= resources;
+    addSoon(worker, Resources {} - resources);
 }
 
 void PlacementView::reserveRack(const PlacementRequest& request)
@@ -173,18 +183,17 @@
         return;
     for (const std::size_t index : *best) {
         const std::int64_t count = fitting(slots_[index], request, RoomKind::FreeSoon, request.taskCount_);
-        for (std::int64_t i = 0; i < count; ++i) {
-            slots_[index].free_ -= request.step_->room();
-            slots_[index].soon_ -= request.step_->room();
-        }
+        const Resources taken = Resources {} - request.step_->room();
+        for (std::int64_t i = 0; i < count; ++i)
+            changeRoom(slots_[index], taken, taken);
     }
 }
 
-std::vector<const WorkerState*> PlacementView::eligible(const PlacementRequest& request) const
+std::vector<const WorkerState*> PlacementView::eligible(const PlacementRequest& request, const std::string& rack) const
 {
     std::vector<const WorkerState*> result;
     for (const Slot& slot : slots_) {
-        if (isEligible(slot, request))
+        if (isEligible(slot, request) && (rack.empty() || *slot.rack_ == rack))
             result.push_back(slot.worker_);
     }
     return result;
--- a/src/libfescuecleat/pool/placementview.h
+++ b/src/libfescuecleat/pool/placementview.h
@@ -50,8 +50,8 @@
     /** Keeps the rack that comes closest to holding the request from all that is placed later in the pass. */
     void reserveRack(const PlacementRequest&);
 
-    /** Workers that the request may use at all, whatever their room. */
-    std::vector<const WorkerState*> eligible(const PlacementRequest&) const;
+    /** Workers of one rack, or of all if no rack is named, that the request may use at all, whatever their room. */
+    std::vector<const WorkerState*> eligible(const PlacementRequest&, const std::string& rack) const;
     /** The request would fit into one rack if that were empty. */
     bool couldFitOneRack(const PlacementRequest&) const;
     /** Workers a rack. */
@@ -63,6 +63,12 @@
         Resources free_;
         Resources soon_;
         bool isAvoided_;
+        const std::string* rack_;
+    };
+    /** Free accelerators of a rack, both kinds. */
+    struct RackRoom {
+        std::int64_t free_ = 0;
+        std::int64_t soon_ = 0;
     };
 
     bool isEligible(const Slot&, const PlacementRequest&) const;
@@ -71,11 +77,18 @@
     std::optional<Placement> findSingle(const PlacementRequest&, RoomKind) const;
     std::optional<Placement> findGang(const PlacementRequest&, RoomKind, bool withDisliked) const;
     Placement fill(std::vector<std::pair<std::size_t, std::int64_t>> rooms, const PlacementRequest&, RoomKind) const;
+    std::int64_t rackRoom(const Slot& slot, RoomKind kind) const
+    {
+        const RackRoom& rack = rackRooms_.at(*slot.rack_);
+        return kind == RoomKind::Free ? rack.free_ : rack.soon_;
+    }
+    void changeRoom(Slot&, const Resources& free, const Resources& soon);
     const Resources& room(const Slot& slot, RoomKind kind) const { return kind == RoomKind::Free ? slot.free_ : slot.soon_; }
 
     std::vector<Slot> slots_;
     std::map<const WorkerState*, std::size_t> slotOf_;
     std::map<std::string, std::vector<std::size_t>> racks_;
+    std::map<std::string, RackRoom> rackRooms_;
 };
 
 }
--- a/src/libfescuecleat/pool/schedulingpass.cpp
+++ b/src/libfescuecleat/pool/schedulingpass.cpp
@@ -164,14 +164,11 @@
     return elapsed * cores * unit.taskCount_;
 }
 
-std::vector<SchedulingPass::Victim> SchedulingPass::victims(const Candidate& candidate, const PlacementRequest& request) const
+std::vector<SchedulingPass::Victim> SchedulingPass::victims(const Candidate& candidate, const PlacementRequest& request, const std::string& rack) const
 {
-    std::set<const WorkerState*> useful;
-    for (const WorkerState* worker : view_.eligible(request))
-        useful.insert(worker);
     std::set<std::pair<std::string, std::size_t>> seen;
     std::vector<Victim> result;
-    for (const WorkerState* worker : useful) {
+    for (const WorkerState* worker : view_.eligible(request, rack)) {
         for (const RunId& run : worker->runs_) {
             const TaskRun& taskRun = state_.runs_.at(run);
             Job* job = state_.findJob(run.task_.job_);
@@ -204,35 +201,54 @@
     }
 }
 
-bool SchedulingPass::preempt(const Candidate& candidate, const PlacementRequest& wanted)
+std::vector<SchedulingPass::Victim> SchedulingPass::choose(const Candidate& candidate, const PlacementRequest& wanted, const std::string& rack)
 {
-    const std::vector<Victim> all = victims(candidate, wanted);
     std::vector<Victim> chosen;
     bool fits = false;
-    for (const Victim& victim : all) {
+    for (const Victim& victim : victims(candidate, wanted, rack)) {
         addVictimRoom(victim, true);
         chosen.push_back(victim);
         fits = view_.find(wanted, RoomKind::FreeSoon).has_value();
         if (fits)
             break;
     }
-    if (!fits) {
-        for (const Victim& victim : chosen)
-            addVictimRoom(victim, false);
-        return false;
-    }
     // Spares the costliest victims that turn out not to be needed.
-    for (std::size_t i = chosen.size(); i-- > 0;) {
+    for (std::size_t i = chosen.size(); fits && i-- > 0;) {
         addVictimRoom(chosen[i], false);
-        if (view_.find(wanted, RoomKind::FreeSoon)) {
+        if (view_.find(wanted, RoomKind::FreeSoon))
             chosen.erase(chosen.begin() + static_cast<std::ptrdiff_t>(i));
-            continue;
-        }
-        addVictimRoom(chosen[i], true);
+        else
+            addVictimRoom(chosen[i], true);
     }
     for (const Victim& victim : chosen)
+        addVictimRoom(victim, false);
+    if (!fits)
+        chosen.clear();
+    return chosen;
+}
+
+bool SchedulingPass::preempt(const Candidate& candidate, const PlacementRequest& wanted)
+{
+    const auto costOf = [](const std::vector<Victim>& victims) {
+        double cost = 0;
+        for (const Victim& victim : victims)
+            cost += victim.cost_;
+        return cost;
+    };
+    std::vector<Victim> best;
+    for (const auto& [rack, members] : view_.racks()) {
+        std::vector<Victim> chosen = choose(candidate, wanted, rack);
+        if (!chosen.empty() && (best.empty() || costOf(chosen) < costOf(best)))
+            best = std::move(chosen);
+    }
+    const bool maySpanRacks = wanted.taskCount_ > 1 && (!wanted.step_->wantsOneRack_ || wanted.maySpanRacks_);
+    if (best.empty() && maySpanRacks)
+        best = choose(candidate, wanted, {});
+    for (const Victim& victim : best) {
+        addVictimRoom(victim, true);
         state_.stopUnit(*victim.job_, victim.unit_, "its room goes to urgent job " + candidate.job_->id_, now_);
-    return true;
+    }
+    return !best.empty();
 }
 
 }
--- a/src/libfescuecleat/pool/schedulingpass.h
+++ b/src/libfescuecleat/pool/schedulingpass.h
@@ -45,7 +45,10 @@
         std::size_t unit_;
         double cost_;
     };
-    std::vector<Victim> victims(const Candidate&, const PlacementRequest&) const;
+    /** Units of lesser rank in a rack, or anywhere if no rack is named, the cheapest first. */
+    std::vector<Victim> victims(const Candidate&, const PlacementRequest&, const std::string& rack) const;
+    /** The victims that make room in a rack, or anywhere; none if they can't. */
+    std::vector<Victim> choose(const Candidate&, const PlacementRequest&, const std::string& rack);
     double lostWork(const Job&, const WorkUnit&) const;
     void addVictimRoom(const Victim&, bool isAdded);
 
