Take the scheduler's lease over sooner; ask the store before a write it may not answer

Cause: urgent jobs wait while nobody schedules, 2.4 s after a kill; and calls got 504 for writes that the store never answered, after which a caller can't ask again. Ruled out: a faster takeover by closed peer connections, as there are none yet. Change: the lease holds 1.9 s; an instance takes its own former lease back at once; leases of workers count from the former holder's end; before a write a read goes first if the store hasn't answered for 60 ms, and no write is begun with less than 150 ms left.

--- a/src/libfescuecleat/node/calleredge.cpp
+++ b/src/libfescuecleat/node/calleredge.cpp
@@ -12,8 +12,12 @@
     constexpr std::size_t jobIdLength = 16;
     /** How long a caller waits who doesn't say. */
     constexpr Duration defaultTimeLimit = std::chrono::milliseconds(3000);
-    /** Kept of a caller's time for the answer's way back. */
-    constexpr Duration answerReserve = std::chrono::milliseconds(250);
+/** Kept of a caller's time for the answer's way back. */
+constexpr Duration answerReserve = std::chrono::milliseconds(100);
+/** With less time left than this no write is begun, so that its outcome will be known. */
+constexpr Duration minWriteTime = std::chrono::milliseconds(150);
+/** After this long without an answer of the store, a read goes before a write: if it fails, the job has certainly not been accepted. */
+constexpr Duration recentContact = std::chrono::milliseconds(60);
     constexpr Duration storeAttempt = std::chrono::milliseconds(900);
     constexpr Duration storeRetryDelay = std::chrono::milliseconds(80);
     /** When a refused caller may come back: outages of the store last some seconds. */
@@ -111,18 +115,42 @@
     intake.submittedMs_ = context_.clock_.earliest(call->startedAt_);
     call->row_ = encodeJobIntake(intake);
     call->request_.body_.clear();
-    sendSubmission(call);
+    if (context_.clock_.lastAnswer() + recentContact > bootTimeNow())
+        return sendSubmission(call);
+    probeStore(call);
+}
+
+void CallerEdge::probeStore(const CallPointer& call)
+{
+    const Duration limit = std::min(storeAttempt, remaining(call->deadline_ - minWriteTime, bootTimeNow()));
+    if (limit <= Duration::zero())
+        return refuse(call, 503, "the store does not answer");
+    context_.store_.read(intakeTable, call->job_, boundAfter(call->job_), limit, lifetime_.guard([this, call](const tl::expected<RowPage, StoreFailure>& page) {
+        if (!page) {
+            call->retry_.start(storeRetryDelay, lifetime_.guard([this, call] { probeStore(call); }));
+            return;
+        }
+        context_.clock_.observe(page->moment_);
+        if (!page->rows_.empty())
+            return answer(call, 200, "{}", "known already");
+        sendSubmission(call);
+    }));
 }
 
 void CallerEdge::sendSubmission(const CallPointer& call)
 {
+    const Duration left = remaining(call->deadline_, bootTimeNow());
+    if (left < minWriteTime && !call->mayHaveBeenWritten_)
+        return refuse(call, 503, "too little time is left");
     RowTransaction transaction;
     transaction.expectations_.push_back({ intakeTable, call->job_, 0 });
     transaction.writes_.push_back({ intakeTable, call->job_, call->row_ });
-    const Duration limit = std::min(storeAttempt, remaining(call->deadline_, bootTimeNow()));
+    const Duration limit = std::min(storeAttempt, left);
     context_.store_.commit(std::move(transaction), limit, lifetime_.guard([this, call](const tl::expected<StoreMoment, StoreFailure>& outcome) {
-        if (outcome)
+        if (outcome) {
+            context_.clock_.observe(*outcome);
             return answer(call, 200, "{}", "stored");
+        }
         if (outcome.error().kind_ == StoreFailureKind::Conflict)
             return answer(call, 200, "{}", "known already");
         submissionFailed(call, outcome.error());
--- a/src/libfescuecleat/node/calleredge.h
+++ b/src/libfescuecleat/node/calleredge.h
@@ -40,6 +40,7 @@
     using CallPointer = std::shared_ptr<Call>;
 
     void submit(const CallPointer&);
+    void probeStore(const CallPointer&);
     void sendSubmission(const CallPointer&);
     void submissionFailed(const CallPointer&, const StoreFailure&);
     void status(const CallPointer&);
--- a/src/libfescuecleat/node/instance.cpp
+++ b/src/libfescuecleat/node/instance.cpp
@@ -27,7 +27,7 @@
     , operator_(context.loop_, context.store_, context.clock_, context.log_, context.operatorFormat_.table(), operatorWait,
           { [this](const std::vector<StoredRow>& rows) { operatorRows(rows); }, [this](const StoredRow& row) { operatorRow(row); }, nullptr })
     , lease_(context.loop_, context.store_, context.clock_, context.log_, context.settings_.instance_,
-          { [this](std::int64_t epoch, std::uint64_t chainVersion) { leaseAcquired(epoch, chainVersion); }, [this](const std::string&) { leaseLost(); } })
+          { [this](const AcquiredLease& lease) { leaseAcquired(lease); }, [this](const std::string&) { leaseLost(); } })
     , edge_(context, { [this] { return configuration_; }, [this] { return isConfigurationProven(); }, [this] { return controller_.get(); } })
     , callers_(context.loop_, [this](HttpRequest request, HttpServer::Respond respond) { edge_.handle(std::move(request), std::move(respond)); })
     , readiness_(context.loop_, [this](const HttpRequest&, const HttpServer::Respond& respond) {
@@ -130,9 +130,9 @@
     return !isStopping_ && configuration_ && isConfigurationProven();
 }
 
-void Instance::leaseAcquired(std::int64_t epoch, std::uint64_t chainVersion)
+void Instance::leaseAcquired(const AcquiredLease& lease)
 {
-    controller_ = std::make_unique<PoolController>(context_, epoch, chainVersion,
+    controller_ = std::make_unique<PoolController>(context_, lease,
         PoolController::Listener { [this] { return lease_.isHeld(bootTimeNow()); }, [this](const std::string& cause) { lease_.giveUp(cause); } });
     if (configuration_)
         controller_->setConfiguration(*configuration_);
--- a/src/libfescuecleat/node/instance.h
+++ b/src/libfescuecleat/node/instance.h
@@ -32,7 +32,7 @@
     void apply(const DataCentreClosure&);
     bool isConfigurationProven() const;
     bool isReady() const;
-    void leaseAcquired(std::int64_t epoch, std::uint64_t chainVersion);
+    void leaseAcquired(const AcquiredLease&);
     void leaseLost();
     void flushLog();
     void awaitIdle(Time deadline, std::function<void()> done);
--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -61,11 +61,11 @@
 
 }
 
-PoolController::PoolController(const NodeContext& context, std::int64_t epoch, std::uint64_t chainVersion, Listener listener)
+PoolController::PoolController(const NodeContext& context, const AcquiredLease& lease, Listener listener)
     : context_(context)
-    , epoch_(epoch)
+    , epoch_(lease.epoch_)
     , listener_(std::move(listener))
-    , recorder_(context.loop_, context.store_, context.log_, epoch, chainVersion,
+    , recorder_(context.loop_, context.store_, context.log_, lease.epoch_, lease.chainVersion_,
           { [this](const std::string& job) { return encodeJobRecord(scheduler_.record(job)); },
               [this](const std::string& cause) { listener_.superseded_(cause); } })
     , intake_(context.loop_, context.store_, context.clock_, context.log_, intakeTable, intakeWait,
@@ -86,7 +86,7 @@
     , registry_(context.loop_, context.store_, context.clock_, context.log_, context.registryFormat_.table(), registryWait,
           { [this](const std::vector<StoredRow>& rows) { registryReset(rows); }, [this](const StoredRow& row) { registryRow(row); }, nullptr })
     , timer_(context.loop_)
-    , startedAt_(bootTimeNow())
+    , formerHolderUntil_(lease.formerHolderUntil_)
 {
     registry_.setPause(registryPause);
 }
@@ -236,7 +236,7 @@
     terms.fence_ = epoch_;
     terms.maxLease_ = context_.settings_.maxWorkerLease_;
     const auto former = std::chrono::duration_cast<Duration>(context_.settings_.maxWorkerLease_ / (1 - clockDrift));
-    terms.formerLeasesLapse_ = startedAt_ + former + formerLeaseSlack;
+    terms.formerLeasesLapse_ = formerHolderUntil_ + former + formerLeaseSlack;
     auto link = std::make_unique<WorkerLink>(context_.loop_, context_.workers_, info, terms, linkListener(info.key_.id_));
     WorkerLink& opened = *link;
     links_[info.key_.id_] = std::move(link);
--- a/src/libfescuecleat/node/poolcontroller.h
+++ b/src/libfescuecleat/node/poolcontroller.h
@@ -30,7 +30,7 @@
         std::function<void(const std::string& cause)> superseded_;
     };
 
-    PoolController(const NodeContext&, std::int64_t epoch, std::uint64_t chainVersion, Listener);
+    PoolController(const NodeContext&, const AcquiredLease&, Listener);
     ~PoolController();
 
     void start();
@@ -75,7 +75,8 @@
     TableFollower registry_;
     Timer timer_;
     Lifetime lifetime_;
-    Time startedAt_ {};
+    /** Former schedulers may have prolonged leases of workers until then. */
+    Time formerHolderUntil_ {};
     bool isPassPosted_ = false;
     bool isReady_ = false;
 
--- a/src/libfescuecleat/node/schedulerlease.cpp
+++ b/src/libfescuecleat/node/schedulerlease.cpp
@@ -13,9 +13,9 @@
     constexpr const char* leaseTable = "lease";
     constexpr const char* leaseKey = "pool";
     /** How long a lease holds from its renewal. */
-    constexpr std::int64_t leaseMs = 2400;
-    constexpr Duration renewalInterval = std::chrono::milliseconds(700);
-    constexpr Duration writeTimeLimit = std::chrono::milliseconds(700);
+        constexpr std::int64_t leaseMs = 1900;
+        constexpr Duration renewalInterval = std::chrono::milliseconds(500);
+        constexpr Duration writeTimeLimit = std::chrono::milliseconds(600);
     /** The holder stops this long before its lease lapses: covers the drift of clocks and orders on their way. */
     constexpr std::int64_t safetyMarginMs = 150;
     constexpr Duration watchInterval = std::chrono::milliseconds(100);
@@ -111,7 +111,7 @@
     if (isHolder_ || isWriting_ || isStopping_ || !follower_.isLoaded() || !clock_.isKnown())
         return;
     const Time now = bootTimeNow();
-    if (seen_ && seen_->untilMs_ > clock_.earliest(now))
+    if (!isVacant(now))
         return;
     // Without fresh contact the row may have been renewed since.
     if (now - follower_.provenAt() > 2 * pollWait)
@@ -120,11 +120,17 @@
     const auto spread = std::hash<std::string>()(instance_) % acquireSpreadMs;
     timer_.start(std::chrono::milliseconds(spread), [this] {
         isWriting_ = false;
-        if (!seen_ || seen_->untilMs_ <= clock_.earliest(bootTimeNow()))
+        if (isVacant(bootTimeNow()))
             acquire();
     });
 }
 
+bool SchedulerLease::isVacant(Time now) const
+{
+    // Under our own name it belongs to a process that ended before this one started.
+    return !seen_ || seen_->untilMs_ <= clock_.earliest(now) || (seen_->holder_ == instance_ && epoch_ == 0);
+}
+
 void SchedulerLease::write(LeaseRecord lease, bool isNew, std::function<void(tl::expected<StoreMoment, StoreFailure>)> handler)
 {
     isWriting_ = true;
@@ -150,8 +156,10 @@
 void SchedulerLease::acquire()
 {
     const std::int64_t epoch = (seen_ ? seen_->epoch_ : 0) + 1;
-    const std::int64_t until = clock_.earliest(bootTimeNow()) + leaseMs;
-    write({ instance_, epoch, until }, true, [this, epoch, until](const tl::expected<StoreMoment, StoreFailure>& outcome) {
+    const Time now = bootTimeNow();
+    const std::int64_t until = clock_.earliest(now) + leaseMs;
+    const Time formerUntil = seen_ ? std::max(now, clock_.localTime(seen_->untilMs_, now)) : now;
+    write({ instance_, epoch, until }, true, [this, epoch, until, formerUntil](const tl::expected<StoreMoment, StoreFailure>& outcome) {
         if (!outcome) {
             // If it landed all the same, the lease lapses unused.
             log_.write("lease.acquire_failed", { { "epoch", epoch }, { "cause", storeFailureName(outcome.error().kind_) } });
@@ -164,7 +172,7 @@
         untilMs_ = until;
         log_.write("lease.acquired", { { "epoch", epoch }, { "version", outcome->version_ } });
         scheduleRenewal();
-        listener_.acquired_(epoch, outcome->version_);
+        listener_.acquired_({ epoch, outcome->version_, formerUntil });
     });
 }
 
--- a/src/libfescuecleat/node/schedulerlease.h
+++ b/src/libfescuecleat/node/schedulerlease.h
@@ -23,6 +23,15 @@
     std::int64_t untilMs_ = 0;
 };
 
+/** A lease that was just acquired. */
+struct AcquiredLease {
+    std::int64_t epoch_ = 0;
+    /** Of the commit chain's row. */
+    std::uint64_t chainVersion_ = 0;
+    /** The former holder may have given orders until then. */
+    Time formerHolderUntil_ {};
+};
+
 /**
  * The lease of the pool's scheduler: one row, changed under the condition of
  * its version. A holder counts its lease as lapsed before anyone else may.
@@ -30,8 +39,7 @@
 class SchedulerLease {
 public:
     struct Listener {
-        /** We hold it, with this epoch and the version of the commit chain. */
-        std::function<void(std::int64_t epoch, std::uint64_t chainVersion)> acquired_;
+        std::function<void(const AcquiredLease&)> acquired_;
         /** It lapsed or was taken; nothing may be started. */
         std::function<void(const std::string& cause)> lost_;
     };
@@ -53,6 +61,7 @@
 private:
     void observe(const StoredRow&);
     void considerAcquiring();
+    bool isVacant(Time now) const;
     void acquire();
     void renew();
     void scheduleRenewal();
--- a/src/libfescuecleat/node/storeclock.cpp
+++ b/src/libfescuecleat/node/storeclock.cpp
@@ -16,6 +16,7 @@
 
 void StoreClock::observe(const StoreMoment& moment)
 {
+    lastAnswer_ = std::max(lastAnswer_, moment.answeredAt_);
     const bool isTighter = moment.answeredAt_ - moment.askedAt_ <= answeredAt_ - askedAt_;
     if (isKnown_ && !isTighter && moment.answeredAt_ - answeredAt_ < maxAge)
         return;
--- a/src/libfescuecleat/node/storeclock.h
+++ b/src/libfescuecleat/node/storeclock.h
@@ -12,6 +12,8 @@
     void observe(const StoreMoment&);
 
     bool isKnown() const { return isKnown_; }
+    /** When the store last answered. */
+    Time lastAnswer() const { return lastAnswer_; }
     /** The store's clock certainly shows at least this. */
     std::int64_t earliest(Time now) const;
     /** The store's clock certainly shows at most this. */
@@ -24,6 +26,7 @@
     std::int64_t clockMs_ = 0;
     Time askedAt_ {};
     Time answeredAt_ {};
+    Time lastAnswer_ {};
 };
 
 }
