Move work off slow and leaving workers

Cause: gangs stay on slow or hanging workers until the slowest member ends, and work on a leaving worker is lost when it goes. Change: speed from two looks, against the median of the step or the run's own best; a unit moves where a restart ends sooner; work that saves its progress leaves a draining worker in time; looks each second; full leases.

--- a/src/libfescuecleat/node/workerlink.cpp
+++ b/src/libfescuecleat/node/workerlink.cpp
@@ -8,7 +8,7 @@
 namespace {
 
     /** How long a look waits for an end. */
-    constexpr Duration lookWait = std::chrono::milliseconds(1500);
+    constexpr Duration lookWait = std::chrono::milliseconds(1000);
     /** What a look may take beyond its wait. */
     constexpr Duration lookSlack = std::chrono::milliseconds(600);
     constexpr Duration lookRetryDelay = std::chrono::milliseconds(300);
@@ -18,7 +18,7 @@
     constexpr Duration orderRetryDelay = std::chrono::milliseconds(150);
     constexpr std::size_t maxOrdersInFlight = 4;
     /** The part of the longest lease that is asked for. */
-    constexpr double leaseShare = 0.95;
+    constexpr double leaseShare = 1.0;
     /** A worker's clock may be this much slower than ours. */
     constexpr double clockDrift = 0.02;
     /** Added to the end of a lease before it counts as lapsed. */
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -1,5 +1,6 @@
 #include "pool/poolscheduler.h"
 
+#include "pool/healthreview.h"
 #include "pool/schedulingpass.h"
 
 namespace fescuecleat {
@@ -196,6 +197,8 @@
         }
     }
     WorkerState& worker = state_.workers_[info.key_];
+    if (info.isDraining_ && !worker.info_.isDraining_)
+        worker.leavesAt_ = now + info.leavesIn_;
     worker.info_ = info;
     worker.isListed_ = true;
 }
@@ -281,11 +284,11 @@
             continue;
         }
         TaskRun& run = entry->second;
-        run.percentDone_ = reported.percentDone_;
         if (run.phase_ == RunPhase::Starting) {
             run.phase_ = RunPhase::Running;
             run.knownSince_ = now;
         }
+        run.observeProgress(reported.percentDone_, now);
         Job* job = state_.findJob(reported.run_.task_.job_);
         if (job != nullptr && !reported.checkpoint_.empty())
             job->units_[run.unit_].checkpoint_ = reported.checkpoint_;
@@ -422,6 +425,7 @@
 void PoolScheduler::schedule(Time now, std::int64_t unixMs)
 {
     breakStalledStarts(now);
+    HealthReview(state_, now).run();
     for (auto& [id, job] : state_.jobs_) {
         if (job.isOpen())
             openUnits(job, unixMs, now);
--- a/src/libfescuecleat/pool/schedulingpass.cpp
+++ b/src/libfescuecleat/pool/schedulingpass.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-    /** How long urgent work waits for room in one rack before it is spread over several. */
-    constexpr Duration urgentRackPatience = std::chrono::milliseconds(1200);
+    /** How long guaranteed work waits for room in one rack before it is spread over several; its start is due within 2.7 s. */
+    constexpr Duration urgentRackPatience = std::chrono::milliseconds(1700);
     /** An accelerator-second counts as this many core-seconds. */
     constexpr double coresPerAccelerator = 8;
     /** Work that is lost at most when a task stops that saves its progress. */
@@ -129,9 +129,8 @@
 {
     if (!request.step_->wantsOneRack_ || !view_.couldFitOneRack(request))
         return false;
-    if (candidate.rank_ <= Urgent)
-        return now_ < candidate.job_->units_[candidate.unit_].waitingSince_ + urgentRackPatience;
-    return now_ < candidate.latestStart_;
+    const Time patience = candidate.job_->units_[candidate.unit_].waitingSince_ + urgentRackPatience;
+    return now_ < (candidate.rank_ == Guaranteed ? std::min(patience, candidate.latestStart_) : candidate.latestStart_);
 }
 
 bool SchedulingPass::place(const Candidate& candidate)
--- a/src/libfescuecleat/pool/taskrun.h
+++ b/src/libfescuecleat/pool/taskrun.h
@@ -31,6 +31,15 @@
     /** When the stop was last asked for. */
     Time stopAskedAt_ {};
     int percentDone_ = 0;
+    /** The percentage and time that the next speed is measured from. */
+    int sampledPercent_ = 0;
+    std::optional<Time> sampledAt_;
+    /** Percent a second, measured last; nothing before two reports. */
+    std::optional<double> speed_;
+    /** The highest speed that was measured. */
+    double bestSpeed_ = 0;
+
+    void observeProgress(int percent, Time now);
 };
 
 }
--- a/src/libfescuecleat/pool/workerinfo.h
+++ b/src/libfescuecleat/pool/workerinfo.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/time.h"
 #include "net/endpoint.h"
 #include "pool/resources.h"
 
@@ -31,6 +32,8 @@
     Endpoint endpoint_;
     Resources capacity_;
     bool isDraining_ = false;
+    /** While draining: the least time that is left. Runs down, so it is no part of the comparison. */
+    Duration leavesIn_ {};
 
     bool operator==(const WorkerInfo& other) const
     {
--- a/src/libfescuecleat/pool/workerstate.h
+++ b/src/libfescuecleat/pool/workerstate.h
@@ -27,6 +27,8 @@
     /** Runs that failed here since one ended well. */
     int failuresInARow_ = 0;
     Time avoidedUntil_ {};
+    /** While draining: the worker may be gone from then on. */
+    Time leavesAt_ {};
 };
 
 }
