Hand calls to a peer where the store is out of reach

Cause: an instance that the store turns away kept calls for up to 3 s, then refused them or answered 504, after which they can't be sent again. Change: instances name themselves in the store; a call that can't be served goes to a peer, which checks its key; only if no peer reaches the store it is refused, with Retry-After 2.

--- a/src/fescuecleat-poold/main.cpp
+++ b/src/fescuecleat-poold/main.cpp
@@ -74,7 +74,7 @@
     const RegistryRows registryRows;
     const CallerMessages callerMessages;
     StoreClock clock;
-    Instance instance({ loop, *settings, log, store, workers, operatorRows, registryRows, callerMessages, clock });
+    Instance instance({ loop, *settings, log, store, workers, operatorRows, registryRows, callerMessages, clock }, client);
     if (const auto started = instance.start(); !started) {
         std::fprintf(stderr, "fescuecleat-poold: %s\n", describe(started.error()).c_str());
         return exitUnavailable;
--- a/src/libfescuecleat/node/calleredge.cpp
+++ b/src/libfescuecleat/node/calleredge.cpp
@@ -17,11 +17,15 @@
 /** With less time left than this no write is begun, so that its outcome will be known. */
 constexpr Duration minWriteTime = std::chrono::milliseconds(150);
 /** After this long without an answer of the store, a read goes before a write: if it fails, the job has certainly not been accepted. */
-constexpr Duration recentContact = std::chrono::milliseconds(60);
+    constexpr Duration recentContact = std::chrono::milliseconds(60);
+    /** Well above the answers of a slow store, 240 ms. */
+    constexpr Duration probeTimeLimit = std::chrono::milliseconds(450);
+    /** Without an answer of the store for this long, calls are refused at once; its long polls end each second. */
+    constexpr Duration contactLimit = std::chrono::milliseconds(1400);
     constexpr Duration storeAttempt = std::chrono::milliseconds(900);
     constexpr Duration storeRetryDelay = std::chrono::milliseconds(80);
-    /** When a refused caller may come back: outages of the store last some seconds. */
-    constexpr const char* retryAfterSeconds = "1";
+    /** When a refused caller may come back: no instance reaches the store, and its outages last some seconds. */
+    constexpr const char* retryAfterSeconds = "2";
 
     bool isJobId(const std::string& text)
     {
@@ -61,24 +65,38 @@
     std::string row_;
     /** A write may have been done without our knowing. */
     bool mayHaveBeenWritten_ = false;
+    /** Comes from a peer; goes to no other. */
+    bool isForwarded_ = false;
 };
 
-CallerEdge::CallerEdge(const NodeContext& context, Sources sources)
+CallerEdge::CallerEdge(const NodeContext& context, PeerForwarder& peers, Sources sources)
     : context_(context)
+    , peers_(peers)
     , sources_(std::move(sources))
 {
 }
 
 void CallerEdge::handle(HttpRequest request, HttpServer::Respond respond)
 {
+    const std::optional<Duration> limit = context_.callerFormat_.timeLimit(request);
     const auto call = std::make_shared<Call>(std::move(request), std::move(respond), context_.loop_);
-    const std::optional<Duration> limit = context_.callerFormat_.timeLimit(call->request_);
     call->deadline_ = call->startedAt_ + std::max(Duration::zero(), limit.value_or(defaultTimeLimit) - answerReserve);
+    serve(call);
+}
+
+void CallerEdge::handleForwarded(ForwardedCall forwarded, HttpServer::Respond respond)
+{
+    const auto call = std::make_shared<Call>(std::move(forwarded.request_), std::move(respond), context_.loop_);
+    call->deadline_ = call->startedAt_ + forwarded.timeLeft_;
+    call->isForwarded_ = true;
+    serve(call);
+}
+
+void CallerEdge::serve(const CallPointer& call)
+{
     call->configuration_ = sources_.configuration_();
-    if (!call->configuration_)
-        return refuse(call, 503, "no configuration is known yet");
-    if (!sources_.isConfigurationProven_())
-        return refuse(call, 503, "no contact with the store");
+    if (!call->configuration_ || !sources_.isConfigurationProven_() || context_.clock_.lastAnswer() + contactLimit < call->startedAt_)
+        return forward(call);
     const std::string path = call->request_.path_.substr(0, call->request_.path_.find('?'));
     call->queue_ = call->configuration_->findQueue(withoutPort(call->request_.host_), path);
     if (call->queue_ == nullptr)
@@ -114,7 +132,6 @@
     intake.spec_ = std::move(*spec);
     intake.submittedMs_ = context_.clock_.earliest(call->startedAt_);
     call->row_ = encodeJobIntake(intake);
-    call->request_.body_.clear();
     if (context_.clock_.lastAnswer() + recentContact > bootTimeNow())
         return sendSubmission(call);
     probeStore(call);
@@ -122,15 +139,14 @@
 
 void CallerEdge::probeStore(const CallPointer& call)
 {
-    const Duration limit = std::min(storeAttempt, remaining(call->deadline_ - minWriteTime, bootTimeNow()));
+    const Duration limit = std::min(probeTimeLimit, remaining(call->deadline_ - minWriteTime, bootTimeNow()));
     if (limit <= Duration::zero())
-        return refuse(call, 503, "the store does not answer");
+        return refuse(call, 503, "too little time is left");
     context_.store_.read(intakeTable, call->job_, boundAfter(call->job_), limit, lifetime_.guard([this, call](const tl::expected<RowPage, StoreFailure>& page) {
-        if (!page) {
-            call->retry_.start(storeRetryDelay, lifetime_.guard([this, call] { probeStore(call); }));
-            return;
-        }
+        if (!page)
+            return forward(call);
         context_.clock_.observe(page->moment_);
+        call->request_.body_.clear();
         if (!page->rows_.empty())
             return answer(call, 200, "{}", "known already");
         sendSubmission(call);
@@ -177,7 +193,7 @@
     const Duration limit = std::min(storeAttempt, remaining(call->deadline_, bootTimeNow()));
     context_.store_.read(JobRecorder::table, call->job_, boundAfter(call->job_), limit, lifetime_.guard([this, call](const tl::expected<RowPage, StoreFailure>& page) {
         if (!page)
-            return storeFailed(call, page.error(), &CallerEdge::status);
+            return forward(call);
         if (page->rows_.empty())
             return statusFromIntake(call);
         JobRecord record;
@@ -192,7 +208,7 @@
     const Duration limit = std::min(storeAttempt, remaining(call->deadline_, bootTimeNow()));
     context_.store_.read(intakeTable, call->job_, boundAfter(cancelKey(call->job_)), limit, lifetime_.guard([this, call](const tl::expected<RowPage, StoreFailure>& page) {
         if (!page)
-            return storeFailed(call, page.error(), &CallerEdge::status);
+            return forward(call);
         if (page->rows_.empty())
             return answer(call, 410, problem("no such job"), "no such job");
         answer(call, 200, context_.callerFormat_.encodeState(page->rows_.size() > 1 ? JobState::Cancelled : JobState::Queued), "from the intake");
@@ -204,7 +220,7 @@
     const Duration limit = std::min(storeAttempt, remaining(call->deadline_, bootTimeNow()));
     context_.store_.read(intakeTable, call->job_, boundAfter(cancelKey(call->job_)), limit, lifetime_.guard([this, call](const tl::expected<RowPage, StoreFailure>& page) {
         if (!page)
-            return storeFailed(call, page.error(), &CallerEdge::cancel);
+            return forward(call);
         if (page->rows_.empty())
             return answer(call, 410, problem("no such job"), "no such job");
         if (page->rows_.size() > 1)
@@ -222,7 +238,7 @@
     context_.store_.commit(std::move(transaction), limit, lifetime_.guard([this, call](const tl::expected<StoreMoment, StoreFailure>& outcome) {
         if (outcome)
             return answer(call, 200, "{}", "stored");
-        storeFailed(call, outcome.error(), &CallerEdge::cancel);
+        cancellationFailed(call);
     }));
 }
 
@@ -235,7 +251,7 @@
     const Duration limit = std::min(storeAttempt, remaining(call->deadline_, bootTimeNow()));
     context_.store_.read(PoolController::summaryTable, {}, {}, limit, lifetime_.guard([this, call](const tl::expected<RowPage, StoreFailure>& page) {
         if (!page)
-            return storeFailed(call, page.error(), &CallerEdge::waiting);
+            return forward(call);
         int jobs = 0;
         if (!page->rows_.empty()) {
             const auto summary = nlohmann::json::parse(page->rows_.front().value_, nullptr, false);
@@ -248,11 +264,24 @@
     }));
 }
 
-void CallerEdge::storeFailed(const CallPointer& call, const StoreFailure&, void (CallerEdge::*again)(const CallPointer&))
+void CallerEdge::cancellationFailed(const CallPointer& call)
 {
     if (bootTimeNow() + storeRetryDelay + storeRetryDelay < call->deadline_)
-        return call->retry_.start(storeRetryDelay, lifetime_.guard([this, call, again] { (this->*again)(call); }));
-    refuse(call, 503, "the store does not answer");
+        return call->retry_.start(storeRetryDelay, lifetime_.guard([this, call] { cancel(call); }));
+    refuse(call, 503, "the store has not confirmed the cancellation");
+}
+
+void CallerEdge::forward(const CallPointer& call)
+{
+    if (call->isForwarded_)
+        return refuse(call, 503, "the store does not answer");
+    peers_.forward(call->request_, call->deadline_, lifetime_.guard([this, call](const tl::expected<HttpAnswer, PeerForwarder::Failure>& answer) {
+        if (answer)
+            return this->answer(call, answer->status_, answer->body_, "forwarded to a peer");
+        if (answer.error() == PeerForwarder::Failure::OutcomeUnknown && call->request_.method_ == "POST")
+            return this->answer(call, 504, problem("a peer has not confirmed the job; ask again with the same id"), "outcome unknown");
+        refuse(call, 503, "neither we nor our peers reach the store");
+    }));
 }
 
 void CallerEdge::refuse(const CallPointer& call, int status, const char* cause)
--- a/src/libfescuecleat/node/calleredge.h
+++ b/src/libfescuecleat/node/calleredge.h
@@ -3,6 +3,7 @@
 #include "net/httpserver.h"
 #include "node/lifetime.h"
 #include "node/nodecontext.h"
+#include "node/peerforwarder.h"
 #include "node/poolconfiguration.h"
 #include "node/poolcontroller.h"
 
@@ -29,9 +30,11 @@
         std::function<const PoolController*()> scheduler_;
     };
 
-    CallerEdge(const NodeContext&, Sources);
+    CallerEdge(const NodeContext&, PeerForwarder&, Sources);
 
     void handle(HttpRequest, HttpServer::Respond);
+    /** A call that a peer could not serve. */
+    void handleForwarded(ForwardedCall, HttpServer::Respond);
 
     const std::map<int, std::uint64_t>& answersByStatus() const { return answersByStatus_; }
 
@@ -39,6 +42,7 @@
     struct Call;
     using CallPointer = std::shared_ptr<Call>;
 
+    void serve(const CallPointer&);
     void submit(const CallPointer&);
     void probeStore(const CallPointer&);
     void sendSubmission(const CallPointer&);
@@ -48,11 +52,13 @@
     void cancel(const CallPointer&);
     void sendCancellation(const CallPointer&, std::uint64_t jobVersion);
     void waiting(const CallPointer&);
-    void storeFailed(const CallPointer&, const StoreFailure&, void (CallerEdge::*again)(const CallPointer&));
+    void cancellationFailed(const CallPointer&);
     void answer(const CallPointer&, int status, std::string body, const char* cause);
     void refuse(const CallPointer&, int status, const char* cause);
+    void forward(const CallPointer&);
 
     NodeContext context_;
+    PeerForwarder& peers_;
     Sources sources_;
     Lifetime lifetime_;
     std::map<int, std::uint64_t> answersByStatus_;
--- a/src/libfescuecleat/node/instance.cpp
+++ b/src/libfescuecleat/node/instance.cpp
@@ -13,6 +13,8 @@
     constexpr Duration operatorWait = std::chrono::milliseconds(1000);
     /** The part of the revocation limit after which unproven keys are refused. */
     constexpr double provenShare = 0.55;
+        /** Without an answer of the store for this long, callers are better served elsewhere. */
+    constexpr Duration contactLimit = std::chrono::milliseconds(1600);
     constexpr Duration logFlushInterval = std::chrono::milliseconds(200);
     /** The balancer looks each second and takes an instance out after two misses. */
     constexpr Duration balancerNotice = std::chrono::milliseconds(2500);
@@ -22,25 +24,22 @@
 
 }
 
-Instance::Instance(const NodeContext& context)
+Instance::Instance(const NodeContext& context, HttpClient& client)
     : context_(context)
     , operator_(context.loop_, context.store_, context.clock_, context.log_, context.operatorFormat_.table(), operatorWait,
           { [this](const std::vector<StoredRow>& rows) { operatorRows(rows); }, [this](const StoredRow& row) { operatorRow(row); }, nullptr })
     , lease_(context.loop_, context.store_, context.clock_, context.log_, context.settings_.instance_,
           { [this](const AcquiredLease& lease) { leaseAcquired(lease); }, [this](const std::string&) { leaseLost(); } })
-    , edge_(context, { [this] { return configuration_; }, [this] { return isConfigurationProven(); }, [this] { return controller_.get(); } })
+    , directory_(context)
+    , forwarder_(client, directory_)
+    , edge_(context, forwarder_, { [this] { return configuration_; }, [this] { return isConfigurationProven(); }, [this] { return controller_.get(); } })
     , callers_(context.loop_, [this](HttpRequest request, HttpServer::Respond respond) { edge_.handle(std::move(request), std::move(respond)); })
     , readiness_(context.loop_, [this](const HttpRequest&, const HttpServer::Respond& respond) {
         HttpResponse response;
         response.status_ = isReady() ? 200 : 503;
         respond(std::move(response));
     })
-    , metrics_(context.loop_, [this](const HttpRequest&, const HttpServer::Respond& respond) {
-        HttpResponse response;
-        response.contentType_ = "text/plain";
-        response.body_ = metrics();
-        respond(std::move(response));
-    })
+    , peers_(context.loop_, [this](const HttpRequest& request, const HttpServer::Respond& respond) { handlePeer(request, respond); })
     , logTimer_(context.loop_)
     , stopTimer_(context.loop_)
 {
@@ -56,10 +55,11 @@
         return listening;
     if (auto listening = readiness_.listen(context_.settings_.readiness_); !listening)
         return listening;
-    if (auto listening = metrics_.listen(context_.settings_.metrics_); !listening)
+    if (auto listening = peers_.listen(context_.settings_.peers_); !listening)
         return listening;
     operator_.start();
     lease_.start();
+    directory_.start();
     return {};
 }
 
@@ -127,7 +127,7 @@
 
 bool Instance::isReady() const
 {
-    return !isStopping_ && configuration_ && isConfigurationProven();
+    return !isStopping_ && configuration_ && isConfigurationProven() && context_.clock_.lastAnswer() + contactLimit > bootTimeNow();
 }
 
 void Instance::leaseAcquired(const AcquiredLease& lease)
@@ -155,6 +155,7 @@
     const Time now = bootTimeNow();
     const Time deadline = now + context_.settings_.stopLimit_ - stopReserve;
     lease_.release([] {});
+    directory_.leave();
     stopTimer_.start(std::min(balancerNotice, remaining(deadline, now)), [this, deadline, done = std::move(done)] {
         callers_.stopListening();
         callers_.drain();
@@ -172,6 +173,23 @@
     stopTimer_.start(idleCheckInterval, [this, deadline, done = std::move(done)] { awaitIdle(deadline, done); });
 }
 
+void Instance::handlePeer(const HttpRequest& request, const HttpServer::Respond& respond)
+{
+    if (request.path_ == PeerForwarder::path) {
+        if (auto call = decodeForwardedCall(request.body_))
+            return edge_.handleForwarded(std::move(*call), respond);
+        HttpResponse response;
+        response.status_ = 400;
+        return respond(std::move(response));
+    }
+    HttpResponse response;
+    response.status_ = request.path_ == "/metrics" ? 200 : 404;
+    response.contentType_ = "text/plain";
+    if (response.status_ == 200)
+        response.body_ = metrics();
+    respond(std::move(response));
+}
+
 std::string Instance::metrics() const
 {
     std::string text;
--- a/src/libfescuecleat/node/instance.h
+++ b/src/libfescuecleat/node/instance.h
@@ -4,6 +4,8 @@
 #include "net/timer.h"
 #include "node/calleredge.h"
 #include "node/nodecontext.h"
+#include "node/peerdirectory.h"
+#include "node/peerforwarder.h"
 #include "node/poolcontroller.h"
 #include "node/schedulerlease.h"
 #include "node/tablefollower.h"
@@ -18,7 +20,7 @@
 /** One instance: takes calls, follows the configuration, and schedules while it holds the lease. */
 class Instance {
 public:
-    explicit Instance(const NodeContext&);
+    Instance(const NodeContext&, HttpClient&);
     ~Instance();
 
     Result<void> start();
@@ -36,6 +38,7 @@
     void leaseLost();
     void flushLog();
     void awaitIdle(Time deadline, std::function<void()> done);
+    void handlePeer(const HttpRequest&, const HttpServer::Respond&);
     std::string metrics() const;
 
     NodeContext context_;
@@ -44,10 +47,13 @@
     TableFollower operator_;
     SchedulerLease lease_;
     std::unique_ptr<PoolController> controller_;
+    PeerDirectory directory_;
+    PeerForwarder forwarder_;
     CallerEdge edge_;
     HttpServer callers_;
     HttpServer readiness_;
-    HttpServer metrics_;
+    /** Peers' calls and metrics. */
+    HttpServer peers_;
     Timer logTimer_;
     Timer stopTimer_;
     bool isStopping_ = false;
--- a/src/libfescuecleat/node/instancesettings.cpp
+++ b/src/libfescuecleat/node/instancesettings.cpp
@@ -35,7 +35,7 @@
         settings.dataCentre_ = json.at("dataCentre").get<std::string>();
         settings.callers_ = readEndpoint(json, "callers");
         settings.readiness_ = readEndpoint(json, "readiness");
-        settings.metrics_ = readEndpoint(json, "metrics");
+        settings.peers_ = readEndpoint(json, "peers");
         settings.store_ = readEndpoint(json, "store");
         if (!json.value("advice", std::string()).empty())
             settings.advice_ = readEndpoint(json, "advice");
--- a/src/libfescuecleat/node/instancesettings.h
+++ b/src/libfescuecleat/node/instancesettings.h
@@ -17,8 +17,8 @@
     Endpoint callers_;
     /** Answers whether the instance takes callers. */
     Endpoint readiness_;
-    /** Metrics. */
-    Endpoint metrics_;
+    /** Calls of other instances, and metrics. */
+    Endpoint peers_;
     Endpoint store_;
     /** The service that says which workers may run a step; no port: there is none. */
     Endpoint advice_;
--- /dev/null
+++ b/src/libfescuecleat/node/peerdirectory.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "net/endpoint.h"
+#include "net/timer.h"
+#include "node/lifetime.h"
+#include "node/nodecontext.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace fescuecleat {
+
+/** The other instances, from rows that each writes at its start. May name instances that are gone. */
+class PeerDirectory {
+public:
+    explicit PeerDirectory(const NodeContext&);
+
+    void start();
+    /** Removes our own row. */
+    void leave();
+    /** Peers to try, those that failed lately last. */
+    std::vector<Endpoint> candidates() const;
+    void failed(const Endpoint&);
+    void answered(const Endpoint&);
+
+private:
+    void announce();
+    void refresh();
+
+    NodeContext context_;
+    Timer announceTimer_;
+    Timer refreshTimer_;
+    Lifetime lifetime_;
+    std::map<std::string, Endpoint> peers_;
+    std::map<Endpoint, Time> failedAt_;
+    std::size_t offset_ = 0;
+};
+
+}
