--- a/src/libfescuecleat/node/calleredge.cpp
+++ b/src/libfescuecleat/node/calleredge.cpp
@@ -12,11 +12,11 @@
     constexpr std::size_t jobIdLength = 16;
     /** How long a caller waits who doesn't say. */
     constexpr Duration defaultTimeLimit = std::chrono::milliseconds(3000);
-/** Kept of a caller's time for the answer's way back. */
-constexpr Duration answerReserve = std::chrono::milliseconds(100);
-/** With less time left than this no write is begun, so that its outcome will be known. */
-constexpr Duration minWriteTime = std::chrono::milliseconds(150);
-/** After this long without an answer of the store, a read goes before a write: if it fails, the job has certainly not been accepted. */
+    /** Kept of a caller's time for the answer's way back. */
+    constexpr Duration answerReserve = std::chrono::milliseconds(100);
+    /** With less time left than this no write is begun, so that its outcome will be known. */
+    constexpr Duration minWriteTime = std::chrono::milliseconds(150);
+    /** After this long without an answer of the store, a read goes before a write: if it fails, the job has certainly not been accepted. */
     constexpr Duration recentContact = std::chrono::milliseconds(60);
     /** Well above the answers of a slow store, 240 ms. */
     constexpr Duration probeTimeLimit = std::chrono::milliseconds(450);
--- a/src/libfescuecleat/node/instance.cpp
+++ b/src/libfescuecleat/node/instance.cpp
@@ -13,7 +13,7 @@
     constexpr Duration operatorWait = std::chrono::milliseconds(1000);
     /** The part of the revocation limit after which unproven keys are refused. */
     constexpr double provenShare = 0.55;
-        /** Without an answer of the store for this long, callers are better served elsewhere. */
+    /** Without an answer of the store for this long, callers are better served elsewhere. */
     constexpr Duration contactLimit = std::chrono::milliseconds(1600);
     constexpr Duration logFlushInterval = std::chrono::milliseconds(200);
     /** The balancer looks each second and takes an instance out after two misses. */
--- a/src/libfescuecleat/node/peerdirectory.cpp
+++ b/src/libfescuecleat/node/peerdirectory.cpp
@@ -8,10 +8,10 @@
 
 namespace {
 
-constexpr const char* instancesTable = "instances";
-constexpr Duration storeTimeLimit = std::chrono::milliseconds(1000);
-constexpr Duration retryDelay = std::chrono::milliseconds(500);
-constexpr Duration refreshInterval = std::chrono::seconds(4);
+    constexpr const char* instancesTable = "instances";
+    constexpr Duration storeTimeLimit = std::chrono::milliseconds(1000);
+    constexpr Duration retryDelay = std::chrono::milliseconds(500);
+    constexpr Duration refreshInterval = std::chrono::seconds(4);
 
 }
 
--- a/src/libfescuecleat/node/peerforwarder.cpp
+++ b/src/libfescuecleat/node/peerforwarder.cpp
@@ -8,12 +8,12 @@
 
 namespace {
 
-using Json = nlohmann::json;
+    using Json = nlohmann::json;
 
-/** A peer answers in some 15 ms, or says after 450 ms that it can't reach the store either. */
-constexpr Duration peerTimeLimit = std::chrono::milliseconds(600);
-constexpr std::size_t maxPeers = 3;
-constexpr Duration minTimeLeft = std::chrono::milliseconds(100);
+    /** A peer answers in some 15 ms, or says after 450 ms that it can't reach the store either. */
+    constexpr Duration peerTimeLimit = std::chrono::milliseconds(600);
+    constexpr std::size_t maxPeers = 3;
+    constexpr Duration minTimeLeft = std::chrono::milliseconds(100);
 
 }
 
--- a/src/libfescuecleat/node/schedulerlease.cpp
+++ b/src/libfescuecleat/node/schedulerlease.cpp
@@ -13,9 +13,9 @@
     constexpr const char* leaseTable = "lease";
     constexpr const char* leaseKey = "pool";
     /** How long a lease holds from its renewal. */
-        constexpr std::int64_t leaseMs = 1900;
-        constexpr Duration renewalInterval = std::chrono::milliseconds(500);
-        constexpr Duration writeTimeLimit = std::chrono::milliseconds(600);
+    constexpr std::int64_t leaseMs = 1900;
+    constexpr Duration renewalInterval = std::chrono::milliseconds(500);
+    constexpr Duration writeTimeLimit = std::chrono::milliseconds(600);
     /** The holder stops this long before its lease lapses: covers the drift of clocks and orders on their way. */
     constexpr std::int64_t safetyMarginMs = 150;
     constexpr Duration watchInterval = std::chrono::milliseconds(100);
--- a/src/libfescuecleat/pool/healthreview.cpp
+++ b/src/libfescuecleat/pool/healthreview.cpp
@@ -7,27 +7,27 @@
 
 namespace {
 
-/** A run this much slower than its like, or than it was itself, is slow. */
+    /** A run this much slower than its like, or than it was itself, is slow. */
     constexpr double slowShare = 0.3;
-/** Runs nearer to their end than this don't say how fast they are. */
-constexpr int percentNearEnd = 97;
-/** How long a slow worker is avoided after it was last seen to be slow. */
-constexpr Duration avoidSlow = std::chrono::seconds(3);
-/** How long workers mostly stay slow. */
-constexpr Duration slowSpell = std::chrono::seconds(4);
-/** What a restart costs beside the work that is done again. */
-constexpr Duration restartCost = std::chrono::milliseconds(1200);
-/** Work that is done again at most when a task restarts that saves its progress. */
-constexpr Duration checkpointLoss = std::chrono::seconds(1);
-/** A task that saves its progress leaves a draining worker this long before the worker may be gone. */
-constexpr Duration drainMargin = std::chrono::milliseconds(900);
-/** Workers mostly stay this much longer than they said. */
-constexpr Duration drainLinger = std::chrono::seconds(2);
-
-Duration fromSeconds(double seconds)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-}
+    /** Runs nearer to their end than this don't say how fast they are. */
+    constexpr int percentNearEnd = 97;
+    /** How long a slow worker is avoided after it was last seen to be slow. */
+    constexpr Duration avoidSlow = std::chrono::seconds(3);
+    /** How long workers mostly stay slow. */
+    constexpr Duration slowSpell = std::chrono::seconds(4);
+    /** What a restart costs beside the work that is done again. */
+    constexpr Duration restartCost = std::chrono::milliseconds(1200);
+    /** Work that is done again at most when a task restarts that saves its progress. */
+    constexpr Duration checkpointLoss = std::chrono::seconds(1);
+    /** A task that saves its progress leaves a draining worker this long before the worker may be gone. */
+    constexpr Duration drainMargin = std::chrono::milliseconds(900);
+    /** Workers mostly stay this much longer than they said. */
+    constexpr Duration drainLinger = std::chrono::seconds(2);
+
+    Duration fromSeconds(double seconds)
+    {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    }
 
 }
 
--- a/src/libfescuecleat/pool/taskrun.cpp
+++ b/src/libfescuecleat/pool/taskrun.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/** Reports closer together than this are measured as one. */
-constexpr Duration minSample = std::chrono::milliseconds(700);
+    /** Reports closer together than this are measured as one. */
+    constexpr Duration minSample = std::chrono::milliseconds(700);
 
 }
 
--- /dev/null
+++ b/tests/pool/virtualpool.cpp
@@ -0,0 +1,307 @@
+#include "pool/virtualpool.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace fescuecleat {
+
+namespace {
+
+    constexpr Duration tick = std::chrono::milliseconds(10);
+    constexpr Duration reportInterval = std::chrono::milliseconds(1000);
+    constexpr Duration stopTime = std::chrono::milliseconds(100);
+    constexpr double farFactor = 3;
+
+    double seconds(Duration duration)
+    {
+        return std::chrono::duration<double>(duration).count();
+    }
+
+    std::string unitKey(const RunId& run, bool isGang)
+    {
+        TaskId task = run.task_;
+        if (isGang)
+            task.index_ = -1;
+        return toString(task);
+    }
+
+}
+
+VirtualPool::VirtualPool() = default;
+
+void VirtualPool::addWorkers(int count, int perRack, const Resources& capacity, const std::string& dataCentre)
+{
+    for (int i = 0; i < count; ++i) {
+        WorkerModel worker;
+        const std::string name = "w" + std::to_string(100 + names_.size());
+        worker.info_.key_ = { name, 1 };
+        worker.info_.service_ = "service";
+        worker.info_.dataCentre_ = dataCentre;
+        worker.info_.rack_ = "r" + std::to_string(names_.size() / static_cast<std::size_t>(perRack));
+        worker.info_.capacity_ = capacity;
+        names_.push_back(name);
+        scheduler_.putWorker(worker.info_, now_);
+        scheduler_.setReachable(worker.info_.key_, true);
+        workers_.emplace(name, worker);
+    }
+}
+
+std::string VirtualPool::submit(const StepSpec& step, int priority, const std::string& organisation)
+{
+    JobSpec spec;
+    spec.steps_.push_back(step);
+    JobPolicy policy;
+    policy.queue_ = "q" + std::to_string(priority);
+    policy.service_ = "service";
+    policy.organisation_ = organisation;
+    policy.priority_ = priority;
+    policy.maxAttempts_ = 3;
+    policy.stretch_ = priority == 0 ? 1.5 : 3;
+    policy.latencyTarget_ = std::chrono::milliseconds(priority == 0 ? 250 : 1000);
+    return submit(spec, policy);
+}
+
+std::string VirtualPool::submit(const JobSpec& spec, JobPolicy policy)
+{
+    char id[17];
+    std::snprintf(id, sizeof id, "%016x", nextJob_++);
+    specs_[id] = spec;
+    submittedAt_[id] = now_;
+    scheduler_.addJob(id, spec, std::move(policy), now_, nullptr, now_);
+    return id;
+}
+
+const StepSpec& VirtualPool::stepOf(const RunId& run) const
+{
+    return specs_.at(run.task_.job_).steps_[static_cast<std::size_t>(run.task_.step_)];
+}
+
+double VirtualPool::workSeconds(const RunId& run) const
+{
+    const auto factor = lengthFactors_.find(run.task_.job_);
+    return seconds(stepOf(run).estimate_) * (factor == lengthFactors_.end() ? 1 : factor->second);
+}
+
+void VirtualPool::advance(Duration duration)
+{
+    const Time until = now_ + duration;
+    while (now_ < until)
+        step();
+}
+
+void VirtualPool::step()
+{
+    now_ += tick;
+    progress(tick);
+    for (auto& [name, worker] : workers_) {
+        if (worker.isCut_)
+            continue;
+        if (!worker.ended_.empty() || now_ - worker.lastReport_ >= reportInterval)
+            report(worker);
+    }
+    scheduler_.schedule(now_, 0);
+    carryOut();
+    check();
+    for (const auto& [id, at] : submittedAt_) {
+        const Job* job = scheduler_.state().jobs_.count(id) > 0 ? &scheduler_.state().jobs_.at(id) : nullptr;
+        if (job != nullptr && !job->isOpen())
+            endedAt_.emplace(id, now_);
+    }
+}
+
+void VirtualPool::progress(Duration span)
+{
+    std::map<std::string, std::set<std::string>> racks;
+    for (const auto& [id, run] : runs_)
+        racks[unitKey(id, stepOf(id).isGang_) + "/" + std::to_string(id.number_)].insert(workers_.at(run.worker_).info_.rack_);
+    std::vector<std::pair<RunId, EndReason>> ends;
+    std::map<std::string, bool> gangDone;
+    for (auto& [id, run] : runs_) {
+        const WorkerModel& worker = workers_.at(run.worker_);
+        const StepSpec& step = stepOf(id);
+        const std::string unit = unitKey(id, step.isGang_) + "/" + std::to_string(id.number_);
+        double speed = worker.speed_;
+        if (step.wantsOneRack_ && racks[unit].size() > 1)
+            speed /= farFactor;
+        run.done_ = std::min(workSeconds(id), run.done_ + seconds(span) * speed);
+        if (run.stopAt_ && *run.stopAt_ <= now_)
+            ends.emplace_back(id, EndReason::Stopped);
+        else if (worker.fails_ && now_ - run.startedAt_ > std::chrono::milliseconds(200))
+            ends.emplace_back(id, EndReason::Failed);
+        else if (run.done_ >= workSeconds(id) && !step.isGang_)
+            ends.emplace_back(id, EndReason::Done);
+        if (step.isGang_) {
+            const auto known = gangDone.emplace(unit, true).first;
+            known->second = known->second && run.done_ >= workSeconds(id);
+        }
+    }
+    for (const auto& [id, run] : runs_) {
+        const StepSpec& step = stepOf(id);
+        const std::string unit = unitKey(id, step.isGang_) + "/" + std::to_string(id.number_);
+        if (step.isGang_ && gangDone[unit])
+            ends.emplace_back(id, EndReason::Done);
+    }
+    for (const auto& [id, reason] : ends)
+        end(id, reason);
+}
+
+void VirtualPool::end(const RunId& id, EndReason reason)
+{
+    const auto entry = runs_.find(id);
+    if (entry == runs_.end())
+        return;
+    const Run run = entry->second;
+    runs_.erase(entry);
+    const StepSpec& step = stepOf(id);
+    const std::string unit = unitKey(id, step.isGang_);
+    if (reason != EndReason::Done) {
+        const double cores = static_cast<double>(step.resources_.cpuMillis_) / 1000 + 8.0 * static_cast<double>(step.resources_.accelerators_);
+        if (step.savesProgress_)
+            checkpoints_[unit] = run.done_;
+        else
+            waste_ += run.done_ * cores;
+    }
+    WorkerModel& worker = workers_.at(run.worker_);
+    worker.ended_.push_back({ worker.nextEnd_++, id, reason, step.savesProgress_ ? "saved" : "" });
+    if (!step.isGang_ || reason == EndReason::Done)
+        return;
+    // The other members can't go on.
+    std::vector<RunId> others;
+    for (const auto& [other, otherRun] : runs_) {
+        if (other.number_ == id.number_ && unitKey(other, true) == unit)
+            others.push_back(other);
+    }
+    for (const RunId& other : others)
+        end(other, EndReason::GangBroken);
+}
+
+void VirtualPool::report(WorkerModel& worker)
+{
+    WorkerReport report;
+    report.bornUnixMs_ = worker.info_.key_.bornUnixMs_;
+    for (const auto& [id, run] : runs_) {
+        if (run.worker_ == worker.info_.key_.id_)
+            report.running_.push_back({ id, "", static_cast<int>(100 * run.done_ / workSeconds(id)) });
+    }
+    report.ended_ = std::exchange(worker.ended_, {});
+    worker.lastReport_ = now_;
+    scheduler_.report(worker.info_.key_, report, now_, now_);
+}
+
+void VirtualPool::carryOut()
+{
+    const Decisions decisions = scheduler_.takeDecisions();
+    for (const StopDecision& stop : decisions.stops_) {
+        ++stops_;
+        const auto run = runs_.find(stop.run_);
+        if (run != runs_.end())
+            run->second.stopAt_ = now_ + stopTime;
+        scheduler_.stopConfirmed(stop.run_, now_);
+    }
+    for (const StartDecision& start : decisions.starts_) {
+        if (!scheduler_.beginStart(start.run_, now_))
+            continue;
+        const StepSpec& step = stepOf(start.run_);
+        for (const auto& [other, run] : runs_) {
+            if (other.task_ == start.run_.task_)
+                violations_.push_back("two runs of " + toString(other.task_));
+        }
+        Run run;
+        run.worker_ = start.worker_.id_;
+        run.startedAt_ = now_;
+        if (step.savesProgress_)
+            run.done_ = checkpoints_[unitKey(start.run_, step.isGang_)];
+        runs_.emplace(start.run_, run);
+        startedAt_.emplace(start.run_.task_.job_, now_);
+        scheduler_.startAnswered(start.run_, StartAnswer::Accepted, now_);
+    }
+}
+
+void VirtualPool::check()
+{
+    std::map<std::string, Resources> used;
+    std::map<std::string, int> members;
+    for (const auto& [id, run] : runs_) {
+        used[run.worker_] += stepOf(id).room();
+        if (stepOf(id).isGang_)
+            ++members[unitKey(id, true) + "/" + std::to_string(id.number_)];
+    }
+    for (const auto& [name, resources] : used) {
+        if (!workers_.at(name).info_.capacity_.contains(resources))
+            violations_.push_back("worker " + name + " is over its capacity");
+    }
+    for (const auto& [id, run] : runs_) {
+        const StepSpec& step = stepOf(id);
+        if (step.isGang_ && members[unitKey(id, true) + "/" + std::to_string(id.number_)] != step.taskCount_)
+            violations_.push_back("part of a gang runs: " + toString(id.task_));
+    }
+}
+
+JobState VirtualPool::state(const std::string& job) const
+{
+    return scheduler_.state().jobs_.at(job).state_;
+}
+
+std::optional<Duration> VirtualPool::duration(const std::string& job) const
+{
+    const auto ended = endedAt_.find(job);
+    if (ended == endedAt_.end())
+        return std::nullopt;
+    return ended->second - submittedAt_.at(job);
+}
+
+std::optional<Duration> VirtualPool::timeToStart(const std::string& job) const
+{
+    const auto started = startedAt_.find(job);
+    if (started == startedAt_.end())
+        return std::nullopt;
+    return started->second - submittedAt_.at(job);
+}
+
+std::set<std::string> VirtualPool::workersOf(const std::string& job) const
+{
+    std::set<std::string> result;
+    for (const auto& [id, run] : runs_) {
+        if (id.task_.job_ == job)
+            result.insert(run.worker_);
+    }
+    return result;
+}
+
+std::int64_t VirtualPool::usedAccelerators() const
+{
+    std::int64_t used = 0;
+    for (const auto& [id, run] : runs_)
+        used += stepOf(id).resources_.accelerators_;
+    return used;
+}
+
+void VirtualPool::drain(int index, Duration leavesIn)
+{
+    WorkerInfo info = worker(index).info_;
+    info.isDraining_ = true;
+    info.leavesIn_ = leavesIn;
+    scheduler_.putWorker(info, now_);
+}
+
+StepSpec gangOf(int tasks, std::int64_t accelerators, Duration estimate)
+{
+    StepSpec step;
+    step.taskCount_ = tasks;
+    step.resources_ = { 7000, 30000, accelerators };
+    step.estimate_ = estimate;
+    step.isGang_ = tasks > 1;
+    step.wantsOneRack_ = true;
+    return step;
+}
+
+StepSpec tasksOf(int tasks, Duration estimate)
+{
+    StepSpec step;
+    step.taskCount_ = tasks;
+    step.resources_ = { 5600, 29000, 1 };
+    step.estimate_ = estimate;
+    return step;
+}
+
+}
