--- a/src/libfescuecleat/node/eventlog.cpp
+++ b/src/libfescuecleat/node/eventlog.cpp
@@ -22,11 +22,6 @@
         ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
 }
 
-EventLog::~EventLog()
-{
-    flush();
-}
-
 void EventLog::write(const char* event, nlohmann::json fields)
 {
     if (queue_.size() > maxQueuedBytes) {
--- a/src/libfescuecleat/node/eventlog.h
+++ b/src/libfescuecleat/node/eventlog.h
@@ -13,9 +13,6 @@
 class EventLog {
 public:
     explicit EventLog(std::string instance);
-    ~EventLog();
-    EventLog(const EventLog&) = delete;
-    EventLog& operator=(const EventLog&) = delete;
 
     /** Queues a line: the event's name and its fields. */
     void write(const char* event, nlohmann::json fields);
--- /dev/null
+++ b/tests/node/fakerowstore.cpp
@@ -0,0 +1,191 @@
+#include "node/fakerowstore.h"
+
+#include "node/nodeclock.h"
+
+#include <boost/asio/post.hpp>
+
+namespace fescuecleat {
+
+namespace {
+
+    auto failed(StoreFailureKind kind)
+    {
+        return tl::unexpected<StoreFailure>({ kind, {}, "fake" });
+    }
+
+}
+
+FakeRowStore::FakeRowStore(boost::asio::io_context& loop)
+    : loop_(loop)
+{
+}
+
+template <typename Function>
+void FakeRowStore::later(Function function)
+{
+    boost::asio::post(loop_, std::move(function));
+}
+
+StoreMoment FakeRowStore::moment() const
+{
+    const Time now = bootTimeNow();
+    return { version_, std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count(), now, now };
+}
+
+tl::expected<StoreMoment, StoreFailure> FakeRowStore::apply(const RowTransaction& transaction)
+{
+    StoreFailure conflict { StoreFailureKind::Conflict, {}, "fake" };
+    bool holds = true;
+    for (const RowExpectation& expectation : transaction.expectations_) {
+        const auto& rows = tables_[expectation.table_];
+        const auto row = rows.find(expectation.key_);
+        holds = holds && (row == rows.end() ? 0 : row->second.version_) == expectation.version_;
+        if (row != rows.end())
+            conflict.rows_.push_back(row->second);
+    }
+    if (!holds)
+        return tl::unexpected<StoreFailure>(conflict);
+    ++version_;
+    for (const RowWrite& write : transaction.writes_) {
+        const StoredRow row { write.key_, write.value_, version_, false };
+        tables_[write.table_][write.key_] = row;
+        history_.push_back({ write.table_, row });
+    }
+    for (const RowDeletion& deletion : transaction.deletions_) {
+        tables_[deletion.table_].erase(deletion.key_);
+        history_.push_back({ deletion.table_, { deletion.key_, {}, version_, true } });
+    }
+    notify();
+    return moment();
+}
+
+void FakeRowStore::commit(RowTransaction transaction, Duration, CommitHandler handler)
+{
+    later([this, transaction = std::move(transaction), handler = std::move(handler)] {
+        if (refuses_)
+            return handler(failed(StoreFailureKind::Refused));
+        if (commitsToHoldBack_ > 0) {
+            --commitsToHoldBack_;
+            heldBack_.push_back(transaction);
+            return handler(failed(StoreFailureKind::OutcomeUnknown));
+        }
+        auto outcome = apply(transaction);
+        if (outcome && answersToLose_ > 0) {
+            --answersToLose_;
+            return handler(failed(StoreFailureKind::OutcomeUnknown));
+        }
+        handler(std::move(outcome));
+    });
+}
+
+int FakeRowStore::landLate()
+{
+    int landed = 0;
+    for (const RowTransaction& transaction : std::exchange(heldBack_, {}))
+        landed += apply(transaction) ? 1 : 0;
+    return landed;
+}
+
+void FakeRowStore::read(const std::string& table, const std::string& from, const std::string& to, Duration, PageHandler handler)
+{
+    if (from.empty() && to.empty())
+        ++fullReads_[table];
+    later([this, table, from, to, handler = std::move(handler)] {
+        if (refuses_)
+            return handler(failed(StoreFailureKind::Refused));
+        RowPage page;
+        page.moment_ = moment();
+        for (const auto& [key, row] : tables_[table]) {
+            if (key >= from && (to.empty() || key < to))
+                page.rows_.push_back(row);
+        }
+        handler(std::move(page));
+    });
+}
+
+std::vector<StoredRow> FakeRowStore::changesAfter(const std::string& table, std::uint64_t after) const
+{
+    std::vector<StoredRow> rows;
+    for (const Change& change : history_) {
+        if (change.table_ == table && change.row_.version_ > after)
+            rows.push_back(change.row_);
+    }
+    return rows;
+}
+
+void FakeRowStore::follow(const std::string& table, std::uint64_t after, Duration wait, Duration, PageHandler handler)
+{
+    later([this, table, after, wait, handler = std::move(handler)] {
+        if (refuses_)
+            return handler(failed(StoreFailureKind::Refused));
+        if (after < historyFrom_)
+            return handler(failed(StoreFailureKind::HistoryGone));
+        waiters_.push_back({ table, after, handler, std::make_unique<Timer>(loop_) });
+        const auto waiter = std::prev(waiters_.end());
+        waiter->timer_->start(wait, [this, waiter] {
+            const PageHandler waiting = waiter->handler_;
+            waiters_.erase(waiter);
+            RowPage page;
+            page.moment_ = moment();
+            waiting(std::move(page));
+        });
+        notify();
+    });
+}
+
+void FakeRowStore::notify()
+{
+    for (auto waiter = waiters_.begin(); waiter != waiters_.end();) {
+        RowPage page;
+        page.rows_ = changesAfter(waiter->table_, waiter->after_);
+        const bool isGone = waiter->after_ < historyFrom_;
+        if (page.rows_.empty() && !isGone) {
+            ++waiter;
+            continue;
+        }
+        page.moment_ = moment();
+        const PageHandler handler = waiter->handler_;
+        waiter = waiters_.erase(waiter);
+        later([handler, page, isGone]() mutable {
+            if (isGone)
+                return handler(failed(StoreFailureKind::HistoryGone));
+            handler(std::move(page));
+        });
+    }
+}
+
+void FakeRowStore::dropHistory()
+{
+    history_.clear();
+    historyFrom_ = ++version_;
+    notify();
+}
+
+void FakeRowStore::put(const std::string& table, const std::string& key, const std::string& value)
+{
+    apply({ {}, { { table, key, value } }, {} });
+}
+
+void FakeRowStore::erase(const std::string& table, const std::string& key)
+{
+    apply({ {}, {}, { { table, key } } });
+}
+
+std::optional<std::string> FakeRowStore::value(const std::string& table, const std::string& key) const
+{
+    const auto rows = tables_.find(table);
+    if (rows == tables_.end())
+        return std::nullopt;
+    const auto row = rows->second.find(key);
+    if (row == rows->second.end())
+        return std::nullopt;
+    return row->second.value_;
+}
+
+int FakeRowStore::fullReads(const std::string& table) const
+{
+    const auto reads = fullReads_.find(table);
+    return reads == fullReads_.end() ? 0 : reads->second;
+}
+
+}
--- /dev/null
+++ b/tests/node/poolfixture.cpp
@@ -0,0 +1,120 @@
+#include "node/poolfixture.h"
+
+#include "node/nodeclock.h"
+
+#include <sstream>
+
+namespace fescuecleat {
+
+Result<WorkerInfo> FakeRegistryFormat::decode(const StoredRow& row) const
+{
+    std::istringstream text(row.value_);
+    WorkerInfo info;
+    std::string state;
+    info.key_.id_ = row.key_;
+    if (!(text >> info.rack_ >> info.key_.bornUnixMs_ >> state))
+        return failure(ErrorKind::InvalidSyntax, "not a worker", "none");
+    info.service_ = "service";
+    info.dataCentre_ = "dc";
+    info.endpoint_ = { "127.0.0.1", 1 };
+    info.capacity_ = { 64000, 256000, 8 };
+    info.isDraining_ = state == "draining";
+    return info;
+}
+
+Result<JobSpec> FakeCallerFormat::decodeJob(const std::string& body) const
+{
+    if (body == "bad")
+        return failure(ErrorKind::InvalidSyntax, "bad", "none");
+    JobSpec spec;
+    spec.steps_.push_back(oneTask());
+    return spec;
+}
+
+SchedulerUnderTest::SchedulerUnderTest(const NodeContext& context, std::string instance)
+    : context_(context)
+    , lease_(context.loop_, context.store_, context.clock_, context.log_, std::move(instance),
+          { [this](const AcquiredLease& lease) {
+               controller_ = std::make_unique<PoolController>(context_, lease,
+                   PoolController::Listener { [this] { return lease_.isHeld(bootTimeNow()); }, [this](const std::string& cause) { lease_.giveUp(cause); } });
+               controller_->start();
+           },
+              [this](const std::string&) {
+                  boost::asio::post(context_.loop_, [controller = std::shared_ptr<PoolController>(std::move(controller_))] {});
+              } })
+{
+    lease_.start();
+}
+
+PoolFixture::PoolFixture()
+{
+    settings_.instance_ = "test";
+    settings_.maxWorkerLease_ = std::chrono::milliseconds(1500);
+}
+
+bool PoolFixture::runUntil(const std::function<bool()>& condition, Duration limit)
+{
+    const Time deadline = bootTimeNow() + limit;
+    while (!condition()) {
+        if (bootTimeNow() >= deadline)
+            return false;
+        loop_.restart();
+        loop_.run_for(std::chrono::milliseconds(2));
+    }
+    return true;
+}
+
+void PoolFixture::runFor(Duration duration)
+{
+    runUntil([] { return false; }, duration);
+}
+
+void PoolFixture::addWorker(const std::string& id, const std::string& rack)
+{
+    store_.put("registry", id, rack + " 1 ready");
+    workers_.worker(id);
+}
+
+void PoolFixture::submit(const std::string& id, const StepSpec& step)
+{
+    JobIntake intake;
+    intake.policy_.queue_ = "queue";
+    intake.policy_.service_ = "service";
+    intake.policy_.maxAttempts_ = 3;
+    intake.spec_.steps_.push_back(step);
+    intake.submittedMs_ = std::chrono::duration_cast<std::chrono::milliseconds>(bootTimeNow().time_since_epoch()).count();
+    store_.put(intakeTable, id, encodeJobIntake(intake));
+}
+
+std::unique_ptr<SchedulerUnderTest> PoolFixture::scheduler(const std::string& instance)
+{
+    return std::make_unique<SchedulerUnderTest>(context_, instance);
+}
+
+JobState PoolFixture::recordedState(const std::string& id) const
+{
+    JobRecord record;
+    const auto value = store_.value(JobRecorder::table, id);
+    if (!value || !decodeJobRecord(*value, record))
+        return JobState::Queued;
+    return record.state_;
+}
+
+StepSpec oneTask()
+{
+    StepSpec step;
+    step.resources_ = { 1000, 1000, 1 };
+    step.estimate_ = std::chrono::seconds(5);
+    return step;
+}
+
+StepSpec gang(int tasks)
+{
+    StepSpec step = oneTask();
+    step.taskCount_ = tasks;
+    step.resources_.accelerators_ = 8;
+    step.isGang_ = true;
+    return step;
+}
+
+}
--- /dev/null
+++ b/tests/node/poolfixture.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "net/httpclient.h"
+#include "node/calleredge.h"
+#include "node/fakerowstore.h"
+#include "node/fakeworkers.h"
+#include "node/jobintake.h"
+#include "node/nodecontext.h"
+#include "node/poolcontroller.h"
+#include "node/schedulerlease.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace fescuecleat {
+
+/** Registry rows of the tests: "RACK BORN ready|draining". */
+class FakeRegistryFormat : public RegistryFormat {
+public:
+    std::string table() const override { return "registry"; }
+    Result<WorkerInfo> decode(const StoredRow&) const override;
+};
+
+class FakeOperatorFormat : public OperatorFormat {
+public:
+    std::string table() const override { return "operator"; }
+    OperatorChange decode(const StoredRow&) const override { return IgnoredRow {}; }
+};
+
+class FakeCallerFormat : public CallerFormat {
+public:
+    Result<JobSpec> decodeJob(const std::string& body) const override;
+    std::string encodeState(JobState state) const override { return std::to_string(static_cast<int>(state)); }
+    std::string encodeWaiting(int jobs) const override { return std::to_string(jobs); }
+    std::string apiKey(const HttpRequest& request) const override { return request.authorization_; }
+    std::optional<Duration> timeLimit(const HttpRequest&) const override { return std::chrono::milliseconds(800); }
+};
+
+/** One scheduler that takes the lease as soon as it is vacant. */
+class SchedulerUnderTest {
+public:
+    SchedulerUnderTest(const NodeContext&, std::string instance);
+
+    PoolController* controller() { return controller_.get(); }
+    SchedulerLease& lease() { return lease_; }
+
+private:
+    NodeContext context_;
+    SchedulerLease lease_;
+    std::unique_ptr<PoolController> controller_;
+};
+
+/** A store, workers and what an instance shares, on one event loop. */
+class PoolFixture {
+public:
+    PoolFixture();
+
+    /** Runs the loop until the condition holds; says whether it did within `limit`. */
+    bool runUntil(const std::function<bool()>&, Duration limit = std::chrono::seconds(8));
+    void runFor(Duration);
+
+    void addWorker(const std::string& id, const std::string& rack = "r0");
+    /** Stores a job as the callers' edge does. */
+    void submit(const std::string& id, const StepSpec&);
+    std::unique_ptr<SchedulerUnderTest> scheduler(const std::string& instance);
+    JobState recordedState(const std::string& id) const;
+
+    boost::asio::io_context loop_;
+    InstanceSettings settings_;
+    EventLog log_ { "test" };
+    FakeRowStore store_ { loop_ };
+    FakeWorkers workers_ { loop_ };
+    FakeOperatorFormat operatorFormat_;
+    FakeRegistryFormat registryFormat_;
+    FakeCallerFormat callerFormat_;
+    StoreClock clock_;
+    NodeContext context_ { loop_, settings_, log_, store_, workers_, operatorFormat_, registryFormat_, callerFormat_, clock_ };
+};
+
+StepSpec oneTask();
+StepSpec gang(int tasks);
+constexpr const char* jobId = "00000000000000aa";
+
+}
--- /dev/null
+++ b/tests/node/storetest.cpp
@@ -0,0 +1,204 @@
+#include "node/nodeclock.h"
+#include "node/poolfixture.h"
+#include "node/tablefollower.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace fescuecleat;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** A callers' edge whose configuration has one public queue. */
+class EdgeUnderTest {
+public:
+    explicit EdgeUnderTest(PoolFixture& pool)
+        : pool_(pool)
+        , client_(pool.loop_)
+        , directory_(pool.context_)
+        , peers_(client_, directory_)
+        , edge_(pool.context_, peers_, { [this] { return configuration_; }, [] { return true; }, [] { return nullptr; } })
+    {
+        auto configuration = std::make_shared<PoolConfiguration>();
+        configuration->version_ = 1;
+        QueueConfiguration queue;
+        queue.name_ = "queue";
+        queue.host_ = "host";
+        queue.prefix_ = "/q/";
+        queue.isPublic_ = true;
+        configuration->queues_.push_back(queue);
+        queue.prefix_ = "/keyed/";
+        queue.isPublic_ = false;
+        configuration->queues_.push_back(queue);
+        configuration->organisations_.push_back({ "org", { "secret" }, 0 });
+        configuration_ = configuration;
+        touchStore();
+    }
+
+    void touchStore()
+    {
+        const Time now = bootTimeNow();
+        pool_.clock_.observe({ 1, 1, now, now });
+    }
+
+    HttpResponse call(const std::string& method, const std::string& path, const std::string& body = "{}", const std::string& key = {})
+    {
+        HttpRequest request;
+        request.method_ = method;
+        request.path_ = path;
+        request.host_ = "host:80";
+        request.body_ = body;
+        request.authorization_ = key;
+        std::optional<HttpResponse> response;
+        edge_.handle(request, [&response](HttpResponse answer) { response = std::move(answer); });
+        CPPUNIT_ASSERT(pool_.runUntil([&response] { return response.has_value(); }));
+        return *response;
+    }
+
+private:
+    PoolFixture& pool_;
+    HttpClient client_;
+    PeerDirectory directory_;
+    PeerForwarder peers_;
+    std::shared_ptr<const PoolConfiguration> configuration_;
+    CallerEdge edge_;
+};
+
+const std::string path = std::string("/q/") + jobId;
+
+}
+
+/** What callers are told while the store loses answers, and followers that lose their history. */
+class StoreTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(StoreTest);
+    CPPUNIT_TEST(acceptsOnceStored);
+    CPPUNIT_TEST(lostAnswerIsAskedForAgain);
+    CPPUNIT_TEST(refusalIsTrue);
+    CPPUNIT_TEST(unknownOutcomeIsNotCalledARefusal);
+    CPPUNIT_TEST(oneIdIsOneJob);
+    CPPUNIT_TEST(typedAnswersToBadCalls);
+    CPPUNIT_TEST(cancelOfAnUnknownJob);
+    CPPUNIT_TEST(stateFromTheStore);
+    CPPUNIT_TEST(droppedHistoryIsReadAgain);
+    CPPUNIT_TEST(leaseIsTakenOverAndGivenUp);
+    CPPUNIT_TEST_SUITE_END();
+
+    void acceptsOnceStored()
+    {
+        PoolFixture pool;
+        EdgeUnderTest edge(pool);
+        CPPUNIT_ASSERT_EQUAL(200, edge.call("POST", path).status_);
+        CPPUNIT_ASSERT(pool.store_.value(intakeTable, jobId).has_value());
+    }
+
+    void lostAnswerIsAskedForAgain()
+    {
+        PoolFixture pool;
+        EdgeUnderTest edge(pool);
+        pool.store_.loseAnswers(1);
+        CPPUNIT_ASSERT_EQUAL(200, edge.call("POST", path).status_);
+    }
+
+    void refusalIsTrue()
+    {
+        PoolFixture pool;
+        EdgeUnderTest edge(pool);
+        pool.store_.setRefusing(true);
+        const HttpResponse response = edge.call("POST", path);
+        CPPUNIT_ASSERT_EQUAL(503, response.status_);
+        CPPUNIT_ASSERT_EQUAL(std::string("Retry-After"), response.headers_.at(0).first);
+        pool.store_.setRefusing(false);
+        pool.runFor(300ms);
+        CPPUNIT_ASSERT_EQUAL(0, pool.store_.landLate());
+        CPPUNIT_ASSERT(!pool.store_.value(intakeTable, jobId).has_value());
+    }
+
+    /** A write that may land later must not be answered as if it never would. */
+    void unknownOutcomeIsNotCalledARefusal()
+    {
+        PoolFixture pool;
+        EdgeUnderTest edge(pool);
+        pool.store_.holdBack(1000);
+        CPPUNIT_ASSERT_EQUAL(504, edge.call("POST", path).status_);
+        CPPUNIT_ASSERT_EQUAL(1, pool.store_.landLate());
+    }
+
+    void oneIdIsOneJob()
+    {
+        PoolFixture pool;
+        EdgeUnderTest edge(pool);
+        CPPUNIT_ASSERT_EQUAL(200, edge.call("POST", path).status_);
+        const auto first = pool.store_.value(intakeTable, jobId);
+        edge.touchStore();
+        CPPUNIT_ASSERT_EQUAL(200, edge.call("POST", path).status_);
+        CPPUNIT_ASSERT(first == pool.store_.value(intakeTable, jobId));
+    }
+
+    void typedAnswersToBadCalls()
+    {
+        PoolFixture pool;
+        EdgeUnderTest edge(pool);
+        CPPUNIT_ASSERT_EQUAL(404, edge.call("POST", "/other/" + std::string(jobId)).status_);
+        CPPUNIT_ASSERT_EQUAL(400, edge.call("POST", "/q/short").status_);
+        CPPUNIT_ASSERT_EQUAL(400, edge.call("POST", path, "bad").status_);
+        CPPUNIT_ASSERT_EQUAL(405, edge.call("PATCH", path).status_);
+        CPPUNIT_ASSERT_EQUAL(401, edge.call("POST", "/keyed/" + std::string(jobId)).status_);
+        CPPUNIT_ASSERT_EQUAL(200, edge.call("POST", "/keyed/" + std::string(jobId), "{}", "secret").status_);
+    }
+
+    void cancelOfAnUnknownJob()
+    {
+        PoolFixture pool;
+        EdgeUnderTest edge(pool);
+        CPPUNIT_ASSERT_EQUAL(410, edge.call("DELETE", path).status_);
+        CPPUNIT_ASSERT_EQUAL(200, edge.call("POST", path).status_);
+        CPPUNIT_ASSERT_EQUAL(200, edge.call("DELETE", path).status_);
+        CPPUNIT_ASSERT_EQUAL(200, edge.call("DELETE", path).status_);
+        CPPUNIT_ASSERT(pool.store_.value(intakeTable, cancelKey(jobId)).has_value());
+    }
+
+    void stateFromTheStore()
+    {
+        PoolFixture pool;
+        EdgeUnderTest edge(pool);
+        CPPUNIT_ASSERT_EQUAL(410, edge.call("GET", path).status_);
+        CPPUNIT_ASSERT_EQUAL(200, edge.call("POST", path).status_);
+        CPPUNIT_ASSERT_EQUAL(std::string("0"), edge.call("GET", path).body_);
+        pool.store_.put(JobRecorder::table, jobId, encodeJobRecord({ JobState::Completed, {} }));
+        CPPUNIT_ASSERT_EQUAL(std::to_string(static_cast<int>(JobState::Completed)), edge.call("GET", path).body_);
+    }
+
+    void droppedHistoryIsReadAgain()
+    {
+        PoolFixture pool;
+        pool.store_.put("table", "a", "1");
+        std::size_t rows = 0;
+        int changes = 0;
+        TableFollower follower(pool.loop_, pool.store_, pool.clock_, pool.log_, "table", 500ms,
+            { [&rows](const std::vector<StoredRow>& all) { rows = all.size(); }, [&changes](const StoredRow&) { ++changes; }, nullptr });
+        follower.start();
+        CPPUNIT_ASSERT(pool.runUntil([&] { return follower.isLoaded(); }));
+        pool.store_.put("table", "b", "2");
+        CPPUNIT_ASSERT(pool.runUntil([&] { return changes == 1; }));
+        pool.store_.put("table", "c", "3");
+        pool.store_.dropHistory();
+        CPPUNIT_ASSERT(pool.runUntil([&] { return rows == 3; }));
+        CPPUNIT_ASSERT_EQUAL(2, pool.store_.fullReads("table"));
+    }
+
+    void leaseIsTakenOverAndGivenUp()
+    {
+        PoolFixture pool;
+        const auto first = pool.scheduler("a");
+        CPPUNIT_ASSERT(pool.runUntil([&] { return first->controller() != nullptr; }));
+        const auto second = pool.scheduler("b");
+        pool.runFor(500ms);
+        CPPUNIT_ASSERT(second->controller() == nullptr);
+        bool isReleased = false;
+        first->lease().release([&isReleased] { isReleased = true; });
+        CPPUNIT_ASSERT(pool.runUntil([&] { return isReleased && second->controller() != nullptr; }));
+        CPPUNIT_ASSERT(first->controller() == nullptr);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreTest);
