Let small instances take over in steps; forget ended jobs; let ample ones go first

Ruled out: the store and its rates; commits were answered in time. Change: links open twelve at a time; ended jobs leave the scheduler once stored; one pass for all reports that came together; reviews each 0.25 s; looks wait up to 2 s in large pools; an instance leaves a vacant lease to larger ones for up to 0.7 s.

--- a/src/libfescuecleat/node/instance.cpp
+++ b/src/libfescuecleat/node/instance.cpp
@@ -28,7 +28,7 @@
     : context_(context)
     , operator_(context.loop_, context.store_, context.clock_, context.log_, context.operatorFormat_.table(), operatorWait,
           { [this](const std::vector<StoredRow>& rows) { operatorRows(rows); }, [this](const StoredRow& row) { operatorRow(row); }, nullptr })
-    , lease_(context.loop_, context.store_, context.clock_, context.log_, context.settings_.instance_,
+    , lease_(context.loop_, context.store_, context.clock_, context.log_, context.settings_.instance_, context.settings_.processorShare_,
           { [this](const AcquiredLease& lease) { leaseAcquired(lease); }, [this](const std::string&) { leaseLost(); } })
     , directory_(context)
     , forwarder_(client, directory_)
--- a/src/libfescuecleat/node/instancesettings.cpp
+++ b/src/libfescuecleat/node/instancesettings.cpp
@@ -39,6 +39,7 @@
         settings.store_ = readEndpoint(json, "store");
         if (!json.value("advice", std::string()).empty())
             settings.advice_ = readEndpoint(json, "advice");
+        settings.processorShare_ = json.value("processorShare", 1.0);
         settings.maxWorkerLease_ = readSeconds(json, "maxWorkerLeaseSeconds");
         settings.revocationLimit_ = readSeconds(json, "revocationLimitSeconds");
         settings.stopLimit_ = readSeconds(json, "stopLimitSeconds");
--- a/src/libfescuecleat/node/instancesettings.h
+++ b/src/libfescuecleat/node/instancesettings.h
@@ -22,6 +22,8 @@
     Endpoint store_;
     /** The service that says which workers may run a step; no port: there is none. */
     Endpoint advice_;
+    /** The part of a processor that the instance has. */
+    double processorShare_ = 1;
     /** The longest lease that a worker grants. */
     Duration maxWorkerLease_ {};
     /** A key that was taken away must be refused this soon. */
--- a/src/libfescuecleat/node/jobrecorder.h
+++ b/src/libfescuecleat/node/jobrecorder.h
@@ -31,6 +31,8 @@
 
     /** The job's record has changed. */
     void markChanged(const std::string& job) { changed_.insert(job); }
+    /** The job has changed since its newest record was composed. */
+    bool hasPendingChange(const std::string& job) const { return changed_.count(job) > 0; }
     /** A row beside the records, written with the next commit. */
     void writeBeside(RowWrite write);
     /** Calls back when everything that has changed so far is stored. */
--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -21,6 +21,13 @@
     constexpr Duration formerLeaseSlack = std::chrono::milliseconds(500);
     /** The summary of waiting jobs is at most this old while it changes. */
     constexpr Duration summaryInterval = std::chrono::milliseconds(1000);
+    /** A look waits this long a worker of the pool, within bounds: progress is judged from looks, and looks cost processor time. */
+    constexpr Duration lookWaitPerWorker = std::chrono::milliseconds(6);
+    constexpr Duration minLookWait = std::chrono::milliseconds(1000);
+    constexpr Duration maxLookWait = std::chrono::milliseconds(2000);
+    /** Links opened at once, and the pause between: a small instance must find time to renew its lease meanwhile. */
+    constexpr std::size_t linksAtOnce = 12;
+    constexpr Duration linkPause = std::chrono::milliseconds(15);
     constexpr Duration minWake = std::chrono::milliseconds(1);
 
     std::string describeEnd(EndReason reason)
@@ -87,6 +94,7 @@
           { [this](const std::vector<StoredRow>& rows) { registryReset(rows); }, [this](const StoredRow& row) { registryRow(row); }, nullptr })
     , timer_(context.loop_)
     , formerHolderUntil_(lease.formerHolderUntil_)
+    , linkTimer_(context.loop_)
 {
     registry_.setPause(registryPause);
 }
@@ -152,7 +160,7 @@
 
 void PoolController::addJob(const std::string& id, const StoredRow& row)
 {
-    if (scheduler_.state().jobs_.count(id) > 0)
+    if (storedStates_.count(id) > 0)
         return;
     auto intake = decodeJobIntake(row.value_);
     if (!intake) {
@@ -237,10 +245,25 @@
     terms.maxLease_ = context_.settings_.maxWorkerLease_;
     const auto former = std::chrono::duration_cast<Duration>(context_.settings_.maxWorkerLease_ / (1 - clockDrift));
     terms.formerLeasesLapse_ = formerHolderUntil_ + former + formerLeaseSlack;
+    const auto wait = std::chrono::duration_cast<Duration>(lookWaitPerWorker * scheduler_.state().workers_.size());
+    terms.lookWait_ = std::clamp(wait, minLookWait, maxLookWait);
     auto link = std::make_unique<WorkerLink>(context_.loop_, context_.workers_, info, terms, linkListener(info.key_.id_));
-    WorkerLink& opened = *link;
     links_[info.key_.id_] = std::move(link);
-    opened.open();
+    linksToOpen_.push_back(info.key_.id_);
+    if (linksToOpen_.size() == 1)
+        linkTimer_.start(Duration::zero(), [this] { openQueuedLinks(); });
+}
+
+void PoolController::openQueuedLinks()
+{
+    for (std::size_t i = 0; i < linksAtOnce && !linksToOpen_.empty(); ++i) {
+        const auto link = links_.find(linksToOpen_.front());
+        linksToOpen_.pop_front();
+        if (link != links_.end())
+            link->second->open();
+    }
+    if (!linksToOpen_.empty())
+        linkTimer_.start(linkPause, [this] { openQueuedLinks(); });
 }
 
 WorkerLink* PoolController::findLink(const WorkerKey& key)
@@ -259,13 +282,12 @@
         std::int64_t last = 0;
         for (const ReportedEnd& end : report.ended_)
             last = std::max(last, end.sequence_);
+        noteDecisions();
         if (last > 0) {
-            decide();
             recorder_.whenStored([this, key = link.key(), last] {
                 if (WorkerLink* current = findLink(key))
                     current->endsStored(last);
             });
-            recorder_.flush();
         }
         wake();
     };
@@ -337,18 +359,20 @@
         scheduler_.schedule(now, unixMsNow());
         writeSummary();
     }
-    carryOut(scheduler_.takeDecisions());
+    noteDecisions();
+    recorder_.flush();
 }
 
-void PoolController::carryOut(const Decisions& decisions)
+void PoolController::noteDecisions()
 {
+    const Decisions decisions = scheduler_.takeDecisions();
     for (const StopDecision& stop : decisions.stops_) {
         context_.log_.write("run.stop", { { "job", stop.run_.task_.job_ }, { "task", toString(stop.run_.task_) }, { "run", stop.run_.number_ }, { "worker", stop.worker_.id_ }, { "cause", stop.cause_ } });
         if (WorkerLink* link = findLink(stop.worker_))
             link->stop(stop.run_);
     }
     if (decisions.changedJobs_.empty() && decisions.starts_.empty())
-        return recorder_.flush();
+        return;
     std::map<std::string, JobState> states;
     for (const std::string& job : decisions.changedJobs_) {
         recorder_.markChanged(job);
@@ -357,16 +381,22 @@
             states[job] = found->second.state_;
     }
     recorder_.whenStored([this, starts = decisions.starts_, states = std::move(states)] {
-        for (const auto& [job, state] : states) {
-            JobState& stored = storedStates_[job];
-            if (stored != state)
-                context_.log_.write("job.state", { { "job", job }, { "state", describeState(state) } });
-            stored = state;
-        }
+        for (const auto& [job, state] : states)
+            jobStored(job, state);
         for (const StartDecision& start : starts)
             sendStart(start);
     });
-    recorder_.flush();
+}
+
+void PoolController::jobStored(const std::string& job, JobState state)
+{
+    JobState& stored = storedStates_[job];
+    if (stored != state)
+        context_.log_.write("job.state", { { "job", job }, { "state", describeState(state) } });
+    stored = state;
+    // Ended jobs would slow each pass down; their state is kept. A record that is still to be composed needs the job.
+    if (isFinal(state) && !recorder_.hasPendingChange(job) && scheduler_.forgetJob(job))
+        payloads_.erase(job);
 }
 
 void PoolController::sendStart(const StartDecision& decision)
--- a/src/libfescuecleat/node/poolcontroller.h
+++ b/src/libfescuecleat/node/poolcontroller.h
@@ -10,6 +10,7 @@
 #include "node/workerlink.h"
 #include "pool/poolscheduler.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -54,6 +55,8 @@
     void registryRow(const StoredRow&);
     void registryReset(const std::vector<StoredRow>&);
     void openLink(const WorkerInfo&);
+    void openQueuedLinks();
+    void jobStored(const std::string& job, JobState);
     WorkerLink* findLink(const WorkerKey&);
     WorkerLink::Listener linkListener(const std::string& id);
     void dropIdleLinks();
@@ -61,7 +64,7 @@
     void wake();
     void pass();
     void decide();
-    void carryOut(const Decisions&);
+    void noteDecisions();
     void sendStart(const StartDecision&);
     void writeSummary();
     void logEnds(const WorkerReport&, const std::string& worker);
@@ -85,6 +88,9 @@
     std::map<std::string, std::string> payloads_;
     std::map<std::string, JobState> storedStates_;
     std::map<std::string, std::unique_ptr<WorkerLink>> links_;
+    /** Links that are still to be opened after a takeover, a few at a time. */
+    std::deque<std::string> linksToOpen_;
+    Timer linkTimer_;
     std::map<std::string, int> summary_;
     Time summaryAt_ {};
 };
--- a/src/libfescuecleat/node/schedulerlease.cpp
+++ b/src/libfescuecleat/node/schedulerlease.cpp
@@ -2,6 +2,7 @@
 
 #include "node/nodeclock.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace fescuecleat {
@@ -22,6 +23,17 @@
     constexpr Duration pollWait = std::chrono::milliseconds(1000);
     /** Candidates try at different times within this span. */
     constexpr int acquireSpreadMs = 80;
+    /** With this part of a processor an instance schedules some 350 workers with ease; a smaller one lets others go first. */
+    constexpr double amplePart = 0.45;
+    /** How much later an instance with next to no processor tries. */
+    constexpr double longestCourtesyMs = 700;
+
+    Duration courtesyOf(const std::string& instance, double processorShare)
+    {
+        const auto spread = static_cast<std::int64_t>(std::hash<std::string>()(instance) % acquireSpreadMs);
+        const double lack = std::clamp((amplePart - processorShare) / amplePart, 0.0, 1.0);
+        return std::chrono::milliseconds(spread + static_cast<std::int64_t>(lack * longestCourtesyMs));
+    }
 
     std::string encodeLease(const LeaseRecord& lease)
     {
@@ -45,12 +57,13 @@
     return std::to_string(epoch) + ":" + std::to_string(sequence);
 }
 
-SchedulerLease::SchedulerLease(boost::asio::io_context& context, RowStore& store, StoreClock& clock, EventLog& log, std::string instance, Listener listener)
+SchedulerLease::SchedulerLease(boost::asio::io_context& context, RowStore& store, StoreClock& clock, EventLog& log, std::string instance, double processorShare, Listener listener)
     : context_(context)
     , store_(store)
     , clock_(clock)
     , log_(log)
     , instance_(std::move(instance))
+    , courtesy_(courtesyOf(instance_, processorShare))
     , listener_(std::move(listener))
     , follower_(context, store, clock, log, leaseTable, pollWait,
           { [this](const std::vector<StoredRow>& rows) {
@@ -117,8 +130,7 @@
     if (now - follower_.provenAt() > 2 * pollWait)
         return;
     isWriting_ = true;
-    const auto spread = std::hash<std::string>()(instance_) % acquireSpreadMs;
-    timer_.start(std::chrono::milliseconds(spread), [this] {
+    timer_.start(courtesy_, [this] {
         isWriting_ = false;
         if (isVacant(bootTimeNow()))
             acquire();
--- a/src/libfescuecleat/node/schedulerlease.h
+++ b/src/libfescuecleat/node/schedulerlease.h
@@ -44,7 +44,7 @@
         std::function<void(const std::string& cause)> lost_;
     };
 
-    SchedulerLease(boost::asio::io_context&, RowStore&, StoreClock&, EventLog&, std::string instance, Listener);
+    SchedulerLease(boost::asio::io_context&, RowStore&, StoreClock&, EventLog&, std::string instance, double processorShare, Listener);
 
     void start();
     /** Gives the lease up; `done` is called when the store has confirmed it, or can't. */
@@ -74,6 +74,8 @@
     StoreClock& clock_;
     EventLog& log_;
     std::string instance_;
+    /** How long this instance leaves a vacant lease to others. */
+    Duration courtesy_;
     Listener listener_;
     TableFollower follower_;
     Timer timer_;
--- a/src/libfescuecleat/node/workerlink.cpp
+++ b/src/libfescuecleat/node/workerlink.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-    /** How long a look waits for an end. */
-    constexpr Duration lookWait = std::chrono::milliseconds(1000);
     /** What a look may take beyond its wait. */
     constexpr Duration lookSlack = std::chrono::milliseconds(600);
     constexpr Duration lookRetryDelay = std::chrono::milliseconds(300);
@@ -73,7 +71,7 @@
     HoldOrder order;
     order.fence_ = terms_.fence_;
     order.seenEnds_ = storedEnds_;
-    order.wait_ = isPatient ? lookWait : Duration::zero();
+    order.wait_ = isPatient ? terms_.lookWait_ : Duration::zero();
     if (isClockKnown_)
         order.leaseUntilMs_ = leaseEnd();
     const Time askedAt = bootTimeNow();
--- a/src/libfescuecleat/node/workerlink.h
+++ b/src/libfescuecleat/node/workerlink.h
@@ -38,6 +38,8 @@
         Duration maxLease_ {};
         /** Leases granted by former schedulers have lapsed by then. */
         Time formerLeasesLapse_ {};
+        /** How long a look waits for an end. */
+        Duration lookWait_ {};
     };
 
     WorkerLink(boost::asio::io_context&, WorkerClient&, WorkerInfo, Terms, Listener);
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -20,6 +20,8 @@
     constexpr Duration startPatience = std::chrono::milliseconds(1500);
     /** A stop without a confirmation for this long is asked for again. */
     constexpr Duration stopPatience = std::chrono::milliseconds(1000);
+    /** Looks at workers come each second, so more reviews would show nothing new. */
+    constexpr Duration reviewInterval = std::chrono::milliseconds(250);
     /** Between two looks at what depends on time alone. */
     constexpr Duration longestSleep = std::chrono::seconds(1);
 
@@ -425,7 +427,10 @@
 void PoolScheduler::schedule(Time now, std::int64_t unixMs)
 {
     breakStalledStarts(now);
-    HealthReview(state_, now).run();
+    if (now >= reviewDue_) {
+        HealthReview(state_, now).run();
+        reviewDue_ = now + reviewInterval;
+    }
     for (auto& [id, job] : state_.jobs_) {
         if (job.isOpen())
             openUnits(job, unixMs, now);
--- a/src/libfescuecleat/pool/poolscheduler.h
+++ b/src/libfescuecleat/pool/poolscheduler.h
@@ -76,6 +76,7 @@
     void endJob(Job&, JobState, const std::string& cause, Time now);
 
     PoolState state_;
+    Time reviewDue_ {};
 };
 
 }
--- a/tests/node/poolcontrollertest.cpp
+++ b/tests/node/poolcontrollertest.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(holderKilledBetweenRecordAndStart);
     CPPUNIT_TEST(holderKilledWhileTasksRun);
     CPPUNIT_TEST(allSchedulersKilledAtOnce);
+    CPPUNIT_TEST(endedGangStaysEnded);
     CPPUNIT_TEST(formerHolderStartsNothing);
     CPPUNIT_TEST(commitWithoutAnswerIsFoundOut);
     CPPUNIT_TEST(lateCommitOfAFormerHolderDoesNotLand);
@@ -163,6 +164,36 @@
         CPPUNIT_ASSERT(pool.runUntil([&] { return pool.recordedState(jobId) == JobState::Completed; }));
     }
 
+    /** The ends of a gang's members come one by one, while the record of the first is on its way. */
+    void endedGangStaysEnded()
+    {
+        PoolFixture pool;
+        for (const char* id : { "w1", "w2", "w3", "w4" })
+            pool.addWorker(id);
+        auto first = pool.scheduler("a");
+        pool.submit(jobId, gang(4));
+        CPPUNIT_ASSERT(pool.runUntil([&] {
+            return pool.workers_.beginsOf(task(0)) + pool.workers_.beginsOf(task(1)) + pool.workers_.beginsOf(task(2)) + pool.workers_.beginsOf(task(3)) == 4;
+        }));
+        pool.runFor(50ms);
+        for (const char* id : { "w1", "w2", "w3", "w4" }) {
+            const std::map<TaskId, int> running = pool.workers_.worker(id).running_;
+            for (const auto& [name, run] : running)
+                pool.workers_.finish(id, name, EndReason::Done);
+            pool.loop_.restart();
+            pool.loop_.poll_one();
+            pool.loop_.poll_one();
+        }
+        CPPUNIT_ASSERT(pool.runUntil([&] { return pool.recordedState(jobId) == JobState::Completed; }));
+        pool.runFor(300ms);
+        CPPUNIT_ASSERT(pool.recordedState(jobId) == JobState::Completed);
+        first.reset();
+        const auto second = pool.scheduler("b");
+        CPPUNIT_ASSERT(pool.runUntil([&] { return second->controller() != nullptr; }));
+        pool.runFor(300ms);
+        CPPUNIT_ASSERT_EQUAL(1, pool.workers_.beginsOf(task(0)));
+    }
+
     void allSchedulersKilledAtOnce()
     {
         PoolFixture pool;
--- a/tests/node/poolfixture.cpp
+++ b/tests/node/poolfixture.cpp
@@ -33,7 +33,7 @@
 
 SchedulerUnderTest::SchedulerUnderTest(const NodeContext& context, std::string instance)
     : context_(context)
-    , lease_(context.loop_, context.store_, context.clock_, context.log_, std::move(instance),
+    , lease_(context.loop_, context.store_, context.clock_, context.log_, std::move(instance), 1.0,
           { [this](const AcquiredLease& lease) {
                controller_ = std::make_unique<PoolController>(context_, lease,
                    PoolController::Listener { [this] { return lease_.isHeld(bootTimeNow()); }, [this](const std::string& cause) { lease_.giveUp(cause); } });
