--- a/src/libfescuecleat/node/eventlog.cpp
+++ b/src/libfescuecleat/node/eventlog.cpp
@@ -10,7 +10,7 @@
 namespace {
 
     /** Bytes of lines that wait for the reader. */
-    constexpr std::size_t maxQueuedBytes = 256 * 1024;
+    constexpr std::size_t maxQueuedBytes = std::size_t(256) * 1024;
 
 }
 
--- a/src/libfescuecleat/node/jobrecorder.cpp
+++ b/src/libfescuecleat/node/jobrecorder.cpp
@@ -9,7 +9,7 @@
     /** The store takes 100 entries a transaction; the chain takes two of them. */
     constexpr std::size_t maxRecords = 90;
     /** The store takes 1 MB a transaction; values grow by a third on the wire. */
-    constexpr std::size_t maxBytes = 600 * 1024;
+    constexpr std::size_t maxBytes = std::size_t(600) * 1024;
     constexpr Duration commitTimeLimit = std::chrono::milliseconds(1500);
     constexpr Duration retryDelay = std::chrono::milliseconds(100);
 
--- a/src/libfescuecleat/node/schedulerlease.cpp
+++ b/src/libfescuecleat/node/schedulerlease.cpp
@@ -143,7 +143,7 @@
     return !seen_ || seen_->untilMs_ <= clock_.earliest(now) || (seen_->holder_ == instance_ && epoch_ == 0);
 }
 
-void SchedulerLease::write(LeaseRecord lease, bool isNew, std::function<void(tl::expected<StoreMoment, StoreFailure>)> handler)
+void SchedulerLease::write(const LeaseRecord& lease, bool isNew, std::function<void(tl::expected<StoreMoment, StoreFailure>)> handler)
 {
     isWriting_ = true;
     RowTransaction transaction;
--- a/src/libfescuecleat/node/schedulerlease.h
+++ b/src/libfescuecleat/node/schedulerlease.h
@@ -65,7 +65,7 @@
     void acquire();
     void renew();
     void scheduleRenewal();
-    void write(LeaseRecord, bool isNew, std::function<void(tl::expected<StoreMoment, StoreFailure>)>);
+    void write(const LeaseRecord&, bool isNew, std::function<void(tl::expected<StoreMoment, StoreFailure>)>);
     void lose(const std::string& cause);
     void watch();
 
--- a/tests/pool/patternstest.cpp
+++ b/tests/pool/patternstest.cpp
@@ -53,6 +53,7 @@
             pool.submit(tasksOf(16, 20s), 2);
         pool.advance(1s);
         std::vector<std::string> urgent;
+        urgent.reserve(32);
         for (int i = 0; i < 8; ++i)
             urgent.push_back(pool.submit(gangOf(3, 4, 2500ms), 0));
         pool.advance(4s);
@@ -75,6 +76,7 @@
         pool.advance(1s);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(64), pool.usedAccelerators());
         std::vector<std::string> reclaiming;
+        reclaiming.reserve(32);
         for (int i = 0; i < 4; ++i)
             reclaiming.push_back(pool.submit(gangOf(1, 8, 2500ms), 0, "a"));
         pool.advance(2700ms);
@@ -219,6 +221,7 @@
         pool.addWorkers(8, 8, worker);
         pool.worker(2).fails_ = true;
         std::vector<std::string> jobs;
+        jobs.reserve(32);
         for (int i = 0; i < 20; ++i) {
             jobs.push_back(pool.submit(gangOf(2, 4, 2s), 1));
             pool.advance(700ms);
@@ -248,6 +251,7 @@
         VirtualPool pool;
         pool.addWorkers(8, 8, worker);
         std::vector<std::string> cancelled;
+        cancelled.reserve(32);
         for (int i = 0; i < 8; ++i)
             cancelled.push_back(pool.submit(gangOf(1, 8, 60s), 1));
         const std::string waiting = pool.submit(gangOf(8, 8, 2s), 1);
