--- a/src/libfescuecleat/node/calleredge.cpp
+++ b/src/libfescuecleat/node/calleredge.cpp
@@ -123,6 +123,8 @@
 
 void CallerEdge::submit(const CallPointer& call)
 {
+    if (call->queue_->needsAdvice_)
+        return refuse(call, 503, "queues with advice are not served");
     Result<JobSpec> spec = context_.callerFormat_.decodeJob(call->request_.body_);
     if (!spec)
         return answer(call, 400, problem(spec.error().message_), "malformed job");
--- a/src/libfescuecleat/pool/schedulingpass.cpp
+++ b/src/libfescuecleat/pool/schedulingpass.cpp
@@ -89,7 +89,7 @@
 {
     std::vector<Candidate> result;
     for (auto& [id, job] : state_.jobs_) {
-        if (!job.isOpen() || job.policy_.needsAdvice_)
+        if (!job.isOpen())
             continue;
         const int rank = rankOf(job);
         const bool isHopeless = now_ > job.worthlessAfter();
--- a/tests/node/storetest.cpp
+++ b/tests/node/storetest.cpp
@@ -30,6 +30,10 @@
         queue.prefix_ = "/keyed/";
         queue.isPublic_ = false;
         configuration->queues_.push_back(queue);
+        queue.prefix_ = "/advised/";
+        queue.isPublic_ = true;
+        queue.needsAdvice_ = true;
+        configuration->queues_.push_back(queue);
         configuration->organisations_.push_back({ "org", { "secret" }, 0 });
         configuration_ = configuration;
         touchStore();
@@ -141,6 +145,8 @@
         CPPUNIT_ASSERT_EQUAL(404, edge.call("POST", "/other/" + std::string(jobId)).status_);
         CPPUNIT_ASSERT_EQUAL(400, edge.call("POST", "/q/short").status_);
         CPPUNIT_ASSERT_EQUAL(400, edge.call("POST", path, "bad").status_);
+        // What would never be scheduled is not accepted.
+        CPPUNIT_ASSERT_EQUAL(503, edge.call("POST", "/advised/" + std::string(jobId)).status_);
         CPPUNIT_ASSERT_EQUAL(405, edge.call("PATCH", path).status_);
         CPPUNIT_ASSERT_EQUAL(401, edge.call("POST", "/keyed/" + std::string(jobId)).status_);
         CPPUNIT_ASSERT_EQUAL(200, edge.call("POST", "/keyed/" + std::string(jobId), "{}", "secret").status_);
