--- a/src/libfescuecleat/base/time.h
+++ b/src/libfescuecleat/base/time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace fescuecleat {
 
@@ -19,6 +20,12 @@
     return deadline > now ? deadline - now : Duration::zero();
 }
 
+/** Whole milliseconds, rounded down, as they stand on a wire or in a log. */
+inline std::int64_t wholeMilliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 /** The local monotonic clock. Only shells call this; decision cores are given the time. */
 inline Time monotonicNow()
 {
--- a/src/libfescuecleat/net/httpclient.cpp
+++ b/src/libfescuecleat/net/httpclient.cpp
@@ -147,13 +147,4 @@
     connection->start(std::move(call), timeLimit, std::move(handler));
 }
 
-void HttpClient::forget(const Endpoint& endpoint)
-{
-    for (auto it = idle_.lower_bound(Key(endpoint, {})); it != idle_.end() && it->first.first == endpoint;) {
-        for (const auto& connection : it->second)
-            connection->close();
-        it = idle_.erase(it);
-    }
-}
-
 }
--- a/src/libfescuecleat/net/httpclient.h
+++ b/src/libfescuecleat/net/httpclient.h
@@ -32,8 +32,6 @@
 
     /** Calls the peer. `lane` keeps long calls and short ones on connections of their own. */
     void call(const Endpoint&, const std::string& lane, HttpCall, Duration timeLimit, Handler);
-    /** Closes the idle connections to a peer that is gone. */
-    void forget(const Endpoint&);
 
     std::uint64_t connectionsOpened() const { return connectionsOpened_; }
 
--- a/src/libfescuecleat/net/httpserver.h
+++ b/src/libfescuecleat/net/httpserver.h
@@ -44,7 +44,6 @@
     void stopListening();
 
     std::size_t requestsInProgress() const { return requestsInProgress_; }
-    std::size_t connections() const { return sessions_.size(); }
 
 private:
     friend class HttpSession;
--- a/src/libfescuecleat/node/calleredge.cpp
+++ b/src/libfescuecleat/node/calleredge.cpp
@@ -206,29 +206,31 @@
 }
 
 void CallerEdge::statusFromIntake(const CallPointer& call)
+{
+    readIntake(call, [this, call](const std::vector<StoredRow>& rows) {
+        answer(call, 200, context_.callerFormat_.encodeState(rows.size() > 1 ? JobState::Cancelled : JobState::Queued), "from the intake");
+    });
+}
+
+void CallerEdge::readIntake(const CallPointer& call, std::function<void(const std::vector<StoredRow>&)> use)
 {
     const Duration limit = std::min(storeAttempt, remaining(call->deadline_, bootTimeNow()));
-    context_.store_.read(intakeTable, call->job_, boundAfter(cancelKey(call->job_)), limit, lifetime_.guard([this, call](const tl::expected<RowPage, StoreFailure>& page) {
+    context_.store_.read(intakeTable, call->job_, boundAfter(cancelKey(call->job_)), limit, lifetime_.guard([this, call, use = std::move(use)](const tl::expected<RowPage, StoreFailure>& page) {
         if (!page)
             return forward(call);
         if (page->rows_.empty())
             return answer(call, 410, problem("no such job"), "no such job");
-        answer(call, 200, context_.callerFormat_.encodeState(page->rows_.size() > 1 ? JobState::Cancelled : JobState::Queued), "from the intake");
+        use(page->rows_);
     }));
 }
 
 void CallerEdge::cancel(const CallPointer& call)
 {
-    const Duration limit = std::min(storeAttempt, remaining(call->deadline_, bootTimeNow()));
-    context_.store_.read(intakeTable, call->job_, boundAfter(cancelKey(call->job_)), limit, lifetime_.guard([this, call](const tl::expected<RowPage, StoreFailure>& page) {
-        if (!page)
-            return forward(call);
-        if (page->rows_.empty())
-            return answer(call, 410, problem("no such job"), "no such job");
-        if (page->rows_.size() > 1)
+    readIntake(call, [this, call](const std::vector<StoredRow>& rows) {
+        if (rows.size() > 1)
             return answer(call, 200, "{}", "cancelled already");
-        sendCancellation(call, page->rows_.front().version_);
-    }));
+        sendCancellation(call, rows.front().version_);
+    });
 }
 
 void CallerEdge::sendCancellation(const CallPointer& call, std::uint64_t jobVersion)
@@ -295,7 +297,7 @@
 {
     ++answersByStatus_[status];
     if (status != 200 || call->request_.method_ != "GET") {
-        const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(bootTimeNow() - call->startedAt_).count();
+        const auto took = wholeMilliseconds(bootTimeNow() - call->startedAt_);
         context_.log_.write("call.answered", { { "job", call->job_ }, { "method", call->request_.method_ }, { "status", status }, { "cause", cause }, { "tookMs", took }, { "organisation", call->organisation_ }, { "configuration", call->configuration_ ? call->configuration_->version_ : 0 } });
     }
     HttpResponse response;
--- a/src/libfescuecleat/node/calleredge.h
+++ b/src/libfescuecleat/node/calleredge.h
@@ -49,6 +49,8 @@
     void submissionFailed(const CallPointer&, const StoreFailure&);
     void status(const CallPointer&);
     void statusFromIntake(const CallPointer&);
+    /** Hands over the job's row, and behind it the cancel row if there is one. */
+    void readIntake(const CallPointer&, std::function<void(const std::vector<StoredRow>&)>);
     void cancel(const CallPointer&);
     void sendCancellation(const CallPointer&, std::uint64_t jobVersion);
     void waiting(const CallPointer&);
--- a/src/libfescuecleat/node/instancesettings.cpp
+++ b/src/libfescuecleat/node/instancesettings.cpp
@@ -37,8 +37,6 @@
         settings.readiness_ = readEndpoint(json, "readiness");
         settings.peers_ = readEndpoint(json, "peers");
         settings.store_ = readEndpoint(json, "store");
-        if (!json.value("advice", std::string()).empty())
-            settings.advice_ = readEndpoint(json, "advice");
         settings.processorShare_ = json.value("processorShare", 1.0);
         settings.maxWorkerLease_ = readSeconds(json, "maxWorkerLeaseSeconds");
         settings.revocationLimit_ = readSeconds(json, "revocationLimitSeconds");
--- a/src/libfescuecleat/node/instancesettings.h
+++ b/src/libfescuecleat/node/instancesettings.h
@@ -20,8 +20,6 @@
     /** Calls of other instances, and metrics. */
     Endpoint peers_;
     Endpoint store_;
-    /** The service that says which workers may run a step; no port: there is none. */
-    Endpoint advice_;
     /** The part of a processor that the instance has. */
     double processorShare_ = 1;
     /** The longest lease that a worker grants. */
--- a/src/libfescuecleat/node/jobrecorder.h
+++ b/src/libfescuecleat/node/jobrecorder.h
@@ -40,9 +40,6 @@
     /** Begins a commit unless one is on its way. */
     void flush();
 
-    bool isIdle() const { return !isCommitting_ && changed_.empty(); }
-    std::uint64_t commits() const { return sequence_; }
-
     static constexpr const char* table = "records";
 
 private:
--- a/src/libfescuecleat/node/nodeclock.cpp
+++ b/src/libfescuecleat/node/nodeclock.cpp
@@ -22,7 +22,7 @@
 
 std::int64_t unixMsNow()
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(readClock(CLOCK_REALTIME)).count();
+    return wholeMilliseconds(readClock(CLOCK_REALTIME));
 }
 
 }
--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -15,8 +15,6 @@
     constexpr Duration registryPause = std::chrono::milliseconds(400);
     constexpr Duration readTimeLimit = std::chrono::milliseconds(1500);
     constexpr Duration readRetryDelay = std::chrono::milliseconds(100);
-    /** A worker's clock may be this much slower than ours. */
-    constexpr double clockDrift = 0.02;
     /** Added to leases of former schedulers, for orders on their way. */
     constexpr Duration formerLeaseSlack = std::chrono::milliseconds(500);
     /** The summary of waiting jobs is at most this old while it changes. */
@@ -171,7 +169,7 @@
     const auto record = records_.find(id);
     const JobRecord* const stored = record == records_.end() ? nullptr : &record->second;
     const Time submittedAt = std::min(now, context_.clock_.localTime(intake->submittedMs_, now));
-    context_.log_.write("job.seen", { { "job", id }, { "version", row.version_ }, { "queue", intake->policy_.queue_ }, { "organisation", intake->policy_.organisation_ }, { "ageMs", std::chrono::duration_cast<std::chrono::milliseconds>(now - submittedAt).count() }, { "state", stored == nullptr ? "new" : describeState(stored->state_) } });
+    context_.log_.write("job.seen", { { "job", id }, { "version", row.version_ }, { "queue", intake->policy_.queue_ }, { "organisation", intake->policy_.organisation_ }, { "ageMs", wholeMilliseconds(now - submittedAt) }, { "state", stored == nullptr ? "new" : describeState(stored->state_) } });
     storedStates_[id] = stored == nullptr ? JobState::Queued : stored->state_;
     payloads_[id] = intake->spec_.payload_;
     intake->spec_.payload_.clear();
@@ -243,7 +241,7 @@
     WorkerLink::Terms terms;
     terms.fence_ = epoch_;
     terms.maxLease_ = context_.settings_.maxWorkerLease_;
-    const auto former = std::chrono::duration_cast<Duration>(context_.settings_.maxWorkerLease_ / (1 - clockDrift));
+    const auto former = std::chrono::duration_cast<Duration>(context_.settings_.maxWorkerLease_ / (1 - workerClockDrift));
     terms.formerLeasesLapse_ = formerHolderUntil_ + former + formerLeaseSlack;
     const auto wait = std::chrono::duration_cast<Duration>(lookWaitPerWorker * scheduler_.state().workers_.size());
     terms.lookWait_ = std::clamp(wait, minLookWait, maxLookWait);
--- a/src/libfescuecleat/node/schedulerlease.cpp
+++ b/src/libfescuecleat/node/schedulerlease.cpp
@@ -58,8 +58,7 @@
 }
 
 SchedulerLease::SchedulerLease(boost::asio::io_context& context, RowStore& store, StoreClock& clock, EventLog& log, std::string instance, double processorShare, Listener listener)
-    : context_(context)
-    , store_(store)
+    : store_(store)
     , clock_(clock)
     , log_(log)
     , instance_(std::move(instance))
--- a/src/libfescuecleat/node/schedulerlease.h
+++ b/src/libfescuecleat/node/schedulerlease.h
@@ -69,7 +69,6 @@
     void lose(const std::string& cause);
     void watch();
 
-    boost::asio::io_context& context_;
     RowStore& store_;
     StoreClock& clock_;
     EventLog& log_;
--- a/src/libfescuecleat/node/storeclock.cpp
+++ b/src/libfescuecleat/node/storeclock.cpp
@@ -4,11 +4,6 @@
 
 namespace {
 
-    std::int64_t milliseconds(Duration duration)
-    {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-    }
-
     /** An estimate as old as this is replaced by any newer one. */
     constexpr Duration maxAge = std::chrono::seconds(5);
 
@@ -28,12 +23,12 @@
 
 std::int64_t StoreClock::earliest(Time now) const
 {
-    return clockMs_ + milliseconds(now - answeredAt_);
+    return clockMs_ + wholeMilliseconds(now - answeredAt_);
 }
 
 std::int64_t StoreClock::latest(Time now) const
 {
-    return clockMs_ + milliseconds(now - askedAt_) + 1;
+    return clockMs_ + wholeMilliseconds(now - askedAt_) + 1;
 }
 
 Time StoreClock::localTime(std::int64_t storeMs, Time now) const
--- a/src/libfescuecleat/node/workerclient.h
+++ b/src/libfescuecleat/node/workerclient.h
@@ -14,6 +14,9 @@
 
 namespace fescuecleat {
 
+/** A worker's clock may be this much slower than ours. */
+constexpr double workerClockDrift = 0.02;
+
 enum class WorkerFailure {
     /** No answer: the order may be carried out, now or later. */
     NoAnswer,
--- a/src/libfescuecleat/node/workerlink.cpp
+++ b/src/libfescuecleat/node/workerlink.cpp
@@ -17,16 +17,9 @@
     constexpr std::size_t maxOrdersInFlight = 4;
     /** The part of the longest lease that is asked for. */
     constexpr double leaseShare = 1.0;
-    /** A worker's clock may be this much slower than ours. */
-    constexpr double clockDrift = 0.02;
     /** Added to the end of a lease before it counts as lapsed. */
     constexpr Duration lapseSlack = std::chrono::milliseconds(200);
 
-    std::int64_t milliseconds(Duration duration)
-    {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-    }
-
 }
 
 WorkerLink::WorkerLink(boost::asio::io_context& context, WorkerClient& client, WorkerInfo info, Terms terms, Listener listener)
@@ -53,8 +46,8 @@
     if (!isReachable_ && grantedUntilMs_ > 0)
         return grantedUntilMs_;
     const auto grant = std::chrono::duration_cast<Duration>(terms_.maxLease_ * leaseShare);
-    const std::int64_t end = clockMs_ + milliseconds(bootTimeNow() - clockAt_) + milliseconds(grant);
-    const auto left = std::chrono::milliseconds(static_cast<std::int64_t>(static_cast<double>(end - clockMs_) / (1 - clockDrift)));
+    const std::int64_t end = clockMs_ + wholeMilliseconds(bootTimeNow() - clockAt_) + wholeMilliseconds(grant);
+    const auto left = std::chrono::milliseconds(static_cast<std::int64_t>(static_cast<double>(end - clockMs_) / (1 - workerClockDrift)));
     lapseAt_ = std::max<Time>(lapseAt_, clockAt_ + left + lapseSlack);
     grantedUntilMs_ = std::max(grantedUntilMs_, end);
     return end;
--- a/src/libfescuecleat/node/workerlink.h
+++ b/src/libfescuecleat/node/workerlink.h
@@ -47,7 +47,6 @@
     void open() { hold(false); }
     void update(const WorkerInfo&);
     const WorkerKey& key() const { return info_.key_; }
-    bool isReachable() const { return isReachable_; }
 
     void start(StartOrder);
     void stop(const RunId&);
--- a/src/libfescuecleat/pool/healthreview.h
+++ b/src/libfescuecleat/pool/healthreview.h
@@ -20,7 +20,7 @@
 private:
     using UnitName = std::pair<std::string, std::size_t>;
 
-    /** Tasks of one step are alike but for their length. */
+    /** Job, occurrence and step: tasks of one step are alike but for their length. */
     using StepName = std::pair<std::string, std::pair<int, int>>;
 
     bool isMeasured(const TaskRun&, const StepSpec&) const;
--- a/tests/node/fakerowstore.cpp
+++ b/tests/node/fakerowstore.cpp
@@ -29,7 +29,7 @@
 StoreMoment FakeRowStore::moment() const
 {
     const Time now = bootTimeNow();
-    return { version_, std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count(), now, now };
+    return { version_, wholeMilliseconds(now.time_since_epoch()), now, now };
 }
 
 tl::expected<StoreMoment, StoreFailure> FakeRowStore::apply(const RowTransaction& transaction)
--- a/tests/node/fakeworkers.cpp
+++ b/tests/node/fakeworkers.cpp
@@ -17,7 +17,7 @@
     Worker& worker = workers_[id];
     WorkerReport report;
     report.bornUnixMs_ = worker.born_;
-    report.clockMs_ = std::chrono::duration_cast<std::chrono::milliseconds>(bootTimeNow().time_since_epoch()).count();
+    report.clockMs_ = wholeMilliseconds(bootTimeNow().time_since_epoch());
     for (const auto& [task, run] : worker.running_)
         report.running_.push_back({ { task, run }, "", 10 });
     for (const ReportedEnd& end : worker.ended_) {
--- a/tests/node/poolfixture.cpp
+++ b/tests/node/poolfixture.cpp
@@ -82,7 +82,7 @@
     intake.policy_.service_ = "service";
     intake.policy_.maxAttempts_ = 3;
     intake.spec_.steps_.push_back(step);
-    intake.submittedMs_ = std::chrono::duration_cast<std::chrono::milliseconds>(bootTimeNow().time_since_epoch()).count();
+    intake.submittedMs_ = wholeMilliseconds(bootTimeNow().time_since_epoch());
     store_.put(intakeTable, id, encodeJobIntake(intake));
 }
 
