--- a/tests/pool/patternstest.cpp
+++ b/tests/pool/patternstest.cpp
@@ -18,6 +18,7 @@
 Duration startPercentile(const VirtualPool& pool, const std::vector<std::string>& jobs, double share)
 {
     std::vector<Duration> times;
+    times.reserve(jobs.size());
     for (const std::string& job : jobs)
         times.push_back(pool.timeToStart(job).value_or(Duration::max()));
     std::sort(times.begin(), times.end());
