--- a/tests/node/fakeworkers.h
+++ b/tests/node/fakeworkers.h
@@ -41,7 +41,7 @@
     void loseStartAnswers(int count, bool isLate);
     /** Carries late starts out; says how many runs began. */
     int carryOutLate();
-    /** The next starts don't arrive at all. */
+    /** Starts that arrived, lost answers and repeats included. */
     int startsSeen() const { return startsSeen_; }
     /** How often a task was begun, over all workers. */
     int beginsOf(const TaskId& task) const;
