Keep idle workers free for the next wave of urgent gangs

Room that a wave gave back was filled with ordinary work at once and taken back from it seconds later. Change: idle workers are kept for the peak that urgent work held in the last 12 s and three more, a fifth of the pool at most; ordinary work whose latest start comes near may use them. Work lost by a preemption is also judged from progress, since a scheduler that took over knows no start times.

--- a/src/libfescuecleat/pool/placementview.cpp
+++ b/src/libfescuecleat/pool/placementview.cpp
@@ -36,7 +36,7 @@
 
 std::int64_t PlacementView::fitting(const Slot& slot, const PlacementRequest& request, RoomKind kind, std::int64_t limit) const
 {
-    if (!isEligible(slot, request))
+    if (!isEligible(slot, request) || (slot.isHeadroom_ && !request.mayUseHeadroom_))
         return 0;
     if (request.step_->maxTasksPerWorker_ > 0) {
         const auto there = request.tasksThere_.find(slot.worker_->info_.key_);
@@ -166,6 +166,25 @@
     addSoon(worker, Resources {} - resources);
 }
 
+void PlacementView::keepHeadroom(std::size_t workers)
+{
+    std::vector<std::pair<std::int64_t, const std::vector<std::size_t>*>> racks;
+    for (const auto& [rack, members] : racks_)
+        racks.emplace_back(-rackRooms_.at(rack).free_, &members);
+    std::sort(racks.begin(), racks.end());
+    for (const auto& [room, members] : racks) {
+        for (const std::size_t index : *members) {
+            if (workers == 0)
+                return;
+            Slot& slot = slots_[index];
+            if (!slot.worker_->runs_.empty() || slot.isAvoided_)
+                continue;
+            slot.isHeadroom_ = true;
+            --workers;
+        }
+    }
+}
+
 void PlacementView::reserveRack(const PlacementRequest& request)
 {
     const std::vector<std::size_t>* best = nullptr;
--- a/src/libfescuecleat/pool/placementview.h
+++ b/src/libfescuecleat/pool/placementview.h
@@ -23,6 +23,8 @@
     std::set<std::string> disliked_;
     /** A gang that wants one rack may be spread over several. */
     bool maySpanRacks_ = false;
+    /** Workers kept free for urgent work may be used. */
+    bool mayUseHeadroom_ = true;
 };
 
 /** Room that counts for a placement. */
@@ -47,6 +49,8 @@
     void addSoon(const WorkerState*, const Resources&);
     /** Undoes addSoon. */
     void removeSoon(const WorkerState*, const Resources&);
+    /** Keeps so many idle workers, of the emptiest racks, for requests that may use the headroom. */
+    void keepHeadroom(std::size_t workers);
     /** Keeps the rack that comes closest to holding the request from all that is placed later in the pass. */
     void reserveRack(const PlacementRequest&);
 
@@ -64,6 +68,7 @@
         Resources soon_;
         bool isAvoided_;
         const std::string* rack_;
+        bool isHeadroom_ = false;
     };
     /** Free accelerators of a rack, both kinds. */
     struct RackRoom {
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -84,6 +84,7 @@
             }
             if (!stored.placements_.empty() && !stored.isDone_) {
                 unit.state_ = UnitState::Active;
+                unit.startedAt_ = now;
                 if (static_cast<int>(stored.placements_.size()) < unit.taskCount_)
                     breakRun(job, i, "part of the gang had ended", now);
             }
--- a/src/libfescuecleat/pool/poolstate.h
+++ b/src/libfescuecleat/pool/poolstate.h
@@ -3,6 +3,7 @@
 #include "pool/decisions.h"
 #include "pool/job.h"
 #include "pool/taskrun.h"
+#include "pool/urgentdemand.h"
 #include "pool/workerstate.h"
 
 #include <cstdint>
@@ -20,6 +21,7 @@
     std::set<std::string> closedDataCentres_;
     /** Accelerators guaranteed to each organisation. */
     std::map<std::string, std::int64_t> guarantees_;
+    UrgentDemand urgentDemand_;
     Decisions decisions_;
 
     Job* findJob(const std::string& id);
--- a/src/libfescuecleat/pool/schedulingpass.cpp
+++ b/src/libfescuecleat/pool/schedulingpass.cpp
@@ -13,6 +13,12 @@
     constexpr double coresPerAccelerator = 8;
     /** Work that is lost at most when a task stops that saves its progress. */
     constexpr double checkpointLossSeconds = 1.0;
+    /** Idle workers kept for urgent work beyond its expected rise: room for one gang of usual size. */
+    constexpr std::size_t spareWorkers = 3;
+    /** At most this part of the pool is kept for urgent work. */
+    constexpr double mostHeadroom = 0.2;
+    /** Ordinary work whose latest start is nearer than this uses the headroom too. */
+    constexpr Duration headroomPatience = std::chrono::seconds(3);
     /** Gangs without room for which a rack is kept free in one pass. */
     constexpr int reservedGangs = 1;
 
@@ -33,6 +39,7 @@
 void SchedulingPass::run()
 {
     rankJobs();
+    keepHeadroom();
     int reserved = 0;
     // Tasks of a step are alike: where one found no room, the others won't.
     std::set<std::tuple<std::string, int, int>> fullSteps;
@@ -78,6 +85,23 @@
     }
 }
 
+void SchedulingPass::keepHeadroom()
+{
+    std::int64_t held = 0;
+    std::int64_t largest = 1;
+    for (const auto& [key, worker] : state_.workers_)
+        largest = std::max(largest, worker.info_.capacity_.accelerators_);
+    for (const auto& [id, run] : state_.runs_) {
+        const Job* job = state_.findJob(id.task_.job_);
+        if (job != nullptr && job->policy_.priority_ == 0)
+            held += run.room_.accelerators_;
+    }
+    state_.urgentDemand_.observe(held, now_);
+    const auto rise = static_cast<std::size_t>((state_.urgentDemand_.expectedRise() + largest - 1) / largest);
+    const auto most = static_cast<std::size_t>(mostHeadroom * static_cast<double>(state_.workers_.size()));
+    view_.keepHeadroom(std::min(rise + spareWorkers, most));
+}
+
 int SchedulingPass::rankOf(const Job& job) const
 {
     if (job.policy_.priority_ > 0)
@@ -122,6 +146,7 @@
         }
     }
     request.maySpanRacks_ = !mayWaitForRack(candidate, request);
+    request.mayUseHeadroom_ = candidate.rank_ <= Urgent || (!candidate.isHopeless_ && candidate.latestStart_ - headroomPatience < now_);
     return request;
 }
 
@@ -157,6 +182,8 @@
 {
     const StepSpec& step = job.step(unit);
     double elapsed = std::max(0.0, seconds(now_ - unit.startedAt_));
+    for (const RunId& run : unit.openRuns_)
+        elapsed = std::max(elapsed, state_.runs_.at(run).workDone(step.estimate_));
     if (step.savesProgress_)
         elapsed = std::min(elapsed, checkpointLossSeconds);
     const double cores = static_cast<double>(step.resources_.cpuMillis_) / 1000 + coresPerAccelerator * static_cast<double>(step.resources_.accelerators_);
--- a/src/libfescuecleat/pool/schedulingpass.h
+++ b/src/libfescuecleat/pool/schedulingpass.h
@@ -33,6 +33,7 @@
     };
 
     void rankJobs();
+    void keepHeadroom();
     int rankOf(const Job&) const;
     std::vector<Candidate> candidates() const;
     PlacementRequest request(const Candidate&) const;
--- a/src/libfescuecleat/pool/taskrun.cpp
+++ b/src/libfescuecleat/pool/taskrun.cpp
@@ -28,4 +28,11 @@
     sampledPercent_ = percent;
 }
 
+double TaskRun::workDone(Duration estimate) const
+{
+    if (bestSpeed_ > 0)
+        return percentDone_ / bestSpeed_;
+    return std::chrono::duration<double>(estimate).count() * percentDone_ / 100;
+}
+
 }
--- a/src/libfescuecleat/pool/taskrun.h
+++ b/src/libfescuecleat/pool/taskrun.h
@@ -40,6 +40,8 @@
     double bestSpeed_ = 0;
 
     void observeProgress(int percent, Time now);
+    /** Seconds of work that the progress stands for. After a takeover it tells more than the start time. */
+    double workDone(Duration estimate) const;
 };
 
 }
--- a/tests/pool/patternstest.cpp
+++ b/tests/pool/patternstest.cpp
@@ -42,6 +42,9 @@
     CPPUNIT_TEST(workerThatFailsEverything);
     CPPUNIT_TEST(hopelessJobEndsAsFailed);
     CPPUNIT_TEST(cancelWave);
+    CPPUNIT_TEST(urgentGangsComeInWaves);
+    CPPUNIT_TEST(overdueGangUsesTheHeadroom);
+    CPPUNIT_TEST(workIsWeighedByProgressAfterATakeover);
     CPPUNIT_TEST(wrongEstimates);
     CPPUNIT_TEST_SUITE_END();
 
@@ -288,6 +291,83 @@
         CPPUNIT_ASSERT(pool.state(shorter) == JobState::Completed);
         assertSound(pool);
     }
+
+    /** Urgent gangs come in waves beside a backlog of small tasks: the room a wave gave back is kept for the next. */
+    void urgentGangsComeInWaves()
+    {
+        VirtualPool pool;
+        pool.addWorkers(48, 8, worker);
+        for (int i = 0; i < 6; ++i)
+            pool.submit(tasksOf(60, 9s), 2);
+        std::vector<std::string> urgent;
+        for (int wave = 0; wave < 8; ++wave) {
+            for (int i = 0; i < 2; ++i)
+                urgent.push_back(pool.submit(gangOf(3, 8, 2500ms), 0));
+            pool.submit(tasksOf(190, 9s), 2);
+            pool.advance(5s);
+        }
+        CPPUNIT_ASSERT(startPercentile(pool, urgent, 1.0) <= 2700ms);
+        // The first wave may stop others; later ones find the room that it left.
+        const int tasksOfOneWave = 2 * 3 * 8;
+        CPPUNIT_ASSERT_LESSEQUAL(tasksOfOneWave, pool.stops());
+        assertSound(pool);
+    }
+
+    /** A gang as wide as the pool gets the headroom too once its latest start comes near. */
+    void overdueGangUsesTheHeadroom()
+    {
+        VirtualPool pool;
+        pool.addWorkers(20, 10, worker);
+        StepSpec wide = gangOf(20, 8, 5s);
+        wide.wantsOneRack_ = false;
+        const std::string gang = pool.submit(wide, 1);
+        pool.advance(60s);
+        CPPUNIT_ASSERT(pool.state(gang) == JobState::Completed);
+        assertSound(pool);
+    }
+
+    /** A scheduler that took over knows no start times: what runs is worth what it has done. */
+    void workIsWeighedByProgressAfterATakeover()
+    {
+        PoolScheduler scheduler;
+        Time now { std::chrono::seconds(1000) };
+        const auto keyOf = [](int rack, int index) { return WorkerKey { "w" + std::to_string(rack) + std::to_string(index), 1 }; };
+        for (const int rack : { 1, 2 }) {
+            for (int index = 0; index < 2; ++index) {
+                WorkerInfo info;
+                info.key_ = keyOf(rack, index);
+                info.service_ = "s";
+                info.rack_ = "r" + std::to_string(rack);
+                info.capacity_ = worker;
+                scheduler.putWorker(info, now);
+            }
+        }
+        JobPolicy policy;
+        policy.service_ = "s";
+        policy.priority_ = 1;
+        JobSpec spec;
+        spec.steps_ = { gangOf(2, 8, 20s) };
+        const auto takeOver = [&](const std::string& id, int rack) {
+            JobRecord record { JobState::Running, { { 0, 0, -1, 1, 0, false, "", { { 0, keyOf(rack, 0) }, { 1, keyOf(rack, 1) } } } } };
+            scheduler.addJob(id, spec, policy, now - 20s, &record, now);
+        };
+        takeOver("a-nearly-done", 1);
+        takeOver("b-just-begun", 2);
+        now += 10ms;
+        for (const int rack : { 1, 2 }) {
+            for (int index = 0; index < 2; ++index) {
+                WorkerReport report;
+                report.running_ = { { { { rack == 1 ? "a-nearly-done" : "b-just-begun", 0, 0, index }, 1 }, "", rack == 1 ? 90 : 5 } };
+                scheduler.report(keyOf(rack, index), report, now, now);
+            }
+        }
+        policy.priority_ = 0;
+        scheduler.addJob("urgent", spec, policy, now, nullptr, now);
+        scheduler.schedule(now, 0);
+        const Decisions decisions = scheduler.takeDecisions();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), decisions.stops_.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("b-just-begun"), decisions.stops_.front().run_.task_.job_);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PatternsTest);
