Reach the store by way of peers; tell the scheduler of stored jobs

When the store's history is dropped its feeds hear nothing for a second, and jobs were seen that much later. Ruled out: giving the own path up at the first call without an answer. Change: FailoverRowStore uses the own path while it serves us, a peer's otherwise, and probes its own meanwhile. It takes the place of forwarding whole calls to peers, which is removed. Whoever stores a job or its cancellation tells the scheduler directly; the feed still brings the row.

--- a/src/fescuecleat-poold/main.cpp
+++ b/src/fescuecleat-poold/main.cpp
@@ -68,13 +68,15 @@
     boost::asio::io_context loop(1);
     EventLog log(settings->instance_);
     HttpClient client(loop);
-    RowStoreClient store(client, settings->store_);
+    RowStoreClient ownPath(client, settings->store_);
+    PeerRowStore peersPath(client);
+    FailoverRowStore store(loop, ownPath, peersPath, log);
     WorkerOrders workers(client);
     const OperatorRows operatorRows;
     const RegistryRows registryRows;
     const CallerMessages callerMessages;
     StoreClock clock;
-    Instance instance({ loop, *settings, log, store, workers, operatorRows, registryRows, callerMessages, clock }, client);
+    Instance instance({ loop, *settings, log, store, workers, operatorRows, registryRows, callerMessages, clock }, { ownPath, peersPath, store }, client);
     if (const auto started = instance.start(); !started) {
         std::fprintf(stderr, "fescuecleat-poold: %s\n", describe(started.error()).c_str());
         return exitUnavailable;
--- a/src/libfescuecleat/node/calleredge.cpp
+++ b/src/libfescuecleat/node/calleredge.cpp
@@ -20,8 +20,6 @@
     constexpr Duration recentContact = std::chrono::milliseconds(60);
     /** Well above the answers of a slow store, 240 ms. */
     constexpr Duration probeTimeLimit = std::chrono::milliseconds(450);
-    /** Without an answer of the store for this long, calls are refused at once; its long polls end each second. */
-    constexpr Duration contactLimit = std::chrono::milliseconds(1400);
     constexpr Duration storeAttempt = std::chrono::milliseconds(900);
     constexpr Duration storeRetryDelay = std::chrono::milliseconds(80);
     /** When a refused caller may come back: no instance reaches the store, and its outages last some seconds. */
@@ -65,13 +63,12 @@
     std::string row_;
     /** A write may have been done without our knowing. */
     bool mayHaveBeenWritten_ = false;
-    /** Comes from a peer; goes to no other. */
-    bool isForwarded_ = false;
+    /** A call of the store has failed and was made again. */
+    bool isSecondTry_ = false;
 };
 
-CallerEdge::CallerEdge(const NodeContext& context, PeerForwarder& peers, Sources sources)
+CallerEdge::CallerEdge(const NodeContext& context, Sources sources)
     : context_(context)
-    , peers_(peers)
     , sources_(std::move(sources))
 {
 }
@@ -84,19 +81,11 @@
     serve(call);
 }
 
-void CallerEdge::handleForwarded(ForwardedCall forwarded, HttpServer::Respond respond)
-{
-    const auto call = std::make_shared<Call>(std::move(forwarded.request_), std::move(respond), context_.loop_);
-    call->deadline_ = call->startedAt_ + forwarded.timeLeft_;
-    call->isForwarded_ = true;
-    serve(call);
-}
-
 void CallerEdge::serve(const CallPointer& call)
 {
     call->configuration_ = sources_.configuration_();
-    if (!call->configuration_ || !sources_.isConfigurationProven_() || context_.clock_.lastAnswer() + contactLimit < call->startedAt_)
-        return forward(call);
+    if (!call->configuration_ || !sources_.isConfigurationProven_())
+        return refuse(call, 503, "the configuration is not known to be the newest");
     const std::string path = call->request_.path_.substr(0, call->request_.path_.find('?'));
     call->queue_ = call->configuration_->findQueue(withoutPort(call->request_.host_), path);
     if (call->queue_ == nullptr)
@@ -146,7 +135,7 @@
         return refuse(call, 503, "too little time is left");
     context_.store_.read(intakeTable, call->job_, boundAfter(call->job_), limit, lifetime_.guard([this, call](const tl::expected<RowPage, StoreFailure>& page) {
         if (!page)
-            return forward(call);
+            return retryOrRefuse(call, [this, call] { probeStore(call); });
         context_.clock_.observe(page->moment_);
         call->request_.body_.clear();
         if (!page->rows_.empty())
@@ -167,7 +156,8 @@
     context_.store_.commit(std::move(transaction), limit, lifetime_.guard([this, call](const tl::expected<StoreMoment, StoreFailure>& outcome) {
         if (outcome) {
             context_.clock_.observe(*outcome);
-            return answer(call, 200, "{}", "stored");
+            answer(call, 200, "{}", "stored");
+            return sources_.announce_({ call->job_, call->row_, outcome->version_, false });
         }
         if (outcome.error().kind_ == StoreFailureKind::Conflict)
             return answer(call, 200, "{}", "known already");
@@ -195,7 +185,7 @@
     const Duration limit = std::min(storeAttempt, remaining(call->deadline_, bootTimeNow()));
     context_.store_.read(JobRecorder::table, call->job_, boundAfter(call->job_), limit, lifetime_.guard([this, call](const tl::expected<RowPage, StoreFailure>& page) {
         if (!page)
-            return forward(call);
+            return retryOrRefuse(call, [this, call] { status(call); });
         if (page->rows_.empty())
             return statusFromIntake(call);
         JobRecord record;
@@ -212,12 +202,12 @@
     });
 }
 
-void CallerEdge::readIntake(const CallPointer& call, std::function<void(const std::vector<StoredRow>&)> use)
+void CallerEdge::readIntake(const CallPointer& call, const std::function<void(const std::vector<StoredRow>&)>& use)
 {
     const Duration limit = std::min(storeAttempt, remaining(call->deadline_, bootTimeNow()));
-    context_.store_.read(intakeTable, call->job_, boundAfter(cancelKey(call->job_)), limit, lifetime_.guard([this, call, use = std::move(use)](const tl::expected<RowPage, StoreFailure>& page) {
+    context_.store_.read(intakeTable, call->job_, boundAfter(cancelKey(call->job_)), limit, lifetime_.guard([this, call, use](const tl::expected<RowPage, StoreFailure>& page) {
         if (!page)
-            return forward(call);
+            return retryOrRefuse(call, [this, call, use] { readIntake(call, use); });
         if (page->rows_.empty())
             return answer(call, 410, problem("no such job"), "no such job");
         use(page->rows_);
@@ -240,9 +230,10 @@
     transaction.writes_.push_back({ intakeTable, cancelKey(call->job_), "{}" });
     const Duration limit = std::min(storeAttempt, remaining(call->deadline_, bootTimeNow()));
     context_.store_.commit(std::move(transaction), limit, lifetime_.guard([this, call](const tl::expected<StoreMoment, StoreFailure>& outcome) {
-        if (outcome)
-            return answer(call, 200, "{}", "stored");
-        cancellationFailed(call);
+        if (!outcome)
+            return cancellationFailed(call);
+        answer(call, 200, "{}", "stored");
+        sources_.announce_({ cancelKey(call->job_), "{}", outcome->version_, false });
     }));
 }
 
@@ -255,7 +246,7 @@
     const Duration limit = std::min(storeAttempt, remaining(call->deadline_, bootTimeNow()));
     context_.store_.read(PoolController::summaryTable, {}, {}, limit, lifetime_.guard([this, call](const tl::expected<RowPage, StoreFailure>& page) {
         if (!page)
-            return forward(call);
+            return retryOrRefuse(call, [this, call] { waiting(call); });
         int jobs = 0;
         if (!page->rows_.empty()) {
             const auto summary = nlohmann::json::parse(page->rows_.front().value_, nullptr, false);
@@ -275,17 +266,12 @@
     refuse(call, 503, "the store has not confirmed the cancellation");
 }
 
-void CallerEdge::forward(const CallPointer& call)
+void CallerEdge::retryOrRefuse(const CallPointer& call, const std::function<void()>& again)
 {
-    if (call->isForwarded_)
-        return refuse(call, 503, "the store does not answer");
-    peers_.forward(call->request_, call->deadline_, lifetime_.guard([this, call](const tl::expected<HttpAnswer, PeerForwarder::Failure>& answer) {
-        if (answer)
-            return this->answer(call, answer->status_, answer->body_, "forwarded to a peer");
-        if (answer.error() == PeerForwarder::Failure::OutcomeUnknown && call->request_.method_ == "POST")
-            return this->answer(call, 504, problem("a peer has not confirmed the job; ask again with the same id"), "outcome unknown");
-        refuse(call, 503, "neither we nor our peers reach the store");
-    }));
+    if (call->isSecondTry_ || remaining(call->deadline_, bootTimeNow()) < minWriteTime)
+        return refuse(call, 503, "neither we nor our peers reach the store");
+    call->isSecondTry_ = true;
+    again();
 }
 
 void CallerEdge::refuse(const CallPointer& call, int status, const char* cause)
--- a/src/libfescuecleat/node/calleredge.h
+++ b/src/libfescuecleat/node/calleredge.h
@@ -3,7 +3,6 @@
 #include "net/httpserver.h"
 #include "node/lifetime.h"
 #include "node/nodecontext.h"
-#include "node/peerforwarder.h"
 #include "node/poolconfiguration.h"
 #include "node/poolcontroller.h"
 
@@ -28,13 +27,13 @@
         std::function<bool()> isConfigurationProven_;
         /** The scheduler, if this instance runs it. */
         std::function<const PoolController*()> scheduler_;
+        /** Tells the scheduler of a row that was stored just now, wherever it runs. */
+        std::function<void(const StoredRow&)> announce_;
     };
 
-    CallerEdge(const NodeContext&, PeerForwarder&, Sources);
+    CallerEdge(const NodeContext&, Sources);
 
     void handle(HttpRequest, HttpServer::Respond);
-    /** A call that a peer could not serve. */
-    void handleForwarded(ForwardedCall, HttpServer::Respond);
 
     const std::map<int, std::uint64_t>& answersByStatus() const { return answersByStatus_; }
 
@@ -50,17 +49,17 @@
     void status(const CallPointer&);
     void statusFromIntake(const CallPointer&);
     /** Hands over the job's row, and behind it the cancel row if there is one. */
-    void readIntake(const CallPointer&, std::function<void(const std::vector<StoredRow>&)>);
+    void readIntake(const CallPointer&, const std::function<void(const std::vector<StoredRow>&)>& use);
     void cancel(const CallPointer&);
     void sendCancellation(const CallPointer&, std::uint64_t jobVersion);
     void waiting(const CallPointer&);
     void cancellationFailed(const CallPointer&);
     void answer(const CallPointer&, int status, std::string body, const char* cause);
     void refuse(const CallPointer&, int status, const char* cause);
-    void forward(const CallPointer&);
+    /** Makes a call of the store once more, by another way; refuses the caller if that fails too. */
+    void retryOrRefuse(const CallPointer&, const std::function<void()>& again);
 
     NodeContext context_;
-    PeerForwarder& peers_;
     Sources sources_;
     Lifetime lifetime_;
     std::map<int, std::uint64_t> answersByStatus_;
--- a/src/libfescuecleat/node/instance.cpp
+++ b/src/libfescuecleat/node/instance.cpp
@@ -20,19 +20,25 @@
     constexpr Duration balancerNotice = std::chrono::milliseconds(2500);
     /** Kept of the stop limit for the exit itself. */
     constexpr Duration stopReserve = std::chrono::milliseconds(1200);
+    /** A transaction of a peer has at most 1 MB. */
+    constexpr std::uint64_t maxPeerBodyBytes = 2ULL << 20;
+    /** The feed brings the row too, so that a lost announcement costs little. */
+    constexpr Duration announcementTimeLimit = std::chrono::milliseconds(500);
+    constexpr const char* announcementPath = "/intake";
     constexpr Duration idleCheckInterval = std::chrono::milliseconds(50);
 
 }
 
-Instance::Instance(const NodeContext& context, HttpClient& client)
+Instance::Instance(const NodeContext& context, const StorePaths& store, HttpClient& client)
     : context_(context)
+    , store_(store)
     , operator_(context.loop_, context.store_, context.clock_, context.log_, context.operatorFormat_.table(), operatorWait,
           { [this](const std::vector<StoredRow>& rows) { operatorRows(rows); }, [this](const StoredRow& row) { operatorRow(row); }, nullptr })
     , lease_(context.loop_, context.store_, context.clock_, context.log_, context.settings_.instance_, context.settings_.processorShare_,
           { [this](const AcquiredLease& lease) { leaseAcquired(lease); }, [this](const std::string&) { leaseLost(); } })
     , directory_(context)
-    , forwarder_(client, directory_)
-    , edge_(context, forwarder_, { [this] { return configuration_; }, [this] { return isConfigurationProven(); }, [this] { return controller_.get(); } })
+    , client_(client)
+    , edge_(context, { [this] { return configuration_; }, [this] { return isConfigurationProven(); }, [this] { return controller_.get(); }, [this](const StoredRow& row) { announce(row); } })
     , callers_(context.loop_, [this](HttpRequest request, HttpServer::Respond respond) { edge_.handle(std::move(request), std::move(respond)); })
     , readiness_(context.loop_, [this](const HttpRequest&, const HttpServer::Respond& respond) {
         HttpResponse response;
@@ -43,6 +49,16 @@
     , logTimer_(context.loop_)
     , stopTimer_(context.loop_)
 {
+    HttpLimits limits;
+    limits.maxBodyBytes_ = maxPeerBodyBytes;
+    peers_.setLimits(limits);
+    store_.peers_.setDirectory({ [this] { return directory_.candidates(); },
+        [this](const Endpoint& peer, bool hasAnswered) {
+            if (hasAnswered)
+                directory_.answered(peer);
+            else
+                directory_.failed(peer);
+        } });
 }
 
 Instance::~Instance() = default;
@@ -175,13 +191,10 @@
 
 void Instance::handlePeer(const HttpRequest& request, const HttpServer::Respond& respond)
 {
-    if (request.path_ == PeerForwarder::path) {
-        if (auto call = decodeForwardedCall(request.body_))
-            return edge_.handleForwarded(std::move(*call), respond);
-        HttpResponse response;
-        response.status_ = 400;
-        return respond(std::move(response));
-    }
+    if (request.path_ == PeerRowStore::path)
+        return handlePeersStoreCall(request.body_, respond);
+    if (request.path_ == announcementPath)
+        return takeAnnouncement(request.body_, respond);
     HttpResponse response;
     response.status_ = request.path_ == "/metrics" ? 200 : 404;
     response.contentType_ = "text/plain";
@@ -190,6 +203,38 @@
     respond(std::move(response));
 }
 
+void Instance::handlePeersStoreCall(const std::string& body, const HttpServer::Respond& respond)
+{
+    if (store_.failover_.isOwnPathUp())
+        return PeerRowStore::serve(store_.own_, body, respond);
+    HttpResponse response;
+    response.status_ = 503;
+    respond(std::move(response));
+}
+
+void Instance::announce(const StoredRow& row)
+{
+    if (controller_)
+        return controller_->intakeStored(row);
+    const auto scheduler = directory_.endpointOf(lease_.holder());
+    if (!scheduler)
+        return;
+    const StoreOutcome announcement = RowPage { { row }, false, {} };
+    client_.call(*scheduler, "peer", { "POST", announcementPath, {}, encodeStoreOutcome(announcement) }, announcementTimeLimit, [](const tl::expected<HttpAnswer, HttpFailure>&) {});
+}
+
+void Instance::takeAnnouncement(const std::string& body, const HttpServer::Respond& respond)
+{
+    const auto announcement = decodeStoreOutcome(body);
+    HttpResponse response;
+    response.status_ = announcement && announcement->has_value() ? 200 : 400;
+    if (response.status_ == 200 && controller_) {
+        for (const StoredRow& row : (*announcement)->rows_)
+            controller_->intakeStored(row);
+    }
+    respond(std::move(response));
+}
+
 std::string Instance::metrics() const
 {
     std::string text;
--- a/src/libfescuecleat/node/instance.h
+++ b/src/libfescuecleat/node/instance.h
@@ -3,9 +3,10 @@
 #include "net/httpserver.h"
 #include "net/timer.h"
 #include "node/calleredge.h"
+#include "node/failoverrowstore.h"
 #include "node/nodecontext.h"
 #include "node/peerdirectory.h"
-#include "node/peerforwarder.h"
+#include "node/peerrowstore.h"
 #include "node/poolcontroller.h"
 #include "node/schedulerlease.h"
 #include "node/tablefollower.h"
@@ -17,10 +18,17 @@
 
 namespace fescuecleat {
 
+/** The ways to the store that an instance serves its peers with, or uses. */
+struct StorePaths {
+    RowStore& own_;
+    PeerRowStore& peers_;
+    FailoverRowStore& failover_;
+};
+
 /** One instance: takes calls, follows the configuration, and schedules while it holds the lease. */
 class Instance {
 public:
-    Instance(const NodeContext&, HttpClient&);
+    Instance(const NodeContext&, const StorePaths&, HttpClient&);
     ~Instance();
 
     Result<void> start();
@@ -39,16 +47,20 @@
     void flushLog();
     void awaitIdle(Time deadline, std::function<void()> done);
     void handlePeer(const HttpRequest&, const HttpServer::Respond&);
+    void handlePeersStoreCall(const std::string& body, const HttpServer::Respond&);
+    void announce(const StoredRow&);
+    void takeAnnouncement(const std::string& body, const HttpServer::Respond&);
     std::string metrics() const;
 
     NodeContext context_;
+    StorePaths store_;
     std::shared_ptr<const PoolConfiguration> configuration_;
     std::set<std::string> closedDataCentres_;
     TableFollower operator_;
     SchedulerLease lease_;
     std::unique_ptr<PoolController> controller_;
     PeerDirectory directory_;
-    PeerForwarder forwarder_;
+    HttpClient& client_;
     CallerEdge edge_;
     HttpServer callers_;
     HttpServer readiness_;
--- a/src/libfescuecleat/node/peerdirectory.cpp
+++ b/src/libfescuecleat/node/peerdirectory.cpp
@@ -82,6 +82,14 @@
     return result;
 }
 
+std::optional<Endpoint> PeerDirectory::endpointOf(const std::string& instance) const
+{
+    const auto peer = peers_.find(instance);
+    if (peer == peers_.end())
+        return std::nullopt;
+    return peer->second;
+}
+
 void PeerDirectory::failed(const Endpoint& endpoint)
 {
     failedAt_[endpoint] = bootTimeNow();
--- a/src/libfescuecleat/node/peerdirectory.h
+++ b/src/libfescuecleat/node/peerdirectory.h
@@ -6,6 +6,7 @@
 #include "node/nodecontext.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,7 @@
     void leave();
     /** Peers to try, those that failed lately last. */
     std::vector<Endpoint> candidates() const;
+    std::optional<Endpoint> endpointOf(const std::string& instance) const;
     void failed(const Endpoint&);
     void answered(const Endpoint&);
 
--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -143,6 +143,15 @@
     wake();
 }
 
+void PoolController::intakeStored(const StoredRow& row)
+{
+    // Before the records are read, it can't be told whether the job has run.
+    if (!isReady_)
+        return;
+    intakeRow(row);
+    wake();
+}
+
 void PoolController::intakeRow(const StoredRow& row)
 {
     if (row.isDeleted_)
--- a/src/libfescuecleat/node/poolcontroller.h
+++ b/src/libfescuecleat/node/poolcontroller.h
@@ -38,6 +38,9 @@
     void setConfiguration(const PoolConfiguration&);
     void setClosedDataCentres(const std::set<std::string>&);
 
+    /** A row of the intake that an instance has stored; the feed brings it too, later or much later. */
+    void intakeStored(const StoredRow&);
+
     /** The state of a job as stored; nothing if this instance does not know the job. */
     std::optional<JobState> stateOf(const std::string& job) const;
     std::optional<int> waitingJobs(const std::string& queue) const;
--- a/src/libfescuecleat/node/schedulerlease.h
+++ b/src/libfescuecleat/node/schedulerlease.h
@@ -50,6 +50,8 @@
     /** Gives the lease up; `done` is called when the store has confirmed it, or can't. */
     void release(std::function<void()> done);
     /** Whether our lease certainly still holds. */
+    /** Who held the lease when it was last seen; empty if nobody has. */
+    std::string holder() const { return seen_ ? seen_->holder_ : std::string(); }
     bool isHeld(Time now) const;
     /** Someone else showed that a newer scheduler is at work. */
     void giveUp(const std::string& cause);
--- a/tests/node/fakerowstore.cpp
+++ b/tests/node/fakerowstore.cpp
@@ -62,8 +62,9 @@
 void FakeRowStore::commit(RowTransaction transaction, Duration, CommitHandler handler)
 {
     later([this, transaction = std::move(transaction), handler = std::move(handler)] {
-        if (refuses_)
-            return handler(failed(StoreFailureKind::Refused));
+        ++commitsSeen_;
+        if (refuses_ || isSilent_)
+            return handler(failed(isSilent_ ? StoreFailureKind::OutcomeUnknown : StoreFailureKind::Refused));
         if (commitsToHoldBack_ > 0) {
             --commitsToHoldBack_;
             heldBack_.push_back(transaction);
@@ -91,8 +92,8 @@
     if (from.empty() && to.empty())
         ++fullReads_[table];
     later([this, table, from, to, handler = std::move(handler)] {
-        if (refuses_)
-            return handler(failed(StoreFailureKind::Refused));
+        if (refuses_ || isSilent_)
+            return handler(failed(isSilent_ ? StoreFailureKind::OutcomeUnknown : StoreFailureKind::Refused));
         RowPage page;
         page.moment_ = moment();
         for (const auto& [key, row] : tables_[table]) {
@@ -116,8 +117,8 @@
 void FakeRowStore::follow(const std::string& table, std::uint64_t after, Duration wait, Duration, PageHandler handler)
 {
     later([this, table, after, wait, handler = std::move(handler)] {
-        if (refuses_)
-            return handler(failed(StoreFailureKind::Refused));
+        if (refuses_ || isSilent_)
+            return handler(failed(isSilent_ ? StoreFailureKind::OutcomeUnknown : StoreFailureKind::Refused));
         if (after < historyFrom_)
             return handler(failed(StoreFailureKind::HistoryGone));
         waiters_.push_back({ table, after, handler, std::make_unique<Timer>(loop_) });
@@ -133,8 +134,16 @@
     });
 }
 
+void FakeRowStore::setFeedsSilent(bool areSilent)
+{
+    areFeedsSilent_ = areSilent;
+    notify();
+}
+
 void FakeRowStore::notify()
 {
+    if (areFeedsSilent_)
+        return;
     for (auto waiter = waiters_.begin(); waiter != waiters_.end();) {
         RowPage page;
         page.rows_ = changesAfter(waiter->table_, waiter->after_);
--- a/tests/node/fakerowstore.h
+++ b/tests/node/fakerowstore.h
@@ -31,6 +31,11 @@
     int landLate();
     /** Refuses everything while set. */
     void setRefusing(bool refuses) { refuses_ = refuses; }
+    /** No call gets an answer while set; nothing is carried out. */
+    void setSilent(bool isSilent) { isSilent_ = isSilent; }
+    /** Feeds hear of no change while set. */
+    void setFeedsSilent(bool areSilent);
+    int commitsSeen() const { return commitsSeen_; }
     /** Forgets all changes: followers have to read again. */
     void dropHistory();
 
@@ -69,6 +74,9 @@
     std::map<std::string, int> fullReads_;
     int answersToLose_ = 0;
     int commitsToHoldBack_ = 0;
+    bool isSilent_ = false;
+    bool areFeedsSilent_ = false;
+    int commitsSeen_ = 0;
     bool refuses_ = false;
 };
 
--- /dev/null
+++ b/tests/node/storepathtest.cpp
@@ -0,0 +1,234 @@
+#include "net/httpserver.h"
+#include "node/failoverrowstore.h"
+#include "node/peerrowstore.h"
+#include "node/poolfixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace fescuecleat;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** An instance whose own path to the store and whose peers' path can be disturbed apart. */
+class PathsUnderTest {
+public:
+    PathsUnderTest()
+        : failover_(pool_.loop_, own_, peers_, pool_.log_)
+    {
+    }
+
+    tl::expected<StoreMoment, StoreFailure> commit()
+    {
+        std::optional<tl::expected<StoreMoment, StoreFailure>> outcome;
+        RowTransaction transaction;
+        transaction.writes_.push_back({ "table", "key", "value" });
+        failover_.commit(std::move(transaction), 500ms, [&outcome](auto result) { outcome = std::move(result); });
+        CPPUNIT_ASSERT(pool_.runUntil([&outcome] { return outcome.has_value(); }));
+        return *outcome;
+    }
+
+    PoolFixture pool_;
+    FakeRowStore own_ { pool_.loop_ };
+    FakeRowStore peers_ { pool_.loop_ };
+    FailoverRowStore failover_;
+};
+
+/** A peer on loopback that serves store calls, or refuses them all. */
+class PeerUnderTest {
+public:
+    PeerUnderTest(PoolFixture& pool, std::uint16_t port, bool isServing)
+        : server_(pool.loop_, [this, &pool](const HttpRequest& request, const HttpServer::Respond& respond) {
+            ++calls_;
+            HttpResponse response;
+            response.status_ = 503;
+            if (!isServing_)
+                return respond(std::move(response));
+            PeerRowStore::serve(pool.store_, request.body_, respond);
+        })
+        , endpoint_ { "127.0.0.1", port }
+        , isServing_(isServing)
+    {
+        CPPUNIT_ASSERT(server_.listen(endpoint_).has_value());
+    }
+
+    int calls_ = 0;
+    HttpServer server_;
+    Endpoint endpoint_;
+    bool isServing_;
+};
+
+/** Ports of the tests that listen; no other test program uses them. */
+constexpr std::uint16_t firstPort = 32110;
+
+const std::string anyBytes("\x00\xff\"{\n", 5);
+
+}
+
+/** The store over our own path and over peers. */
+class StorePathTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(StorePathTest);
+    CPPUNIT_TEST(refusedCallGoesToAPeerAtOnce);
+    CPPUNIT_TEST(unknownOutcomeIsNotSentAgain);
+    CPPUNIT_TEST(lostAnswerDoesNotGiveThePathUp);
+    CPPUNIT_TEST(silentPathIsGivenUpAndTakenAgain);
+    CPPUNIT_TEST(outageOfTheWholeStoreIsARefusal);
+    CPPUNIT_TEST(callsAndOutcomesKeepAnyBytes);
+    CPPUNIT_TEST(garbageIsNoCall);
+    CPPUNIT_TEST(nextPeerIsTriedAfterARefusal);
+    CPPUNIT_TEST(conflictComesThroughAPeer);
+    CPPUNIT_TEST(feedComesThroughAPeer);
+    CPPUNIT_TEST_SUITE_END();
+
+    void refusedCallGoesToAPeerAtOnce()
+    {
+        PathsUnderTest paths;
+        paths.own_.setRefusing(true);
+        CPPUNIT_ASSERT(paths.commit().has_value());
+        CPPUNIT_ASSERT(!paths.failover_.isOwnPathUp());
+        CPPUNIT_ASSERT(paths.peers_.value("table", "key").has_value());
+        CPPUNIT_ASSERT(!paths.own_.value("table", "key").has_value());
+    }
+
+    /** A write without an answer may have been done: whoever asked decides what follows. */
+    void unknownOutcomeIsNotSentAgain()
+    {
+        PathsUnderTest paths;
+        paths.own_.holdBack(1);
+        const auto outcome = paths.commit();
+        CPPUNIT_ASSERT(!outcome && outcome.error().kind_ == StoreFailureKind::OutcomeUnknown);
+        CPPUNIT_ASSERT_EQUAL(0, paths.peers_.commitsSeen());
+    }
+
+    void lostAnswerDoesNotGiveThePathUp()
+    {
+        PathsUnderTest paths;
+        paths.own_.loseAnswers(1);
+        CPPUNIT_ASSERT(!paths.commit().has_value());
+        paths.pool_.runFor(50ms);
+        CPPUNIT_ASSERT(paths.failover_.isOwnPathUp());
+        CPPUNIT_ASSERT(paths.commit().has_value());
+        CPPUNIT_ASSERT_EQUAL(0, paths.peers_.commitsSeen());
+    }
+
+    void silentPathIsGivenUpAndTakenAgain()
+    {
+        PathsUnderTest paths;
+        paths.own_.setSilent(true);
+        CPPUNIT_ASSERT(!paths.commit().has_value());
+        CPPUNIT_ASSERT(paths.pool_.runUntil([&paths] { return !paths.failover_.isOwnPathUp(); }));
+        CPPUNIT_ASSERT(paths.commit().has_value());
+        CPPUNIT_ASSERT_EQUAL(1, paths.peers_.commitsSeen());
+        paths.own_.setSilent(false);
+        CPPUNIT_ASSERT(paths.pool_.runUntil([&paths] { return paths.failover_.isOwnPathUp(); }));
+        CPPUNIT_ASSERT(paths.commit().has_value());
+        CPPUNIT_ASSERT_EQUAL(1, paths.peers_.commitsSeen());
+    }
+
+    void outageOfTheWholeStoreIsARefusal()
+    {
+        PathsUnderTest paths;
+        paths.own_.setRefusing(true);
+        paths.peers_.setRefusing(true);
+        const auto outcome = paths.commit();
+        CPPUNIT_ASSERT(!outcome && outcome.error().kind_ == StoreFailureKind::Refused);
+    }
+
+    void callsAndOutcomesKeepAnyBytes()
+    {
+        RowTransaction transaction;
+        transaction.expectations_.push_back({ "t", "k", 7 });
+        transaction.writes_.push_back({ "t", "k", anyBytes });
+        transaction.deletions_.push_back({ "t", "gone" });
+        const auto call = decodeStoreCall(encodeStoreCall({ CommitCall { transaction }, 300ms }));
+        CPPUNIT_ASSERT(call.has_value() && call->timeLimit_ == Duration(300ms));
+        const RowTransaction& decoded = std::get<CommitCall>(call->call_).transaction_;
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), decoded.expectations_.at(0).version_);
+        CPPUNIT_ASSERT_EQUAL(anyBytes, decoded.writes_.at(0).value_);
+        CPPUNIT_ASSERT_EQUAL(std::string("gone"), decoded.deletions_.at(0).key_);
+
+        RowPage page;
+        page.rows_.push_back({ "k", anyBytes, 9, true });
+        page.hasMore_ = true;
+        page.moment_.clockMs_ = 12;
+        const auto outcome = decodeStoreOutcome(encodeStoreOutcome(page));
+        CPPUNIT_ASSERT(outcome.has_value() && outcome->has_value());
+        CPPUNIT_ASSERT_EQUAL(anyBytes, (*outcome)->rows_.at(0).value_);
+        CPPUNIT_ASSERT((*outcome)->rows_.at(0).isDeleted_ && (*outcome)->hasMore_);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(12), (*outcome)->moment_.clockMs_);
+
+        const auto failure = decodeStoreOutcome(encodeStoreOutcome(tl::unexpected<StoreFailure>({ StoreFailureKind::HistoryGone, {}, "gone" })));
+        CPPUNIT_ASSERT(failure.has_value() && !failure->has_value());
+        CPPUNIT_ASSERT(failure->error().kind_ == StoreFailureKind::HistoryGone);
+    }
+
+    void garbageIsNoCall()
+    {
+        CPPUNIT_ASSERT(!decodeStoreCall("").has_value());
+        CPPUNIT_ASSERT(!decodeStoreCall("{}").has_value());
+        CPPUNIT_ASSERT(!decodeStoreOutcome(anyBytes).has_value());
+        const std::string call = encodeStoreCall({ ReadCall { "t", "a", "b" }, 300ms });
+        for (std::size_t length = 0; length < call.size(); ++length)
+            CPPUNIT_ASSERT(!decodeStoreCall(call.substr(0, length)).has_value());
+    }
+
+    void nextPeerIsTriedAfterARefusal()
+    {
+        PoolFixture pool;
+        pool.store_.put("table", "key", "value");
+        PeerUnderTest cutOff(pool, firstPort, false);
+        PeerUnderTest sound(pool, firstPort + 1, true);
+        HttpClient client(pool.loop_);
+        PeerRowStore peers(client);
+        std::vector<Endpoint> failed;
+        peers.setDirectory({ [&] { return std::vector<Endpoint> { cutOff.endpoint_, sound.endpoint_ }; },
+            [&failed](const Endpoint& peer, bool hasAnswered) {
+                if (!hasAnswered)
+                    failed.push_back(peer);
+            } });
+        std::optional<StoreOutcome> page;
+        peers.read("table", {}, {}, 1s, [&page](StoreOutcome outcome) { page = std::move(outcome); });
+        CPPUNIT_ASSERT(pool.runUntil([&page] { return page.has_value(); }));
+        CPPUNIT_ASSERT(page->has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("value"), (*page)->rows_.at(0).value_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), failed.size());
+        CPPUNIT_ASSERT(failed.front() == cutOff.endpoint_);
+    }
+
+    void conflictComesThroughAPeer()
+    {
+        PoolFixture pool;
+        pool.store_.put("table", "key", "theirs");
+        PeerUnderTest peer(pool, firstPort + 2, true);
+        HttpClient client(pool.loop_);
+        PeerRowStore peers(client);
+        peers.setDirectory({ [&] { return std::vector<Endpoint> { peer.endpoint_ }; }, [](const Endpoint&, bool) {} });
+        RowTransaction transaction;
+        transaction.expectations_.push_back({ "table", "key", 0 });
+        transaction.writes_.push_back({ "table", "key", "ours" });
+        std::optional<tl::expected<StoreMoment, StoreFailure>> outcome;
+        peers.commit(std::move(transaction), 1s, [&outcome](auto result) { outcome = std::move(result); });
+        CPPUNIT_ASSERT(pool.runUntil([&outcome] { return outcome.has_value(); }));
+        CPPUNIT_ASSERT(!outcome->has_value() && outcome->error().kind_ == StoreFailureKind::Conflict);
+        CPPUNIT_ASSERT_EQUAL(std::string("theirs"), outcome->error().rows_.at(0).value_);
+    }
+
+    void feedComesThroughAPeer()
+    {
+        PoolFixture pool;
+        PeerUnderTest peer(pool, firstPort + 3, true);
+        HttpClient client(pool.loop_);
+        PeerRowStore peers(client);
+        peers.setDirectory({ [&] { return std::vector<Endpoint> { peer.endpoint_ }; }, [](const Endpoint&, bool) {} });
+        std::optional<StoreOutcome> page;
+        peers.follow("table", 0, 2s, 3s, [&page](StoreOutcome outcome) { page = std::move(outcome); });
+        pool.runFor(50ms);
+        CPPUNIT_ASSERT(!page.has_value());
+        pool.store_.put("table", "key", "value");
+        CPPUNIT_ASSERT(pool.runUntil([&page] { return page.has_value(); }));
+        CPPUNIT_ASSERT(page->has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("key"), (*page)->rows_.at(0).key_);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StorePathTest);
--- a/tests/node/storetest.cpp
+++ b/tests/node/storetest.cpp
@@ -14,10 +14,7 @@
 public:
     explicit EdgeUnderTest(PoolFixture& pool)
         : pool_(pool)
-        , client_(pool.loop_)
-        , directory_(pool.context_)
-        , peers_(client_, directory_)
-        , edge_(pool.context_, peers_, { [this] { return configuration_; }, [] { return true; }, [] { return nullptr; } })
+        , edge_(pool.context_, { [this] { return configuration_; }, [] { return true; }, [] { return nullptr; }, [this](const StoredRow& row) { announced_.push_back(row); } })
     {
         auto configuration = std::make_shared<PoolConfiguration>();
         configuration->version_ = 1;
@@ -59,12 +56,12 @@
         return *response;
     }
 
+    const std::vector<StoredRow>& announced() const { return announced_; }
+
 private:
     PoolFixture& pool_;
-    HttpClient client_;
-    PeerDirectory directory_;
-    PeerForwarder peers_;
     std::shared_ptr<const PoolConfiguration> configuration_;
+    std::vector<StoredRow> announced_;
     CallerEdge edge_;
 };
 
@@ -83,6 +80,8 @@
     CPPUNIT_TEST(typedAnswersToBadCalls);
     CPPUNIT_TEST(cancelOfAnUnknownJob);
     CPPUNIT_TEST(stateFromTheStore);
+    CPPUNIT_TEST(storedRowsAreAnnounced);
+    CPPUNIT_TEST(announcedJobStartsWhileTheFeedIsSilent);
     CPPUNIT_TEST(droppedHistoryIsReadAgain);
     CPPUNIT_TEST(leaseIsTakenOverAndGivenUp);
     CPPUNIT_TEST_SUITE_END();
@@ -174,6 +173,43 @@
         CPPUNIT_ASSERT_EQUAL(std::to_string(static_cast<int>(JobState::Completed)), edge.call("GET", path).body_);
     }
 
+    /** Only what the store has confirmed is announced to the scheduler. */
+    void storedRowsAreAnnounced()
+    {
+        PoolFixture pool;
+        EdgeUnderTest edge(pool);
+        CPPUNIT_ASSERT_EQUAL(200, edge.call("POST", path).status_);
+        CPPUNIT_ASSERT_EQUAL(200, edge.call("DELETE", path).status_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), edge.announced().size());
+        CPPUNIT_ASSERT_EQUAL(std::string(jobId), edge.announced()[0].key_);
+        CPPUNIT_ASSERT_EQUAL(*pool.store_.value(intakeTable, jobId), edge.announced()[0].value_);
+        CPPUNIT_ASSERT_EQUAL(cancelKey(jobId), edge.announced()[1].key_);
+        pool.store_.setRefusing(true);
+        CPPUNIT_ASSERT_EQUAL(503, edge.call("POST", "/q/00000000000000bb").status_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), edge.announced().size());
+    }
+
+    /** The store's feeds may hear nothing for a while: a job starts all the same, once. */
+    void announcedJobStartsWhileTheFeedIsSilent()
+    {
+        PoolFixture pool;
+        pool.addWorker("w1");
+        const auto scheduler = pool.scheduler("a");
+        CPPUNIT_ASSERT(pool.runUntil([&] { return scheduler->controller() != nullptr && scheduler->controller()->waitingJobs("queue").has_value(); }));
+        pool.runFor(300ms);
+        pool.store_.setFeedsSilent(true);
+        pool.submit(jobId, oneTask());
+        StoredRow row;
+        row.key_ = jobId;
+        row.value_ = *pool.store_.value(intakeTable, jobId);
+        row.version_ = 1;
+        scheduler->controller()->intakeStored(row);
+        CPPUNIT_ASSERT(pool.runUntil([&] { return pool.workers_.beginsOf({ jobId, 0, 0, 0 }) == 1; }, 1s));
+        pool.store_.setFeedsSilent(false);
+        pool.runFor(300ms);
+        CPPUNIT_ASSERT_EQUAL(1, pool.workers_.beginsOf({ jobId, 0, 0, 0 }));
+    }
+
     void droppedHistoryIsReadAgain()
     {
         PoolFixture pool;
