Spread the intake over parts; give the own path up only after a probe

Cause: the store does transactions of one part one after the other. Change: a job's rows lie in the part of its first digit; the scheduler's rows stay in one. A refused write only starts a probe of the own path, as a lost answer does. Conclusion: kept, as a slow store must not stop the intake of a large installation.

--- a/src/libfescuecleat/node/calleredge.cpp
+++ b/src/libfescuecleat/node/calleredge.cpp
@@ -133,7 +133,7 @@
     const Duration limit = std::min(probeTimeLimit, remaining(call->deadline_ - minWriteTime, bootTimeNow()));
     if (limit <= Duration::zero())
         return refuse(call, 503, "too little time is left");
-    context_.store_.read(intakeTable, call->job_, boundAfter(call->job_), limit, lifetime_.guard([this, call](const tl::expected<RowPage, StoreFailure>& page) {
+    context_.store_.read({ intakeTable, intakePartOf(call->job_), call->job_, boundAfter(call->job_) }, limit, lifetime_.guard([this, call](const tl::expected<RowPage, StoreFailure>& page) {
         if (!page)
             return retryOrRefuse(call, [this, call] { probeStore(call); });
         context_.clock_.observe(page->moment_);
@@ -150,6 +150,7 @@
     if (left < minWriteTime && !call->mayHaveBeenWritten_)
         return refuse(call, 503, "too little time is left");
     RowTransaction transaction;
+    transaction.part_ = intakePartOf(call->job_);
     transaction.expectations_.push_back({ intakeTable, call->job_, 0 });
     transaction.writes_.push_back({ intakeTable, call->job_, call->row_ });
     const Duration limit = std::min(storeAttempt, left);
@@ -183,7 +184,7 @@
             return answer(call, 200, context_.callerFormat_.encodeState(*state), "from the scheduler");
     }
     const Duration limit = std::min(storeAttempt, remaining(call->deadline_, bootTimeNow()));
-    context_.store_.read(JobRecorder::table, call->job_, boundAfter(call->job_), limit, lifetime_.guard([this, call](const tl::expected<RowPage, StoreFailure>& page) {
+    context_.store_.read({ JobRecorder::table, {}, call->job_, boundAfter(call->job_) }, limit, lifetime_.guard([this, call](const tl::expected<RowPage, StoreFailure>& page) {
         if (!page)
             return retryOrRefuse(call, [this, call] { status(call); });
         if (page->rows_.empty())
@@ -205,7 +206,7 @@
 void CallerEdge::readIntake(const CallPointer& call, const std::function<void(const std::vector<StoredRow>&)>& use)
 {
     const Duration limit = std::min(storeAttempt, remaining(call->deadline_, bootTimeNow()));
-    context_.store_.read(intakeTable, call->job_, boundAfter(cancelKey(call->job_)), limit, lifetime_.guard([this, call, use](const tl::expected<RowPage, StoreFailure>& page) {
+    context_.store_.read({ intakeTable, intakePartOf(call->job_), call->job_, boundAfter(cancelKey(call->job_)) }, limit, lifetime_.guard([this, call, use](const tl::expected<RowPage, StoreFailure>& page) {
         if (!page)
             return retryOrRefuse(call, [this, call, use] { readIntake(call, use); });
         if (page->rows_.empty())
@@ -226,6 +227,7 @@
 void CallerEdge::sendCancellation(const CallPointer& call, std::uint64_t jobVersion)
 {
     RowTransaction transaction;
+    transaction.part_ = intakePartOf(call->job_);
     transaction.expectations_.push_back({ intakeTable, call->job_, jobVersion });
     transaction.writes_.push_back({ intakeTable, cancelKey(call->job_), "{}" });
     const Duration limit = std::min(storeAttempt, remaining(call->deadline_, bootTimeNow()));
@@ -244,7 +246,7 @@
             return answer(call, 200, context_.callerFormat_.encodeWaiting(*jobs), "from the scheduler");
     }
     const Duration limit = std::min(storeAttempt, remaining(call->deadline_, bootTimeNow()));
-    context_.store_.read(PoolController::summaryTable, {}, {}, limit, lifetime_.guard([this, call](const tl::expected<RowPage, StoreFailure>& page) {
+    context_.store_.read({ PoolController::summaryTable, {}, {}, {} }, limit, lifetime_.guard([this, call](const tl::expected<RowPage, StoreFailure>& page) {
         if (!page)
             return retryOrRefuse(call, [this, call] { waiting(call); });
         int jobs = 0;
--- a/src/libfescuecleat/node/failoverrowstore.cpp
+++ b/src/libfescuecleat/node/failoverrowstore.cpp
@@ -22,13 +22,12 @@
 
 bool FailoverRowStore::mayGoToPeer(const StoreFailure& failure)
 {
-    // A single answer can get lost, and all feeds are cut when history is dropped: only a probe tells more.
-    if (failure.kind_ == StoreFailureKind::OutcomeUnknown)
+    const bool isRefused = failure.kind_ == StoreFailureKind::Refused;
+    // Only a probe tells more: single answers get lost, all feeds are cut when
+    // history is dropped, and a slow store refuses writes of whoever asks.
+    if (isRefused || failure.kind_ == StoreFailureKind::OutcomeUnknown)
         probe();
-    if (failure.kind_ != StoreFailureKind::Refused)
-        return false;
-    losePath(failure);
-    return true;
+    return isRefused && !isOwnPathUp_;
 }
 
 void FailoverRowStore::losePath(const StoreFailure& failure)
@@ -45,7 +44,7 @@
     if (isProbing_)
         return;
     isProbing_ = true;
-    own_.read(probeTable, {}, {}, probeTimeLimit, lifetime_.guard([this](const tl::expected<RowPage, StoreFailure>& page) {
+    own_.read({ probeTable, {}, {}, {} }, probeTimeLimit, lifetime_.guard([this](const tl::expected<RowPage, StoreFailure>& page) {
         isProbing_ = false;
         if (!page)
             return losePath(page.error());
@@ -67,14 +66,14 @@
     }));
 }
 
-void FailoverRowStore::read(const std::string& table, const std::string& from, const std::string& to, Duration timeLimit, PageHandler handler)
+void FailoverRowStore::read(const RowRange& range, Duration timeLimit, PageHandler handler)
 {
     if (!isOwnPathUp_)
-        return peers_.read(table, from, to, timeLimit, std::move(handler));
-    own_.read(table, from, to, timeLimit, lifetime_.guard([this, table, from, to, timeLimit, handler = std::move(handler)](tl::expected<RowPage, StoreFailure> page) mutable {
+        return peers_.read(range, timeLimit, std::move(handler));
+    own_.read(range, timeLimit, lifetime_.guard([this, range, timeLimit, handler = std::move(handler)](tl::expected<RowPage, StoreFailure> page) mutable {
         if (page || !mayGoToPeer(page.error()))
             return handler(std::move(page));
-        peers_.read(table, from, to, timeLimit, std::move(handler));
+        peers_.read(range, timeLimit, std::move(handler));
     }));
 }
 
--- a/src/libfescuecleat/node/failoverrowstore.h
+++ b/src/libfescuecleat/node/failoverrowstore.h
@@ -17,7 +17,7 @@
     FailoverRowStore(boost::asio::io_context&, RowStore& own, RowStore& peers, EventLog&);
 
     void commit(RowTransaction, Duration timeLimit, CommitHandler) override;
-    void read(const std::string& table, const std::string& from, const std::string& to, Duration timeLimit, PageHandler) override;
+    void read(const RowRange&, Duration timeLimit, PageHandler) override;
     void follow(const std::string& table, std::uint64_t after, Duration wait, Duration timeLimit, PageHandler) override;
 
     /** Nothing is known against our own path. */
--- a/src/libfescuecleat/node/instance.cpp
+++ b/src/libfescuecleat/node/instance.cpp
@@ -32,7 +32,7 @@
 Instance::Instance(const NodeContext& context, const StorePaths& store, HttpClient& client)
     : context_(context)
     , store_(store)
-    , operator_(context.loop_, context.store_, context.clock_, context.log_, context.operatorFormat_.table(), operatorWait,
+    , operator_(context.loop_, context.store_, context.clock_, context.log_, { context.operatorFormat_.table() }, operatorWait,
           { [this](const std::vector<StoredRow>& rows) { operatorRows(rows); }, [this](const StoredRow& row) { operatorRow(row); }, nullptr })
     , lease_(context.loop_, context.store_, context.clock_, context.log_, context.settings_.instance_, context.settings_.processorShare_,
           { [this](const AcquiredLease& lease) { leaseAcquired(lease); }, [this](const std::string&) { leaseLost(); } })
--- a/src/libfescuecleat/node/jobintake.cpp
+++ b/src/libfescuecleat/node/jobintake.cpp
@@ -1,5 +1,6 @@
 #include "node/jobintake.h"
 
+#include <cctype>
 #include <nlohmann/json.hpp>
 
 namespace fescuecleat {
@@ -63,6 +64,19 @@
 
 }
 
+std::string intakePartOf(const std::string& job)
+{
+    return std::string(1, static_cast<char>(std::tolower(static_cast<unsigned char>(job.front()))));
+}
+
+std::vector<std::string> intakeParts()
+{
+    std::vector<std::string> parts;
+    for (const char digit : std::string("0123456789abcdef"))
+        parts.emplace_back(1, digit);
+    return parts;
+}
+
 std::string cancelKey(const std::string& job)
 {
     return job + cancelSuffix;
--- a/src/libfescuecleat/node/jobintake.h
+++ b/src/libfescuecleat/node/jobintake.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace fescuecleat {
 
@@ -18,6 +19,12 @@
 };
 
 constexpr const char* intakeTable = "intake";
+/**
+ * The part of the table that a job's rows lie in. The store does transactions of
+ * a part one after the other, so that one part would hold up all callers while it is slow.
+ */
+std::string intakePartOf(const std::string& job);
+std::vector<std::string> intakeParts();
 /** Key of the row that asks for a job's end. */
 std::string cancelKey(const std::string& job);
 /** The job of a cancel row's key. */
--- a/src/libfescuecleat/node/peerdirectory.cpp
+++ b/src/libfescuecleat/node/peerdirectory.cpp
@@ -49,7 +49,7 @@
 
 void PeerDirectory::refresh()
 {
-    context_.store_.read(instancesTable, {}, {}, storeTimeLimit, lifetime_.guard([this](const tl::expected<RowPage, StoreFailure>& page) {
+    context_.store_.read({ instancesTable, {}, {}, {} }, storeTimeLimit, lifetime_.guard([this](const tl::expected<RowPage, StoreFailure>& page) {
         if (page) {
             peers_.clear();
             for (const StoredRow& row : page->rows_) {
--- a/src/libfescuecleat/node/peerrowstore.cpp
+++ b/src/libfescuecleat/node/peerrowstore.cpp
@@ -36,9 +36,9 @@
     });
 }
 
-void PeerRowStore::read(const std::string& table, const std::string& from, const std::string& to, Duration timeLimit, PageHandler handler)
+void PeerRowStore::read(const RowRange& range, Duration timeLimit, PageHandler handler)
 {
-    send({ ReadCall { table, from, to }, timeLimit }, std::move(handler));
+    send({ ReadCall { range }, timeLimit }, std::move(handler));
 }
 
 void PeerRowStore::follow(const std::string& table, std::uint64_t after, Duration wait, Duration timeLimit, PageHandler handler)
@@ -113,7 +113,7 @@
                            answer(page);
                        });
                    },
-                   [&](const ReadCall& read) { own.read(read.table_, read.from_, read.to_, limit, answer); },
+                   [&](const ReadCall& read) { own.read(read.range_, limit, answer); },
                    [&](const FollowCall& follow) { own.follow(follow.table_, follow.after_, follow.wait_, limit, answer); },
                },
         call->call_);
--- a/src/libfescuecleat/node/peerrowstore.h
+++ b/src/libfescuecleat/node/peerrowstore.h
@@ -28,7 +28,7 @@
     void setDirectory(Directory directory) { directory_ = std::move(directory); }
 
     void commit(RowTransaction, Duration timeLimit, CommitHandler) override;
-    void read(const std::string& table, const std::string& from, const std::string& to, Duration timeLimit, PageHandler) override;
+    void read(const RowRange&, Duration timeLimit, PageHandler) override;
     void follow(const std::string& table, std::uint64_t after, Duration wait, Duration timeLimit, PageHandler) override;
 
     /** Makes a peer's call for it over our own path to the store. */
--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -73,7 +73,7 @@
     , recorder_(context.loop_, context.store_, context.log_, lease.epoch_, lease.chainVersion_,
           { [this](const std::string& job) { return encodeJobRecord(scheduler_.record(job)); },
               [this](const std::string& cause) { listener_.superseded_(cause); } })
-    , intake_(context.loop_, context.store_, context.clock_, context.log_, intakeTable, intakeWait,
+    , intake_(context.loop_, context.store_, context.clock_, context.log_, { intakeTable, intakeParts() }, intakeWait,
           { [this](const std::vector<StoredRow>& rows) {
                for (const StoredRow& row : rows)
                    intakeRow(row);
@@ -88,7 +88,7 @@
                   wake();
               },
               nullptr })
-    , registry_(context.loop_, context.store_, context.clock_, context.log_, context.registryFormat_.table(), registryWait,
+    , registry_(context.loop_, context.store_, context.clock_, context.log_, { context.registryFormat_.table() }, registryWait,
           { [this](const std::vector<StoredRow>& rows) { registryReset(rows); }, [this](const StoredRow& row) { registryRow(row); }, nullptr })
     , timer_(context.loop_)
     , formerHolderUntil_(lease.formerHolderUntil_)
@@ -106,7 +106,7 @@
 
 void PoolController::loadRecords(const std::string& from)
 {
-    context_.store_.read(JobRecorder::table, from, {}, readTimeLimit, lifetime_.guard([this, from](const tl::expected<RowPage, StoreFailure>& page) {
+    context_.store_.read({ JobRecorder::table, {}, from, {} }, readTimeLimit, lifetime_.guard([this, from](const tl::expected<RowPage, StoreFailure>& page) {
         if (!page)
             return timer_.start(readRetryDelay, [this, from] { loadRecords(from); });
         for (const StoredRow& row : page->rows_) {
--- a/src/libfescuecleat/node/rowstore.h
+++ b/src/libfescuecleat/node/rowstore.h
@@ -26,6 +26,14 @@
     std::uint64_t version_ = 0;
 };
 
+/** Rows of one part of a table, from `from_`, before `to_`; empty bounds are open. */
+struct RowRange {
+    std::string table_;
+    std::string part_;
+    std::string from_;
+    std::string to_;
+};
+
 struct RowWrite {
     std::string table_;
     std::string key_;
@@ -37,8 +45,10 @@
     std::string key_;
 };
 
-/** Applied whole or not at all. */
+/** Applied whole or not at all. The store does transactions of one part one after the other. */
 struct RowTransaction {
+    /** The part that all rows lie in. */
+    std::string part_ = {};
     std::vector<RowExpectation> expectations_;
     std::vector<RowWrite> writes_;
     std::vector<RowDeletion> deletions_;
@@ -85,9 +95,9 @@
     virtual ~RowStore() = default;
 
     virtual void commit(RowTransaction, Duration timeLimit, CommitHandler) = 0;
-    /** Rows from `from`, before `to`, in the order of their keys; empty bounds are open. */
-    virtual void read(const std::string& table, const std::string& from, const std::string& to, Duration timeLimit, PageHandler) = 0;
-    /** Changes after a version, as soon as there are any, at the latest after `wait`. */
+    /** Rows in the order of their keys. */
+    virtual void read(const RowRange&, Duration timeLimit, PageHandler) = 0;
+    /** Changes of all parts after a version, as soon as there are any, at the latest after `wait`. */
     virtual void follow(const std::string& table, std::uint64_t after, Duration wait, Duration timeLimit, PageHandler) = 0;
 };
 
--- a/src/libfescuecleat/node/schedulerlease.cpp
+++ b/src/libfescuecleat/node/schedulerlease.cpp
@@ -64,7 +64,7 @@
     , instance_(std::move(instance))
     , courtesy_(courtesyOf(instance_, processorShare))
     , listener_(std::move(listener))
-    , follower_(context, store, clock, log, leaseTable, pollWait,
+    , follower_(context, store, clock, log, { leaseTable }, pollWait,
           { [this](const std::vector<StoredRow>& rows) {
                if (rows.empty()) {
                    seen_.reset();
--- a/src/libfescuecleat/node/storecall.cpp
+++ b/src/libfescuecleat/node/storecall.cpp
@@ -43,12 +43,13 @@
         Json deletions = Json::array();
         for (const RowDeletion& row : transaction.deletions_)
             deletions.push_back({ row.table_, row.key_ });
-        return { { "kind", "commit" }, { "expectations", std::move(expectations) }, { "writes", std::move(writes) }, { "deletions", std::move(deletions) } };
+        return { { "kind", "commit" }, { "part", transaction.part_ }, { "expectations", std::move(expectations) }, { "writes", std::move(writes) }, { "deletions", std::move(deletions) } };
     }
 
     RowTransaction decodeCommit(const Json& json)
     {
         RowTransaction transaction;
+        transaction.part_ = json.at("part");
         for (const Json& row : json.at("expectations"))
             transaction.expectations_.push_back({ row.at(0), row.at(1), row.at(2) });
         for (const Json& row : json.at("writes"))
@@ -64,7 +65,7 @@
 {
     Json json = std::visit(Overloaded {
                                [](const CommitCall& commit) { return encodeCommit(commit.transaction_); },
-                               [](const ReadCall& read) { return Json { { "kind", "read" }, { "table", read.table_ }, { "from", read.from_ }, { "to", read.to_ } }; },
+                               [](const ReadCall& read) { return Json { { "kind", "read" }, { "table", read.range_.table_ }, { "part", read.range_.part_ }, { "from", read.range_.from_ }, { "to", read.range_.to_ } }; },
                                [](const FollowCall& follow) { return Json { { "kind", "follow" }, { "table", follow.table_ }, { "after", follow.after_ }, { "waitUs", follow.wait_.count() } }; },
                            },
         call.call_);
@@ -82,7 +83,7 @@
         if (kind == "commit")
             call.call_ = CommitCall { decodeCommit(json) };
         else if (kind == "read")
-            call.call_ = ReadCall { json.at("table"), json.at("from"), json.at("to") };
+            call.call_ = ReadCall { { json.at("table"), json.at("part"), json.at("from"), json.at("to") } };
         else if (kind == "follow")
             call.call_ = FollowCall { json.at("table"), json.at("after"), Duration(json.at("waitUs").get<std::int64_t>()) };
         else
--- a/src/libfescuecleat/node/storecall.h
+++ b/src/libfescuecleat/node/storecall.h
@@ -14,9 +14,7 @@
 };
 
 struct ReadCall {
-    std::string table_;
-    std::string from_;
-    std::string to_;
+    RowRange range_;
 };
 
 struct FollowCall {
--- a/src/libfescuecleat/node/tablefollower.cpp
+++ b/src/libfescuecleat/node/tablefollower.cpp
@@ -15,7 +15,7 @@
 
 }
 
-TableFollower::TableFollower(boost::asio::io_context& context, RowStore& store, StoreClock& clock, EventLog& log, std::string table, Duration wait, Listener listener)
+TableFollower::TableFollower(boost::asio::io_context& context, RowStore& store, StoreClock& clock, EventLog& log, FollowedTable table, Duration wait, Listener listener)
     : store_(store)
     , clock_(clock)
     , log_(log)
@@ -29,22 +29,31 @@
 void TableFollower::start()
 {
     loading_.clear();
+    loadingPart_ = 0;
+    loadedKey_.clear();
+    isLoading_ = true;
     version_ = 0;
     readPage();
 }
 
 void TableFollower::readPage()
 {
-    const std::string from = loading_.empty() ? std::string() : boundAfter(loading_.back().key_);
-    store_.read(table_, from, {}, readTimeLimit, lifetime_.guard([this](const tl::expected<RowPage, StoreFailure>& page) {
+    const std::string from = loadedKey_.empty() ? std::string() : boundAfter(loadedKey_);
+    store_.read({ table_.name_, table_.parts_[loadingPart_], from, {} }, readTimeLimit, lifetime_.guard([this](const tl::expected<RowPage, StoreFailure>& page) {
         if (!page)
             return failed(page.error());
         // Changes between two pages come again with the feed.
         if (version_ == 0)
             version_ = page->moment_.version_;
         loading_.insert(loading_.end(), page->rows_.begin(), page->rows_.end());
-        if (page->hasMore_ && !page->rows_.empty())
+        if (page->hasMore_ && !page->rows_.empty()) {
+            loadedKey_ = page->rows_.back().key_;
             return readPage();
+        }
+        loadedKey_.clear();
+        if (++loadingPart_ < table_.parts_.size())
+            return readPage();
+        isLoading_ = false;
         isLoaded_ = true;
         const std::vector<StoredRow> rows = std::exchange(loading_, {});
         provenAt_ = std::max(provenAt_, page->moment_.askedAt_);
@@ -56,7 +65,7 @@
 
 void TableFollower::followChanges()
 {
-    store_.follow(table_, version_, wait_, wait_ + followSlack, lifetime_.guard([this](const tl::expected<RowPage, StoreFailure>& page) {
+    store_.follow(table_.name_, version_, wait_, wait_ + followSlack, lifetime_.guard([this](const tl::expected<RowPage, StoreFailure>& page) {
         if (!page)
             return failed(page.error());
         version_ = std::max(version_, page->moment_.version_);
@@ -76,7 +85,7 @@
     failures_ = 0;
     if (!isInContact_) {
         isInContact_ = true;
-        log_.write("store.contact_regained", { { "table", table_ }, { "version", version_ } });
+        log_.write("store.contact_regained", { { "table", table_.name_ }, { "version", version_ } });
     }
     auto next = lifetime_.guard([this] {
         if (pause_ > Duration::zero())
@@ -93,16 +102,16 @@
 {
     if (isInContact_) {
         isInContact_ = false;
-        log_.write("store.contact_lost", { { "table", table_ }, { "cause", storeFailureName(failure.kind_) }, { "detail", failure.message_ } });
+        log_.write("store.contact_lost", { { "table", table_.name_ }, { "cause", storeFailureName(failure.kind_) }, { "detail", failure.message_ } });
     }
     if (failure.kind_ == StoreFailureKind::HistoryGone) {
-        log_.write("store.history_gone", { { "table", table_ }, { "version", version_ } });
+        log_.write("store.history_gone", { { "table", table_.name_ }, { "version", version_ } });
         return start();
     }
     ++failures_;
     const Duration delay = std::min(lastRetryDelay, firstRetryDelay * failures_);
     retry_.start(delay, [this] {
-        if (version_ == 0 || !isLoaded_ || !loading_.empty())
+        if (isLoading_)
             readPage();
         else
             followChanges();
--- a/src/libfescuecleat/node/tablefollower.h
+++ b/src/libfescuecleat/node/tablefollower.h
@@ -12,6 +12,18 @@
 
 namespace fescuecleat {
 
+/** A table and the parts that its rows lie in. */
+struct FollowedTable {
+    FollowedTable(std::string name, std::vector<std::string> parts = { {} })
+        : name_(std::move(name))
+        , parts_(std::move(parts))
+    {
+    }
+
+    std::string name_;
+    std::vector<std::string> parts_;
+};
+
 /**
  * Follows a table: reads it whole, then its changes. Reads it again when its
  * history is gone. Each answer proves contact with the store.
@@ -26,7 +38,7 @@
         std::function<void()> contact_;
     };
 
-    TableFollower(boost::asio::io_context&, RowStore&, StoreClock&, EventLog&, std::string table, Duration wait, Listener);
+    TableFollower(boost::asio::io_context&, RowStore&, StoreClock&, EventLog&, FollowedTable, Duration wait, Listener);
 
     void start();
     /** Lets changes gather between two polls, where many rows change all the time. */
@@ -45,7 +57,7 @@
     RowStore& store_;
     StoreClock& clock_;
     EventLog& log_;
-    std::string table_;
+    FollowedTable table_;
     Duration wait_;
     Duration pause_ {};
     Listener listener_;
@@ -53,7 +65,12 @@
     Lifetime lifetime_;
 
     std::vector<StoredRow> loading_;
+    /** The part that is being read. */
+    std::size_t loadingPart_ = 0;
+    /** The last key of that part that was read. */
+    std::string loadedKey_;
     std::uint64_t version_ = 0;
+    bool isLoading_ = false;
     bool isLoaded_ = false;
     bool isInContact_ = false;
     int failures_ = 0;
