--- a/src/libfescuecleat/node/failoverrowstore.cpp
+++ b/src/libfescuecleat/node/failoverrowstore.cpp
@@ -20,7 +20,7 @@
 {
 }
 
-bool FailoverRowStore::mayGoToPeer(const StoreFailure& failure)
+bool FailoverRowStore::noteFailure(const StoreFailure& failure)
 {
     const bool isRefused = failure.kind_ == StoreFailureKind::Refused;
     // Only a probe tells more: single answers get lost, all feeds are cut when
@@ -60,7 +60,7 @@
         return peers_.commit(std::move(transaction), timeLimit, std::move(handler));
     RowTransaction copy = transaction;
     own_.commit(std::move(transaction), timeLimit, lifetime_.guard([this, copy = std::move(copy), timeLimit, handler = std::move(handler)](tl::expected<StoreMoment, StoreFailure> outcome) mutable {
-        if (outcome || !mayGoToPeer(outcome.error()))
+        if (outcome || !noteFailure(outcome.error()))
             return handler(std::move(outcome));
         peers_.commit(std::move(copy), timeLimit, std::move(handler));
     }));
@@ -71,7 +71,7 @@
     if (!isOwnPathUp_)
         return peers_.read(range, timeLimit, std::move(handler));
     own_.read(range, timeLimit, lifetime_.guard([this, range, timeLimit, handler = std::move(handler)](tl::expected<RowPage, StoreFailure> page) mutable {
-        if (page || !mayGoToPeer(page.error()))
+        if (page || !noteFailure(page.error()))
             return handler(std::move(page));
         peers_.read(range, timeLimit, std::move(handler));
     }));
@@ -82,7 +82,7 @@
     if (!isOwnPathUp_)
         return peers_.follow(table, after, wait, timeLimit, std::move(handler));
     own_.follow(table, after, wait, timeLimit, lifetime_.guard([this, table, after, wait, timeLimit, handler = std::move(handler)](tl::expected<RowPage, StoreFailure> page) mutable {
-        if (page || !mayGoToPeer(page.error()))
+        if (page || !noteFailure(page.error()))
             return handler(std::move(page));
         peers_.follow(table, after, wait, timeLimit, std::move(handler));
     }));
--- a/src/libfescuecleat/node/failoverrowstore.h
+++ b/src/libfescuecleat/node/failoverrowstore.h
@@ -24,8 +24,8 @@
     bool isOwnPathUp() const { return isOwnPathUp_; }
 
 private:
-    /** Takes note of a failure on our own path; says whether the call did nothing and goes to a peer. */
-    bool mayGoToPeer(const StoreFailure&);
+    /** Takes note of a failure on our own path; says whether a peer may make the call in our place. */
+    bool noteFailure(const StoreFailure&);
     void losePath(const StoreFailure&);
     void probe();
 
--- a/src/libfescuecleat/node/instance.cpp
+++ b/src/libfescuecleat/node/instance.cpp
@@ -243,6 +243,7 @@
         add("answers_total{status=\"" + std::to_string(status) + "\"}", count);
     add("configuration_version", configuration_ ? configuration_->version_ : 0);
     add("is_scheduler", controller_ ? 1 : 0);
+    add("store_own_path_up", store_.failover_.isOwnPathUp() ? 1 : 0);
     add("log_lines_dropped_total", context_.log_.droppedLines());
     if (controller_) {
         add("jobs_open", controller_->openJobs());
--- a/src/libfescuecleat/node/instance.h
+++ b/src/libfescuecleat/node/instance.h
@@ -69,7 +69,6 @@
     Timer logTimer_;
     Timer stopTimer_;
     bool isStopping_ = false;
-    bool wasReady_ = false;
 };
 
 }
