Keep the scheduler's lease while the store is slow or loses answers

Cause: a renewal was given up after 0.6 s. Ruled out: only a longer limit. Change: a renewal has 1.3 s. After 0.5 s its row is read: it shows whether the renewal has landed; if the store answers fast, or not at all, the renewal is sent again. Our own row in the feed prolongs the lease too.

--- a/src/libfescuecleat/node/schedulerlease.cpp
+++ b/src/libfescuecleat/node/schedulerlease.cpp
@@ -16,7 +16,16 @@
     /** How long a lease holds from its renewal. */
     constexpr std::int64_t leaseMs = 1900;
     constexpr Duration renewalInterval = std::chrono::milliseconds(500);
-    constexpr Duration writeTimeLimit = std::chrono::milliseconds(600);
+    /** A slow store takes 300 ms a transaction, and a commit of records and another write may go first. */
+    constexpr Duration renewalTimeLimit = std::chrono::milliseconds(1300);
+    /** Other candidates are there too: one that gets no answer makes way. */
+    constexpr Duration acquireTimeLimit = std::chrono::milliseconds(600);
+    /** After this long without an answer to a renewal it is asked whether the store can be reached at all. */
+    constexpr Duration renewalPatience = std::chrono::milliseconds(500);
+    /** Reads take 4 ms, or 240 ms when the store is slow. */
+    constexpr Duration slowAnswer = std::chrono::milliseconds(100);
+    /** Well above the reads of a slow store. */
+    constexpr Duration checkTimeLimit = std::chrono::milliseconds(400);
     /** The holder stops this long before its lease lapses: covers the drift of clocks and orders on their way. */
     constexpr std::int64_t safetyMarginMs = 150;
     constexpr Duration watchInterval = std::chrono::milliseconds(100);
@@ -76,6 +85,7 @@
               [this](const StoredRow& row) { observe(row); }, [this] { considerAcquiring(); } })
     , timer_(context)
     , watchTimer_(context)
+    , patience_(context)
 {
 }
 
@@ -114,8 +124,13 @@
         log_.write("lease.seen", { { "holder", lease->holder_ }, { "epoch", lease->epoch_ }, { "version", row.version_ } });
     seen_ = lease;
     seenVersion_ = row.version_;
-    if (isHolder_ && lease->epoch_ > epoch_)
-        lose("another instance took the lease");
+    if (!isHolder_)
+        return;
+    if (lease->epoch_ > epoch_)
+        return lose("another instance took the lease");
+    // A renewal whose answer is late or lost.
+    if (lease->epoch_ == epoch_ && lease->holder_ == instance_)
+        untilMs_ = std::max(untilMs_, lease->untilMs_);
 }
 
 void SchedulerLease::considerAcquiring()
@@ -150,7 +165,7 @@
     transaction.writes_.push_back({ leaseTable, leaseKey, encodeLease(lease) });
     if (isNew)
         transaction.writes_.push_back({ chainTable, chainKey, chainValue(lease.epoch_, 0) });
-    store_.commit(std::move(transaction), writeTimeLimit, lifetime_.guard([this, lease, handler = std::move(handler)](tl::expected<StoreMoment, StoreFailure> outcome) {
+    store_.commit(std::move(transaction), isNew ? acquireTimeLimit : renewalTimeLimit, lifetime_.guard([this, lease, handler = std::move(handler)](tl::expected<StoreMoment, StoreFailure> outcome) {
         isWriting_ = false;
         if (outcome) {
             seen_ = lease;
@@ -170,7 +185,7 @@
     const Time now = bootTimeNow();
     const std::int64_t until = clock_.earliest(now) + leaseMs;
     const Time formerUntil = seen_ ? std::max(now, clock_.localTime(seen_->untilMs_, now)) : now;
-    write({ instance_, epoch, until }, true, [this, epoch, until, formerUntil](const tl::expected<StoreMoment, StoreFailure>& outcome) {
+    write({ instance_, epoch, until }, true, [this, epoch, until, formerUntil, now](const tl::expected<StoreMoment, StoreFailure>& outcome) {
         if (!outcome) {
             // If it landed all the same, the lease lapses unused.
             log_.write("lease.acquire_failed", { { "epoch", epoch }, { "cause", storeFailureName(outcome.error().kind_) } });
@@ -182,29 +197,32 @@
         epoch_ = epoch;
         untilMs_ = until;
         log_.write("lease.acquired", { { "epoch", epoch }, { "version", outcome->version_ } });
-        scheduleRenewal();
+        scheduleRenewal(now);
         listener_.acquired_({ epoch, outcome->version_, formerUntil });
     });
 }
 
-void SchedulerLease::scheduleRenewal()
+void SchedulerLease::scheduleRenewal(Time formerAskedAt)
 {
-    timer_.start(renewalInterval, [this] { renew(); });
+    timer_.start(remaining(formerAskedAt + renewalInterval, bootTimeNow()), [this] { renew(); });
 }
 
 void SchedulerLease::renew()
 {
     if (!isHolder_ || isStopping_)
         return;
+    const Time now = bootTimeNow();
     if (isWriting_)
-        return scheduleRenewal();
-    const std::int64_t until = clock_.earliest(bootTimeNow()) + leaseMs;
-    write({ instance_, epoch_, until }, false, [this, until](const tl::expected<StoreMoment, StoreFailure>& outcome) {
+        return scheduleRenewal(now);
+    const std::int64_t until = clock_.earliest(now) + leaseMs;
+    patience_.start(renewalPatience, [this, until] { checkRenewal(until); });
+    write({ instance_, epoch_, until }, false, [this, until, now](const tl::expected<StoreMoment, StoreFailure>& outcome) {
+        patience_.cancel();
         if (!isHolder_)
             return;
         if (outcome) {
-            untilMs_ = until;
-            return scheduleRenewal();
+            untilMs_ = std::max(untilMs_, until);
+            return scheduleRenewal(now);
         }
         const StoreFailure& failure = outcome.error();
         const bool isOurs = seen_ && seen_->epoch_ == epoch_ && seen_->holder_ == instance_;
@@ -218,6 +236,25 @@
     });
 }
 
+void SchedulerLease::checkRenewal(std::int64_t until)
+{
+    store_.read({ leaseTable, {}, leaseKey, boundAfter(leaseKey) }, checkTimeLimit, lifetime_.guard([this, until](const tl::expected<RowPage, StoreFailure>& page) {
+        if (!isHolder_ || isStopping_)
+            return;
+        if (page) {
+            for (const StoredRow& row : page->rows_)
+                observe(row);
+            // A slow store may be at work on it. A fast one would have answered.
+            const bool isSlow = page->moment_.answeredAt_ - page->moment_.askedAt_ > slowAnswer;
+            if (isSlow && untilMs_ < until)
+                return;
+        }
+        // The answer is lost, or the connection silent. Another one, perhaps over a peer, may still be in time.
+        isWriting_ = false;
+        renew();
+    }));
+}
+
 void SchedulerLease::lose(const std::string& cause)
 {
     if (!isHolder_)
--- a/src/libfescuecleat/node/schedulerlease.h
+++ b/src/libfescuecleat/node/schedulerlease.h
@@ -66,7 +66,9 @@
     bool isVacant(Time now) const;
     void acquire();
     void renew();
-    void scheduleRenewal();
+    /** A renewal has had no answer for long. */
+    void checkRenewal(std::int64_t until);
+    void scheduleRenewal(Time formerAskedAt);
     void write(const LeaseRecord&, bool isNew, std::function<void(tl::expected<StoreMoment, StoreFailure>)>);
     void lose(const std::string& cause);
     void watch();
@@ -81,6 +83,7 @@
     TableFollower follower_;
     Timer timer_;
     Timer watchTimer_;
+    Timer patience_;
     Lifetime lifetime_;
 
     std::optional<LeaseRecord> seen_;
--- a/tests/node/fakerowstore.cpp
+++ b/tests/node/fakerowstore.cpp
@@ -60,9 +60,14 @@
     return moment();
 }
 
-void FakeRowStore::commit(RowTransaction transaction, Duration, CommitHandler handler)
+void FakeRowStore::commit(RowTransaction transaction, Duration timeLimit, CommitHandler handler)
 {
-    later([this, transaction = std::move(transaction), handler = std::move(handler)] {
+    if (commitDelay_ > timeLimit) {
+        delays_.emplace_back(loop_);
+        delays_.back().start(timeLimit, [handler = std::move(handler)] { handler(failed(StoreFailureKind::OutcomeUnknown)); });
+        handler = [](const tl::expected<StoreMoment, StoreFailure>&) {};
+    }
+    auto carryOut = [this, transaction = std::move(transaction), handler = std::move(handler)] {
         ++commitsSeen_;
         if (refusesWrites_)
             return handler(failed(StoreFailureKind::Refused));
@@ -79,7 +84,11 @@
             return handler(failed(StoreFailureKind::OutcomeUnknown));
         }
         handler(std::move(outcome));
-    });
+    };
+    if (commitDelay_ == Duration::zero())
+        return later(std::move(carryOut));
+    delays_.emplace_back(loop_);
+    delays_.back().start(commitDelay_, std::move(carryOut));
 }
 
 int FakeRowStore::landLate()
--- a/tests/node/fakerowstore.h
+++ b/tests/node/fakerowstore.h
@@ -31,6 +31,8 @@
     int landLate();
     /** Refuses everything while set. */
     void setRefusing(bool refuses) { refuses_ = refuses; }
+    /** Commits are carried out and answered this much later, as a slow store does. */
+    void setCommitDelay(Duration delay) { commitDelay_ = delay; }
     /** Refuses commits while set, as a part does that is too slow. */
     void setRefusingWrites(bool refuses) { refusesWrites_ = refuses; }
     /** No call gets an answer while set; nothing is carried out. */
@@ -78,6 +80,8 @@
     std::map<std::string, int> fullReads_;
     int answersToLose_ = 0;
     int commitsToHoldBack_ = 0;
+    Duration commitDelay_ {};
+    std::list<Timer> delays_;
     bool isSilent_ = false;
     bool refusesWrites_ = false;
     bool areFeedsSilent_ = false;
--- a/tests/node/storetest.cpp
+++ b/tests/node/storetest.cpp
@@ -85,6 +85,9 @@
     CPPUNIT_TEST(droppedHistoryIsReadAgain);
     CPPUNIT_TEST(rowsOfAllPartsAreRead);
     CPPUNIT_TEST(leaseIsTakenOverAndGivenUp);
+    CPPUNIT_TEST(leaseIsKeptWhileTheStoreIsSlow);
+    CPPUNIT_TEST(leaseIsKeptWhileAnswersAreLost);
+    CPPUNIT_TEST(leaseIsKeptThoughARenewalLandsLate);
     CPPUNIT_TEST_SUITE_END();
 
     void acceptsOnceStored()
@@ -248,6 +251,41 @@
         CPPUNIT_ASSERT(keys == std::set<std::string>({ "a", "b" }));
     }
 
+    /** Writes that take nearly a second don't cost the lease, nor does a rival get it. */
+    void leaseIsKeptWhileTheStoreIsSlow()
+    {
+        PoolFixture pool;
+        const auto first = pool.scheduler("a");
+        CPPUNIT_ASSERT(pool.runUntil([&] { return first->controller() != nullptr; }));
+        const auto second = pool.scheduler("b");
+        pool.store_.setCommitDelay(900ms);
+        CPPUNIT_ASSERT(!pool.runUntil([&] { return first->controller() == nullptr || second->controller() != nullptr; }, 5s));
+    }
+
+    /** A renewal that landed without an answer shows in the row. */
+    void leaseIsKeptWhileAnswersAreLost()
+    {
+        PoolFixture pool;
+        const auto first = pool.scheduler("a");
+        CPPUNIT_ASSERT(pool.runUntil([&] { return first->controller() != nullptr; }));
+        const auto second = pool.scheduler("b");
+        pool.store_.loseAnswers(1000);
+        CPPUNIT_ASSERT(!pool.runUntil([&] { return first->controller() == nullptr || second->controller() != nullptr; }, 5s));
+    }
+
+    /** A renewal that the store carries out seconds later is not waited for. */
+    void leaseIsKeptThoughARenewalLandsLate()
+    {
+        PoolFixture pool;
+        const auto first = pool.scheduler("a");
+        CPPUNIT_ASSERT(pool.runUntil([&] { return first->controller() != nullptr; }));
+        const auto second = pool.scheduler("b");
+        pool.store_.setCommitDelay(4s);
+        pool.runFor(700ms);
+        pool.store_.setCommitDelay(0s);
+        CPPUNIT_ASSERT(!pool.runUntil([&] { return first->controller() == nullptr || second->controller() != nullptr; }, 6s));
+    }
+
     void leaseIsTakenOverAndGivenUp()
     {
         PoolFixture pool;
