--- a/src/libfescuecleat/node/jobapi.cpp
+++ b/src/libfescuecleat/node/jobapi.cpp
@@ -2,6 +2,7 @@
 
 #include "node/jobintake.h"
 #include "node/nodeclock.h"
+#include "node/storelayout.h"
 
 #include <nlohmann/json.hpp>
 
@@ -187,7 +188,7 @@
             return answer(call, 200, context_.callerFormat_.encodeState(*state), "from the scheduler");
     }
     const Duration limit = std::min(storeCallTimeout, remaining(call->deadline_, bootTimeNow()));
-    context_.store_.read({ JobRecorder::table, {}, call->job_, boundAfter(call->job_) }, limit, lifetime_.guard([this, call](const tl::expected<RowPage, StoreFailure>& page) {
+    context_.store_.read({ JobRecorder::table, schedulerPart, call->job_, boundAfter(call->job_) }, limit, lifetime_.guard([this, call](const tl::expected<RowPage, StoreFailure>& page) {
         if (!page)
             return retryOrRefuse(call, [this, call] { status(call); });
         if (page->rows_.empty())
@@ -249,7 +250,7 @@
             return answer(call, 200, context_.callerFormat_.encodeWaiting(*jobs), "from the scheduler");
     }
     const Duration limit = std::min(storeCallTimeout, remaining(call->deadline_, bootTimeNow()));
-    context_.store_.read({ PoolController::summaryTable, {}, {}, {} }, limit, lifetime_.guard([this, call](const tl::expected<RowPage, StoreFailure>& page) {
+    context_.store_.read({ PoolController::summaryTable, schedulerPart, {}, {} }, limit, lifetime_.guard([this, call](const tl::expected<RowPage, StoreFailure>& page) {
         if (!page)
             return retryOrRefuse(call, [this, call] { answerWaitingJobs(call); });
         int jobs = 0;
--- a/src/libfescuecleat/node/jobrecorder.cpp
+++ b/src/libfescuecleat/node/jobrecorder.cpp
@@ -1,6 +1,7 @@
 #include "node/jobrecorder.h"
 
 #include "node/poolschedulerlease.h"
+#include "node/storelayout.h"
 
 namespace fescuecleat {
 
@@ -53,6 +54,7 @@
     }
     isCommitting_ = true;
     transaction_ = {};
+    transaction_.part_ = schedulerPart;
     std::size_t bytes = 0;
     for (auto job = changed_.begin(); job != changed_.end() && transaction_.writes_.size() < maxRecordsPerCommit && bytes < maxCommitBytes; job = changed_.erase(job)) {
         transaction_.writes_.push_back({ table, *job, listener_.encode_(*job) });
--- a/src/libfescuecleat/node/jsoneventlog.cpp
+++ b/src/libfescuecleat/node/jsoneventlog.cpp
@@ -2,6 +2,7 @@
 
 #include "node/nodeclock.h"
 
+#include <climits>
 #include <fcntl.h>
 #include <unistd.h>
 
@@ -10,6 +11,8 @@
 namespace {
 
     constexpr std::size_t maxQueuedBytes = std::size_t(256) * 1024;
+    /** Writes of at most this size to a pipe are atomic, so lines of several processes don't mix. */
+    constexpr std::size_t maxWriteBytes = PIPE_BUF;
 
 }
 
@@ -40,12 +43,19 @@
 
 void JsonEventLog::flush()
 {
-    while (!queue_.empty()) {
-        const ssize_t written = ::write(STDOUT_FILENO, queue_.data(), queue_.size());
+    std::size_t position = 0;
+    while (position < queue_.size()) {
+        std::size_t size = queue_.size() - position;
+        if (size > maxWriteBytes) {
+            const std::size_t end = queue_.rfind('\n', position + maxWriteBytes - 1);
+            size = end == std::string::npos || end < position ? maxWriteBytes : end + 1 - position;
+        }
+        const ssize_t written = ::write(STDOUT_FILENO, queue_.data() + position, size);
         if (written <= 0)
-            return; // the reader is slow; write() drops lines once the queue is full
-        queue_.erase(0, static_cast<std::size_t>(written));
+            break; // the reader is slow; write() drops lines once the queue is full
+        position += static_cast<std::size_t>(written);
     }
+    queue_.erase(0, position);
 }
 
 }
--- a/src/libfescuecleat/node/peerdirectory.cpp
+++ b/src/libfescuecleat/node/peerdirectory.cpp
@@ -1,6 +1,7 @@
 #include "node/peerdirectory.h"
 
 #include "node/nodeclock.h"
+#include "node/storelayout.h"
 
 #include <algorithm>
 
@@ -32,6 +33,7 @@
 void PeerDirectory::registerSelf()
 {
     RowTransaction transaction;
+    transaction.part_ = instancesPart;
     transaction.writes_.push_back({ instancesTable, context_.settings_.instance_, toString(context_.settings_.peers_) });
     context_.store_.commit(std::move(transaction), storeTimeout, lifetime_.guard([this](const tl::expected<StoreTimestamp, StoreFailure>& outcome) {
         if (!outcome)
@@ -42,6 +44,7 @@
 void PeerDirectory::unregisterSelf()
 {
     RowTransaction transaction;
+    transaction.part_ = instancesPart;
     transaction.deletions_.push_back({ instancesTable, context_.settings_.instance_ });
     // No retry: a leftover row only names an instance that doesn't answer.
     context_.store_.commit(std::move(transaction), storeTimeout, [](const tl::expected<StoreTimestamp, StoreFailure>&) {});
@@ -49,7 +52,7 @@
 
 void PeerDirectory::refresh()
 {
-    context_.store_.read({ instancesTable, {}, {}, {} }, storeTimeout, lifetime_.guard([this](const tl::expected<RowPage, StoreFailure>& page) {
+    context_.store_.read({ instancesTable, instancesPart, {}, {} }, storeTimeout, lifetime_.guard([this](const tl::expected<RowPage, StoreFailure>& page) {
         if (page) {
             peers_.clear();
             for (const StoredRow& row : page->rows_) {
--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -2,6 +2,7 @@
 
 #include "node/jobintake.h"
 #include "node/nodeclock.h"
+#include "node/storelayout.h"
 
 #include <boost/asio/post.hpp>
 
@@ -34,25 +35,6 @@
     constexpr Duration linkBatchInterval = std::chrono::milliseconds(15);
     constexpr Duration minPassDelay = std::chrono::milliseconds(1);
 
-    std::string describeEnd(EndReason reason)
-    {
-        switch (reason) {
-        case EndReason::Done:
-            return "done";
-        case EndReason::Failed:
-            return "failed";
-        case EndReason::Stopped:
-            return "stopped";
-        case EndReason::LeaseExpired:
-            return "lease_lapsed";
-        case EndReason::GangBroken:
-            return "gang_broken";
-        case EndReason::GangIncomplete:
-            return "gang_incomplete";
-        }
-        return "unknown";
-    }
-
     std::string describeState(PoolJobState state)
     {
         switch (state) {
@@ -74,6 +56,7 @@
 
 PoolController::PoolController(const NodeContext& context, const AcquiredLease& lease, Listener listener)
     : context_(context)
+    , runLog_(context.log_)
     , epoch_(lease.epoch_)
     , listener_(std::move(listener))
     , recorder_(context.loop_, context.store_, context.log_, lease.epoch_, lease.chainVersion_,
@@ -112,7 +95,7 @@
 
 void PoolController::loadRecords(const std::string& from)
 {
-    context_.store_.read({ JobRecorder::table, {}, from, {} }, readTimeout, lifetime_.guard([this, from](const tl::expected<RowPage, StoreFailure>& page) {
+    context_.store_.read({ JobRecorder::table, schedulerPart, from, {} }, readTimeout, lifetime_.guard([this, from](const tl::expected<RowPage, StoreFailure>& page) {
         if (!page)
             return timer_.start(readRetryDelay, [this, from] { loadRecords(from); });
         for (const StoredRow& row : page->rows_) {
@@ -290,7 +273,7 @@
     PoolWorkerLink::Listener listener;
     listener.reported_ = [this, id](const PoolWorkerReport& report, Time askedAt) {
         PoolWorkerLink& link = *links_.at(id);
-        logRunEnds(report, id);
+        logNewEnds(report, link.key());
         scheduler_.report(link.key(), report, askedAt, bootTimeNow());
         std::int64_t last = 0;
         for (const ReportedEnd& end : report.ended_)
@@ -341,10 +324,17 @@
     return listener;
 }
 
-void PoolController::logRunEnds(const PoolWorkerReport& report, const std::string& worker)
+void PoolController::logNewEnds(const PoolWorkerReport& report, const WorkerKey& key)
 {
-    for (const ReportedEnd& end : report.ended_)
-        context_.log_.write("run.ended", { { "job", end.run_.task_.job_ }, { "task", toString(end.run_.task_) }, { "run", end.run_.number_ }, { "worker", worker }, { "end", end.sequence_ }, { "how", describeEnd(end.reason_) } });
+    // Reports repeat the ends that are not acknowledged yet.
+    const auto worker = scheduler_.state().workers_.find(key);
+    const std::int64_t lastProcessed = worker == scheduler_.state().workers_.end() ? 0 : worker->second.lastProcessedEnd_;
+    std::vector<ReportedEnd> newEnds;
+    for (const ReportedEnd& end : report.ended_) {
+        if (end.sequence_ > lastProcessed)
+            newEnds.push_back(end);
+    }
+    runLog_.ended(key.id_, newEnds);
 }
 
 void PoolController::requestPass()
@@ -379,8 +369,8 @@
 void PoolController::executeDecisions()
 {
     const Decisions decisions = scheduler_.takeDecisions();
+    runLog_.stopped(decisions.stops_);
     for (const StopDecision& stop : decisions.stops_) {
-        context_.log_.write("run.stop", { { "job", stop.run_.task_.job_ }, { "task", toString(stop.run_.task_) }, { "run", stop.run_.number_ }, { "worker", stop.worker_.id_ }, { "cause", stop.cause_ } });
         if (PoolWorkerLink* link = findLink(stop.worker_))
             link->stop(stop.run_);
     }
@@ -396,8 +386,7 @@
     recorder_.whenStored([this, starts = decisions.starts_, states = std::move(states)] {
         for (const auto& [job, state] : states)
             handleJobStored(job, state);
-        for (const StartDecision& start : starts)
-            sendStart(start);
+        sendStarts(starts);
     });
 }
 
@@ -413,19 +402,26 @@
         payloads_.erase(job);
 }
 
-void PoolController::sendStart(const StartDecision& decision)
+void PoolController::sendStarts(const std::vector<StartDecision>& decisions)
 {
-    if (!listener_.isLeaseHeld_() || !scheduler_.beginStart(decision.run_, bootTimeNow()))
-        return;
-    PoolWorkerLink* link = findLink(decision.worker_);
-    context_.log_.write("run.start", { { "job", decision.run_.task_.job_ }, { "task", toString(decision.run_.task_) }, { "run", decision.run_.number_ }, { "worker", decision.worker_.id_ }, { "epoch", epoch_ }, { "resumes", !decision.checkpoint_.empty() } });
-    if (link == nullptr)
+    if (!listener_.isLeaseHeld_())
         return;
-    StartRequest request;
-    request.run_ = decision.run_;
-    request.payload_ = payloads_[decision.run_.task_.job_];
-    request.checkpoint_ = decision.checkpoint_;
-    link->start(std::move(request));
+    std::vector<StartDecision> begun;
+    for (const StartDecision& decision : decisions) {
+        if (scheduler_.beginStart(decision.run_, bootTimeNow()))
+            begun.push_back(decision);
+    }
+    runLog_.started(begun);
+    for (const StartDecision& decision : begun) {
+        PoolWorkerLink* link = findLink(decision.worker_);
+        if (link == nullptr)
+            continue;
+        StartRequest request;
+        request.run_ = decision.run_;
+        request.payload_ = payloads_[decision.run_.task_.job_];
+        request.checkpoint_ = decision.checkpoint_;
+        link->start(std::move(request));
+    }
 }
 
 void PoolController::writeSummary()
--- a/src/libfescuecleat/node/poolcontroller.h
+++ b/src/libfescuecleat/node/poolcontroller.h
@@ -7,6 +7,7 @@
 #include "node/poolconfiguration.h"
 #include "node/poolschedulerlease.h"
 #include "node/poolworkerlink.h"
+#include "node/runlog.h"
 #include "node/tablefollower.h"
 #include "pool/poolscheduler.h"
 
@@ -69,11 +70,12 @@
     void runPass();
     void runScheduler();
     void executeDecisions();
-    void sendStart(const StartDecision&);
+    void sendStarts(const std::vector<StartDecision>&);
     void writeSummary();
-    void logRunEnds(const PoolWorkerReport&, const std::string& worker);
+    void logNewEnds(const PoolWorkerReport&, const WorkerKey&);
 
     NodeContext context_;
+    RunLog runLog_;
     std::int64_t epoch_;
     Listener listener_;
     PoolScheduler scheduler_;
--- a/src/libfescuecleat/node/poolschedulerlease.cpp
+++ b/src/libfescuecleat/node/poolschedulerlease.cpp
@@ -1,6 +1,7 @@
 #include "node/poolschedulerlease.h"
 
 #include "node/nodeclock.h"
+#include "node/storelayout.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -13,7 +14,12 @@
 
     constexpr const char* leaseTable = "lease";
     constexpr const char* leaseKey = "pool";
-    constexpr std::int64_t leaseDurationMs = 1900;
+    /** Longer than two commits of 0.9 s in a row and the safety margin. */
+    constexpr Duration minLeaseDuration = std::chrono::milliseconds(2100);
+    /** Added to twice the duration of a renewal, so that the next one is in time even if it is as slow. */
+    constexpr Duration leaseDurationMargin = std::chrono::milliseconds(600);
+    /** Share of the slowest recent renewal's duration that counts at the next one. */
+    constexpr double renewalDurationDecay = 0.75;
     constexpr Duration renewalInterval = std::chrono::milliseconds(500);
     /** A slow store needs 300 ms per transaction, and a commit of records and another write may precede it. */
     constexpr Duration renewalTimeout = std::chrono::milliseconds(1300);
@@ -72,7 +78,7 @@
     , instance_(std::move(instance))
     , acquireDelay_(acquireDelayOf(instance_, processorShare))
     , listener_(std::move(listener))
-    , follower_(context, store, clock, log, { leaseTable }, leasePollWait,
+    , follower_(context, store, clock, log, { leaseTable, { schedulerPart } }, leasePollWait,
           { [this](const std::vector<StoredRow>& rows) {
                if (rows.empty()) {
                    lastSeen_.reset();
@@ -160,6 +166,7 @@
 {
     isWriting_ = true;
     RowTransaction transaction;
+    transaction.part_ = schedulerPart;
     transaction.expectations_.push_back({ leaseTable, leaseKey, lastSeenVersion_ });
     transaction.writes_.push_back({ leaseTable, leaseKey, encodeLease(lease) });
     if (isNew)
@@ -182,7 +189,7 @@
 {
     const std::int64_t epoch = (lastSeen_ ? lastSeen_->epoch_ : 0) + 1;
     const Time now = bootTimeNow();
-    const std::int64_t until = clock_.earliestMs(now) + leaseDurationMs;
+    const std::int64_t until = clock_.earliestMs(now) + wholeMilliseconds(leaseDuration());
     const Time formerHolderActiveUntil = lastSeen_ ? std::max(now, clock_.localTime(lastSeen_->untilMs_, now)) : now;
     write({ instance_, epoch, until }, true, [this, epoch, until, formerHolderActiveUntil, now](const tl::expected<StoreTimestamp, StoreFailure>& outcome) {
         if (!outcome) {
@@ -201,6 +208,11 @@
     });
 }
 
+Duration PoolSchedulerLease::leaseDuration() const
+{
+    return std::max(minLeaseDuration, 2 * slowestRenewal_ + leaseDurationMargin);
+}
+
 void PoolSchedulerLease::scheduleRenewal(Time lastAttemptAt)
 {
     timer_.start(remaining(lastAttemptAt + renewalInterval, bootTimeNow()), [this] { renew(); });
@@ -213,12 +225,13 @@
     const Time now = bootTimeNow();
     if (isWriting_)
         return scheduleRenewal(now);
-    const std::int64_t until = clock_.earliestMs(now) + leaseDurationMs;
+    const std::int64_t until = clock_.earliestMs(now) + wholeMilliseconds(leaseDuration());
     renewalCheckTimer_.start(renewalCheckDelay, [this, until] { checkRenewal(until); });
     write({ instance_, epoch_, until }, false, [this, until, now](const tl::expected<StoreTimestamp, StoreFailure>& outcome) {
         renewalCheckTimer_.cancel();
         if (!isHolder_)
             return;
+        slowestRenewal_ = std::max(bootTimeNow() - now, std::chrono::duration_cast<Duration>(slowestRenewal_ * renewalDurationDecay));
         if (outcome) {
             untilMs_ = std::max(untilMs_, until);
             return scheduleRenewal(now);
@@ -237,7 +250,7 @@
 
 void PoolSchedulerLease::checkRenewal(std::int64_t until)
 {
-    store_.read({ leaseTable, {}, leaseKey, boundAfter(leaseKey) }, checkTimeout, lifetime_.guard([this, until](const tl::expected<RowPage, StoreFailure>& page) {
+    store_.read({ leaseTable, schedulerPart, leaseKey, boundAfter(leaseKey) }, checkTimeout, lifetime_.guard([this, until](const tl::expected<RowPage, StoreFailure>& page) {
         if (!isHolder_ || isStopping_)
             return;
         if (page) {
--- a/src/libfescuecleat/node/poolschedulerlease.h
+++ b/src/libfescuecleat/node/poolschedulerlease.h
@@ -65,6 +65,8 @@
     void observe(const StoredRow&);
     void tryAcquire();
     bool isVacant(Time now) const;
+    /** Longer while the store is slow. */
+    Duration leaseDuration() const;
     void acquire();
     void renew();
     /** Decides whether a renewal without an answer is sent again. */
@@ -94,7 +96,8 @@
     bool isStopping_ = false;
     std::int64_t epoch_ = 0;
     std::int64_t untilMs_ = 0;
-    int conflicts_ = 0;
+    /** Duration of the slowest recent renewal; decays with each one. */
+    Duration slowestRenewal_ {};
 };
 
 }
--- /dev/null
+++ b/src/libfescuecleat/node/runlog.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "node/jsoneventlog.h"
+#include "pool/decisions.h"
+#include "pool/poolworkerreport.h"
+
+#include <string>
+#include <vector>
+
+namespace fescuecleat {
+
+/** Logs starts, stops and ends of runs; the runs of a step that share the other fields share one line. */
+class RunLog {
+public:
+    explicit RunLog(JsonEventLog& log)
+        : log_(log)
+    {
+    }
+
+    void started(const std::vector<StartDecision>&);
+    void stopped(const std::vector<StopDecision>&);
+    void ended(const std::string& worker, const std::vector<ReportedEnd>&);
+
+private:
+    JsonEventLog& log_;
+};
+
+}
--- a/src/libfescuecleat/node/storeclock.cpp
+++ b/src/libfescuecleat/node/storeclock.cpp
@@ -1,34 +1,48 @@
 #include "node/storeclock.h"
 
+#include <algorithm>
+
 namespace fescuecleat {
 
 namespace {
 
-    /** An older estimate is replaced even by a less precise one. */
-    constexpr Duration maxEstimateAge = std::chrono::seconds(5);
+    /** The local clock and the store's may run apart by this ratio. */
+    constexpr double maxStoreClockDriftRatio = 0.02;
+    /** The store truncates its clock to whole milliseconds. */
+    constexpr Duration clockResolution = std::chrono::milliseconds(1);
+
+}
 
+Duration StoreClock::drift(Time now) const
+{
+    return std::chrono::duration_cast<Duration>(std::max(Duration::zero(), now - boundsAt_) * maxStoreClockDriftRatio);
 }
 
 void StoreClock::observe(const StoreTimestamp& timestamp)
 {
-    lastAnswerAt_ = std::max(lastAnswerAt_, timestamp.answeredAt_);
-    const bool isTighter = timestamp.answeredAt_ - timestamp.askedAt_ <= answeredAt_ - askedAt_;
-    if (isKnown_ && !isTighter && timestamp.answeredAt_ - answeredAt_ < maxEstimateAge)
-        return;
+    const Time now = timestamp.answeredAt_;
+    const Duration clock = std::chrono::milliseconds(timestamp.clockMs_);
+    const Duration observedMin = clock - timestamp.answeredAt_.time_since_epoch();
+    const Duration observedMax = clock + clockResolution - timestamp.askedAt_.time_since_epoch();
+    const Duration min = std::max(observedMin, minOffset_ - drift(now));
+    const Duration max = std::min(observedMax, maxOffset_ + drift(now));
+    // Answers that contradict the former bounds show that one of the clocks was set.
+    const bool isConsistent = isKnown_ && min <= max;
+    minOffset_ = isConsistent ? min : observedMin;
+    maxOffset_ = isConsistent ? max : observedMax;
+    boundsAt_ = std::max(boundsAt_, now);
+    lastAnswerAt_ = std::max(lastAnswerAt_, now);
     isKnown_ = true;
-    clockMs_ = timestamp.clockMs_;
-    askedAt_ = timestamp.askedAt_;
-    answeredAt_ = timestamp.answeredAt_;
 }
 
 std::int64_t StoreClock::earliestMs(Time now) const
 {
-    return clockMs_ + wholeMilliseconds(now - answeredAt_);
+    return wholeMilliseconds(now.time_since_epoch() + minOffset_ - drift(now));
 }
 
 std::int64_t StoreClock::latestMs(Time now) const
 {
-    return clockMs_ + wholeMilliseconds(now - askedAt_) + 1;
+    return wholeMilliseconds(now.time_since_epoch() + maxOffset_ + drift(now) + clockResolution);
 }
 
 Time StoreClock::localTime(std::int64_t storeClockMs, Time now) const
--- a/src/libfescuecleat/node/storeclock.h
+++ b/src/libfescuecleat/node/storeclock.h
@@ -6,7 +6,10 @@
 
 namespace fescuecleat {
 
-/** Computes bounds on the store's steady clock from the store's answers. */
+/**
+ * Bounds on the store's steady clock. Each answer bounds the difference to the local
+ * clock; the bounds of successive answers are intersected and widen with possible drift.
+ */
 class StoreClock {
 public:
     void observe(const StoreTimestamp&);
@@ -22,10 +25,14 @@
     Time localTime(std::int64_t storeClockMs, Time now) const;
 
 private:
+    /** How far the clocks may have drifted apart since the bounds were computed. */
+    Duration drift(Time now) const;
+
     bool isKnown_ = false;
-    std::int64_t clockMs_ = 0;
-    Time askedAt_ {};
-    Time answeredAt_ {};
+    /** Bounds of the store's clock minus the local clock, as of `boundsAt_`. */
+    Duration minOffset_ {};
+    Duration maxOffset_ {};
+    Time boundsAt_ {};
     Time lastAnswerAt_ {};
 };
 
--- /dev/null
+++ b/src/libfescuecleat/node/storelayout.h
@@ -0,0 +1,10 @@
+#pragma once
+
+namespace fescuecleat {
+
+/** Part of the rows that the scheduler writes: its lease, the commit chain, job records and the summary. */
+constexpr const char* schedulerPart = "scheduler";
+/** Part of the instances' addresses. A part executes its transactions one after another, so these have their own. */
+constexpr const char* instancesPart = "instances";
+
+}
--- a/src/libfescuecleat/pool/healthreview.cpp
+++ b/src/libfescuecleat/pool/healthreview.cpp
@@ -61,41 +61,54 @@
 
 void HealthReview::detectSlowWorkers()
 {
-    std::map<StepKey, std::vector<double>> measured;
-    const auto stepKeyOf = [](const RunId& id) { return StepKey(id.task_.job_, { id.task_.occurrence_, id.task_.step_ }); };
-    for (const auto& [id, run] : state_.runs_) {
-        const Job* job = state_.findJob(id.task_.job_);
-        if (job != nullptr && hasUsableSpeed(run, job->step(job->units_[run.unit_])))
-            measured[stepKeyOf(id)].push_back(run.maxPercentPerSecond_);
+    std::vector<SlowUnit> slowUnits;
+    // Runs are ordered by job, occurrence and step, so those of a step are adjacent.
+    for (auto first = state_.runs_.begin(); first != state_.runs_.end();) {
+        const TaskId& task = first->first.task_;
+        auto end = first;
+        while (end != state_.runs_.end() && end->first.task_.step_ == task.step_ && end->first.task_.occurrence_ == task.occurrence_ && end->first.task_.job_ == task.job_)
+            ++end;
+        if (Job* job = state_.findJob(task.job_))
+            detectSlowRuns(*job, first, end, slowUnits);
+        first = end;
     }
-    std::map<StepKey, double> medianSpeeds;
-    for (auto& [key, speeds] : measured) {
-        const auto middle = speeds.begin() + static_cast<std::ptrdiff_t>(speeds.size() / 2);
-        std::nth_element(speeds.begin(), middle, speeds.end());
-        medianSpeeds[key] = *middle;
+    for (const SlowUnit& slow : slowUnits)
+        restartIfFaster(slow);
+}
+
+void HealthReview::detectSlowRuns(Job& job, RunIterator first, RunIterator end, std::vector<SlowUnit>& slowUnits)
+{
+    const StepSpec& step = job.spec_.steps_[static_cast<std::size_t>(first->first.task_.step_)];
+    std::vector<double> speeds;
+    for (auto it = first; it != end; ++it) {
+        if (hasUsableSpeed(it->second, step))
+            speeds.push_back(it->second.maxPercentPerSecond_);
     }
-    std::set<UnitKey> slowUnits;
-    for (const auto& [id, run] : state_.runs_) {
-        const Job* job = state_.findJob(id.task_.job_);
-        if (job == nullptr || !hasUsableSpeed(run, job->step(job->units_[run.unit_])) || !isSlow(run, medianSpeeds[stepKeyOf(id)]))
+    if (speeds.empty())
+        return;
+    const auto middle = speeds.begin() + static_cast<std::ptrdiff_t>(speeds.size() / 2);
+    std::nth_element(speeds.begin(), middle, speeds.end());
+    const double medianSpeed = *middle;
+    for (auto it = first; it != end; ++it) {
+        const TaskRun& run = it->second;
+        if (!hasUsableSpeed(run, step) || !isSlow(run, medianSpeed))
             continue;
-        slowUnits.emplace(id.task_.job_, run.unit_);
+        const bool isKnown = !slowUnits.empty() && slowUnits.back().job_ == &job && slowUnits.back().unit_ == run.unit_;
+        if (!isKnown)
+            slowUnits.push_back({ &job, run.unit_, medianSpeed });
         if (PoolWorkerState* worker = state_.findWorker(run.worker_))
             worker->avoidedUntil_ = std::max(worker->avoidedUntil_, now_ + slowWorkerAvoidance);
     }
-    for (const UnitKey& key : slowUnits)
-        restartIfFaster(key, medianSpeeds);
 }
 
-void HealthReview::restartIfFaster(const UnitKey& key, const std::map<StepKey, double>& medianSpeeds)
+void HealthReview::restartIfFaster(const SlowUnit& slow)
 {
-    Job* job = state_.findJob(key.first);
-    WorkUnit& unit = job->units_[key.second];
-    if (!job->isOpen() || unit.isRunAborted_ || unit.state_ != UnitState::Active || job->step(unit).maxUnavailable_ > 0)
+    Job& job = *slow.job_;
+    const WorkUnit& unit = job.units_[slow.unit_];
+    if (!job.isOpen() || unit.isRunAborted_ || unit.state_ != UnitState::Active || job.step(unit).maxUnavailable_ > 0)
         return;
-    const StepSpec& step = job->step(unit);
-    const auto known = medianSpeeds.find({ key.first, { unit.occurrence_, unit.step_ } });
-    const double medianSpeed = known == medianSpeeds.end() ? 0 : known->second;
+    const StepSpec& step = job.step(unit);
+    const double medianSpeed = slow.medianSpeed_;
     Duration inPlace {};
     Duration afterRestart {};
     for (const RunId& id : unit.openRuns_) {
@@ -112,7 +125,7 @@
         afterRestart = std::max(afterRestart, step.savesProgress_ ? left + maxCheckpointLoss : fullDuration);
     }
     if (afterRestart + restartOverhead < inPlace)
-        state_.stopUnit(*job, key.second, "its workers are slow", now_);
+        state_.stopUnit(job, slow.unit_, "its workers are slow", now_);
 }
 
 Duration HealthReview::remainingOnWorker(const TaskRun& run, const StepSpec& step) const
--- a/src/libfescuecleat/pool/healthreview.h
+++ b/src/libfescuecleat/pool/healthreview.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace fescuecleat {
 
@@ -23,14 +24,22 @@
 private:
     using UnitKey = std::pair<std::string, std::size_t>;
 
-    /** Job, occurrence and step. Speeds are compared within a step because its tasks differ only in length. */
-    using StepKey = std::pair<std::string, std::pair<int, int>>;
+    using RunIterator = std::map<RunId, TaskRun>::const_iterator;
+
+    struct SlowUnit {
+        Job* job_;
+        std::size_t unit_;
+        /** Median speed of the step's runs, in percent per second. */
+        double medianSpeed_;
+    };
 
     bool hasUsableSpeed(const TaskRun&, const StepSpec&) const;
     bool isSlow(const TaskRun&, double medianSpeed) const;
     Duration normalDuration(const TaskRun&, const StepSpec&, double medianSpeed) const;
     void detectSlowWorkers();
-    void restartIfFaster(const UnitKey&, const std::map<StepKey, double>& medianSpeeds);
+    /** Adds the slow units among the runs of one step, whose tasks differ only in length. */
+    void detectSlowRuns(Job&, RunIterator first, RunIterator end, std::vector<SlowUnit>&);
+    void restartIfFaster(const SlowUnit&);
     void evacuateDrainingWorkers();
     Duration remainingOnWorker(const TaskRun&, const StepSpec&) const;
 
--- a/src/libfescuecleat/pool/job.cpp
+++ b/src/libfescuecleat/pool/job.cpp
@@ -31,15 +31,26 @@
     return widest;
 }
 
-Time Job::targetCompletion() const
+std::size_t Job::stepEnd(std::size_t first) const
 {
-    const auto stretched = std::chrono::duration_cast<Duration>(criticalPath() * policy_.stretch_);
-    return submittedAt_ + stretched + policy_.latencyTarget_;
+    std::size_t end = first + 1;
+    while (end < units_.size() && units_[end].step_ == units_[first].step_ && units_[end].occurrence_ == units_[first].occurrence_)
+        ++end;
+    return end;
 }
 
-Time Job::creditExpiry() const
+void Job::setUnitState(WorkUnit& unit, UnitState state)
 {
-    return submittedAt_ + expiryFactor * (targetCompletion() - submittedAt_);
+    waitingUnits_ += (state == UnitState::Waiting ? 1 : 0) - (unit.state_ == UnitState::Waiting ? 1 : 0);
+    unit.state_ = state;
+}
+
+void Job::computeTargets()
+{
+    const auto stretched = std::chrono::duration_cast<Duration>(criticalPath() * policy_.stretch_);
+    const Duration target = stretched + policy_.latencyTarget_;
+    targetCompletion_ = submittedAt_ + target;
+    creditExpiry_ = submittedAt_ + expiryFactor * target;
 }
 
 }
--- a/src/libfescuecleat/pool/job.h
+++ b/src/libfescuecleat/pool/job.h
@@ -21,6 +21,12 @@
     std::vector<WorkUnit> units_;
     /** Number of occurrences whose units have been created. */
     int openedOccurrences_ = 0;
+    /** Number of units in state Waiting. */
+    int waitingUnits_ = 0;
+    /** Latest completion that still earns full credit. */
+    Time targetCompletion_ {};
+    /** A completion after this time earns no credit. */
+    Time creditExpiry_ {};
 
     const StepSpec& step(const WorkUnit& unit) const { return spec_.steps_[static_cast<std::size_t>(unit.step_)]; }
     bool isOpen() const { return !isFinal(state_); }
@@ -28,10 +34,11 @@
     Duration criticalPath() const;
     /** Accelerators that the widest step uses at once. */
     std::int64_t peakAccelerators() const;
-    /** Latest completion that still earns full credit. */
-    Time targetCompletion() const;
-    /** A completion after this time earns no credit. */
-    Time creditExpiry() const;
+    /** Index after the last unit of the step and occurrence of `first`; such units are adjacent. */
+    std::size_t stepEnd(std::size_t first) const;
+    void setUnitState(WorkUnit&, UnitState);
+    /** Computes the times that depend on the job's submission, specification and policy. */
+    void computeTargets();
 };
 
 }
--- /dev/null
+++ b/src/libfescuecleat/pool/placementrequest.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "pool/pooljobspec.h"
+#include "pool/workerinfo.h"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace fescuecleat {
+
+/** Requirements of a unit that is to be placed. */
+struct PlacementRequest {
+    const StepSpec* step_ = nullptr;
+    const std::string* service_ = nullptr;
+    int taskCount_ = 1;
+    /** Tasks of the step that are already placed, per worker; filled only if the step limits tasks per worker. */
+    std::map<WorkerKey, int> placedTasks_;
+    /** Ids of workers that are used only if no others fit. */
+    const std::set<std::string>* avoidedWorkers_ = nullptr;
+    /** A gang that prefers one rack may be spread over several. */
+    bool maySpanRacks_ = false;
+    /** Workers kept free as headroom for urgent jobs may be used. */
+    bool mayUseHeadroom_ = true;
+
+    /** All tasks must be placed in the same rack. */
+    bool needsOneRack() const { return taskCount_ > 1 && step_->wantsOneRack_ && !maySpanRacks_; }
+};
+
+}
--- a/src/libfescuecleat/pool/placementview.cpp
+++ b/src/libfescuecleat/pool/placementview.cpp
@@ -1,123 +1,173 @@
 #include "pool/placementview.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace fescuecleat {
 
+namespace {
+
+    /** A reservation of projected capacity can exceed the free capacity. */
+    Resources nonNegative(const Resources& resources)
+    {
+        return { std::max<std::int64_t>(0, resources.cpuMillis_), std::max<std::int64_t>(0, resources.memoryMb_), std::max<std::int64_t>(0, resources.accelerators_) };
+    }
+
+}
+
 PlacementView::PlacementView(std::map<WorkerKey, PoolWorkerState>& workers, const std::set<std::string>& closedDataCentres, Time now)
 {
+    std::unordered_map<std::string, std::size_t> rackIndexes;
+    entries_.reserve(workers.size());
+    entryIndexes_.reserve(workers.size());
     for (auto& [key, worker] : workers) {
         const WorkerInfo& info = worker.info_;
+        maxWorkerAccelerators_ = std::max(maxWorkerAccelerators_, info.capacity_.accelerators_);
         if (!worker.isListed_ || !worker.isReachable_ || info.isDraining_ || closedDataCentres.count(info.dataCentre_) > 0)
             continue;
+        const auto [known, isNew] = rackIndexes.emplace(info.rack_, racks_.size());
+        if (isNew)
+            racks_.push_back({ info.rack_, {}, {}, {} });
+        Rack& rack = racks_[known->second];
         const Resources free = info.capacity_ - worker.used_;
+        const Resources projected = free + worker.stopping_;
+        rack.workers_.push_back(entries_.size());
+        rack.free_ += nonNegative(free);
+        rack.projected_ += nonNegative(projected);
         entryIndexes_[&worker] = entries_.size();
-        racks_[info.rack_].push_back(entries_.size());
-        entries_.push_back({ &worker, free, free + worker.stopping_, worker.avoidedUntil_ > now, &info.rack_ });
-        RackCapacity& rack = rackCapacities_[info.rack_];
-        rack.free_ += free.accelerators_;
-        rack.projected_ += free.accelerators_ + worker.stopping_.accelerators_;
+        entries_.push_back({ &worker, free, projected, known->second, worker.avoidedUntil_ > now });
     }
 }
 
 bool PlacementView::isEligible(const WorkerEntry& entry, const PlacementRequest& request) const
 {
     const WorkerInfo& info = entry.worker_->info_;
-    if (info.service_ != request.service_)
+    if (info.service_ != *request.service_)
         return false;
     return request.step_->requiredLabel_.empty() || info.hasLabel(request.step_->requiredLabel_);
 }
 
 bool PlacementView::isAvoided(const WorkerEntry& entry, const PlacementRequest& request) const
 {
-    return entry.isAvoided_ || request.avoidedWorkers_.count(entry.worker_->info_.key_.id_) > 0;
+    if (entry.isAvoided_)
+        return true;
+    return request.avoidedWorkers_ != nullptr && !request.avoidedWorkers_->empty() && request.avoidedWorkers_->count(entry.worker_->info_.key_.id_) > 0;
 }
 
-std::int64_t PlacementView::countFittingTasks(const WorkerEntry& entry, const PlacementRequest& request, CapacityKind kind, std::int64_t limit) const
+std::int64_t PlacementView::countFittingTasks(const WorkerEntry& entry, const PlacementRequest& request, const Resources& available, std::int64_t limit) const
 {
-    if (!isEligible(entry, request) || (entry.isHeadroom_ && !request.mayUseHeadroom_))
+    const Resources task = request.step_->allocation();
+    if (!available.contains(task) || (entry.isHeadroom_ && !request.mayUseHeadroom_) || !isEligible(entry, request))
         return 0;
     if (request.step_->maxTasksPerWorker_ > 0) {
         const auto found = request.placedTasks_.find(entry.worker_->info_.key_);
         const int placed = found == request.placedTasks_.end() ? 0 : found->second;
         limit = std::min<std::int64_t>(limit, request.step_->maxTasksPerWorker_ - placed);
     }
-    if (limit <= 0)
-        return 0;
-    return available(entry, kind).countFitting(request.step_->allocation(), limit);
+    return limit <= 0 ? 0 : available.countFitting(task, limit);
+}
+
+PlacementView::Shape PlacementView::shapeOf(const PlacementRequest& request)
+{
+    const Resources task = request.step_->allocation();
+    return { task.cpuMillis_, task.memoryMb_, task.accelerators_, request.needsOneRack(), request.mayUseHeadroom_, *request.service_, request.step_->requiredLabel_ };
 }
 
 std::optional<PlacementView::Placement> PlacementView::find(const PlacementRequest& request, CapacityKind kind) const
 {
-    if (request.taskCount_ == 1)
-        return findSingle(request, kind);
-    if (auto placement = findGang(request, kind, false))
-        return placement;
-    return findGang(request, kind, true);
+    // A limit of tasks per worker depends on the step's other tasks, so it has no common shape.
+    const bool hasShape = request.step_->maxTasksPerWorker_ == 0;
+    std::map<Shape, int>& unplaceable = kind == CapacityKind::Free ? unplaceableFree_ : unplaceableProjected_;
+    Shape shape;
+    if (hasShape) {
+        shape = shapeOf(request);
+        const auto known = unplaceable.find(shape);
+        if (known != unplaceable.end() && request.taskCount_ >= known->second)
+            return std::nullopt;
+    }
+    std::optional<Placement> placement;
+    if (request.taskCount_ == 1) {
+        placement = findSingle(request, kind);
+    } else {
+        placement = findGang(request, kind, false);
+        if (!placement)
+            placement = findGang(request, kind, true);
+    }
+    if (!placement && hasShape) {
+        const auto known = unplaceable.emplace(std::move(shape), request.taskCount_).first;
+        known->second = std::min(known->second, request.taskCount_);
+    }
+    return placement;
 }
 
 std::optional<PlacementView::Placement> PlacementView::findSingle(const PlacementRequest& request, CapacityKind kind) const
 {
     // Prefer the fullest rack, then the best fit, to limit fragmentation: large gangs need whole racks and workers.
-    using Score = std::tuple<bool, bool, std::int64_t, std::int64_t, std::int64_t>;
-    const WorkerEntry* best = nullptr;
+    using Score = std::tuple<bool, bool, std::int64_t, std::int64_t, std::int64_t, std::size_t>;
+    std::optional<std::size_t> best;
     Score bestScore;
-    const std::string& rack = request.step_->preferredRack_;
-    for (const WorkerEntry& entry : entries_) {
-        if (countFittingTasks(entry, request, kind, 1) < 1)
+    const Resources task = request.step_->allocation();
+    for (const Rack& rack : racks_) {
+        if (!available(rack, kind).contains(task))
             continue;
-        const Resources& left = available(entry, kind);
-        const bool isOtherRack = !rack.empty() && entry.worker_->info_.rack_ != rack;
-        const Score score(isAvoided(entry, request), isOtherRack, freeRackAccelerators(entry, kind), left.accelerators_, left.memoryMb_);
-        if (best == nullptr || score < bestScore) {
-            best = &entry;
-            bestScore = score;
+        const bool isOtherRack = !request.step_->preferredRack_.empty() && rack.name_ != request.step_->preferredRack_;
+        for (const std::size_t index : rack.workers_) {
+            const WorkerEntry& entry = entries_[index];
+            const Resources& left = available(entry, kind);
+            if (countFittingTasks(entry, request, left, 1) < 1)
+                continue;
+            const Score score(isAvoided(entry, request), isOtherRack, available(rack, kind).accelerators_, left.accelerators_, left.memoryMb_, index);
+            if (!best || score < bestScore) {
+                best = index;
+                bestScore = score;
+            }
         }
     }
-    if (best == nullptr)
+    if (!best)
         return std::nullopt;
-    return Placement { best->worker_ };
+    return Placement { entries_[*best].worker_ };
 }
 
 std::optional<PlacementView::Placement> PlacementView::findGang(const PlacementRequest& request, CapacityKind kind, bool allowAvoided) const
 {
     struct RackFit {
         std::vector<std::pair<std::size_t, std::int64_t>> workers_;
-        std::int64_t taskCount_ = 0;
-        std::int64_t free_ = 0;
         bool isOtherRack_ = false;
+        std::int64_t free_ = 0;
     };
-    std::vector<RackFit> candidates;
-    const bool staysInRack = request.step_->wantsOneRack_;
+    const Resources task = request.step_->allocation();
+    const std::int64_t wanted = request.taskCount_;
+    std::optional<RackFit> best;
     RackFit allRacks;
-    for (const auto& [rack, indexes] : racks_) {
+    std::int64_t total = 0;
+    for (const Rack& rack : racks_) {
+        const Resources& left = available(rack, kind);
+        const bool mayHoldAll = left.countFitting(task, wanted) == wanted;
+        if (!left.contains(task) || (request.needsOneRack() && !mayHoldAll))
+            continue;
         RackFit fit;
-        fit.free_ = freeRackAccelerators(entries_[indexes.front()], kind);
-        for (const std::size_t index : indexes) {
-            if (!allowAvoided && isAvoided(entries_[index], request))
-                continue;
-            const std::int64_t count = countFittingTasks(entries_[index], request, kind, request.taskCount_);
-            if (count == 0)
+        fit.isOtherRack_ = !request.step_->preferredRack_.empty() && rack.name_ != request.step_->preferredRack_;
+        fit.free_ = left.accelerators_;
+        if (best && std::tie(best->isOtherRack_, best->free_) <= std::tie(fit.isOtherRack_, fit.free_))
+            continue;
+        std::int64_t count = 0;
+        for (const std::size_t index : rack.workers_) {
+            const WorkerEntry& entry = entries_[index];
+            const std::int64_t fitting = countFittingTasks(entry, request, available(entry, kind), wanted);
+            if (fitting == 0 || (!allowAvoided && isAvoided(entry, request)))
                 continue;
-            fit.workers_.emplace_back(index, count);
-            fit.taskCount_ += count;
+            fit.workers_.emplace_back(index, fitting);
+            count += fitting;
+        }
+        if (count >= wanted) {
+            best = std::move(fit);
+        } else if (!best) {
+            allRacks.workers_.insert(allRacks.workers_.end(), fit.workers_.begin(), fit.workers_.end());
+            total += count;
         }
-        fit.isOtherRack_ = !request.step_->preferredRack_.empty() && rack != request.step_->preferredRack_;
-        allRacks.taskCount_ += fit.taskCount_;
-        allRacks.workers_.insert(allRacks.workers_.end(), fit.workers_.begin(), fit.workers_.end());
-        candidates.push_back(std::move(fit));
-    }
-    const RackFit* best = nullptr;
-    for (const RackFit& fit : candidates) {
-        if (fit.taskCount_ < request.taskCount_)
-            continue;
-        if (best == nullptr || std::tie(fit.isOtherRack_, fit.free_) < std::tie(best->isOtherRack_, best->free_))
-            best = &fit;
     }
-    if (best != nullptr)
-        return distribute(best->workers_, request, kind);
-    if (allRacks.taskCount_ < request.taskCount_ || (staysInRack && !request.maySpanRacks_))
+    if (best)
+        return distribute(std::move(best->workers_), request, kind);
+    if (total < wanted || request.needsOneRack())
         return std::nullopt;
     return distribute(std::move(allRacks.workers_), request, kind);
 }
@@ -138,13 +188,23 @@
     return placement;
 }
 
+std::optional<std::size_t> PlacementView::indexOf(const PoolWorkerState* worker) const
+{
+    const auto found = entryIndexes_.find(worker);
+    if (found == entryIndexes_.end())
+        return std::nullopt;
+    return found->second;
+}
+
 void PlacementView::adjustCapacity(WorkerEntry& entry, const Resources& free, const Resources& projected)
 {
+    Rack& rack = racks_[entry.rack_];
+    rack.free_ -= nonNegative(entry.free_);
+    rack.projected_ -= nonNegative(entry.projected_);
     entry.free_ += free;
     entry.projected_ += projected;
-    RackCapacity& rack = rackCapacities_.at(*entry.rack_);
-    rack.free_ += free.accelerators_;
-    rack.projected_ += projected.accelerators_;
+    rack.free_ += nonNegative(entry.free_);
+    rack.projected_ += nonNegative(entry.projected_);
 }
 
 void PlacementView::reserve(const Placement& placement, const Resources& each)
@@ -156,24 +216,22 @@
 
 void PlacementView::addProjected(const PoolWorkerState* worker, const Resources& resources)
 {
-    const auto entry = entryIndexes_.find(worker);
-    if (entry != entryIndexes_.end())
-        adjustCapacity(entries_[entry->second], {}, resources);
-}
-
-void PlacementView::removeProjected(const PoolWorkerState* worker, const Resources& resources)
-{
-    addProjected(worker, Resources {} - resources);
+    const auto index = indexOf(worker);
+    if (!index)
+        return;
+    adjustCapacity(entries_[*index], {}, resources);
+    unplaceableProjected_.clear();
 }
 
 void PlacementView::reserveHeadroom(std::size_t workers)
 {
-    std::vector<std::pair<std::int64_t, const std::vector<std::size_t>*>> racks;
-    for (const auto& [rack, indexes] : racks_)
-        racks.emplace_back(-rackCapacities_.at(rack).free_, &indexes);
-    std::sort(racks.begin(), racks.end());
-    for (const auto& [freeAccelerators, indexes] : racks) {
-        for (const std::size_t index : *indexes) {
+    std::vector<std::pair<std::int64_t, const Rack*>> racks;
+    racks.reserve(racks_.size());
+    for (const Rack& rack : racks_)
+        racks.emplace_back(-rack.free_.accelerators_, &rack);
+    std::stable_sort(racks.begin(), racks.end(), [](const auto& left, const auto& right) { return left.first < right.first; });
+    for (const auto& [freeAccelerators, rack] : racks) {
+        for (const std::size_t index : rack->workers_) {
             if (workers == 0)
                 return;
             WorkerEntry& entry = entries_[index];
@@ -187,50 +245,42 @@
 
 void PlacementView::reserveRack(const PlacementRequest& request)
 {
-    const std::vector<std::size_t>* best = nullptr;
-    std::int64_t bestTotal = -1;
-    for (const auto& [rack, indexes] : racks_) {
+    const Rack* best = nullptr;
+    std::int64_t bestTotal = 0;
+    for (const Rack& rack : racks_) {
         std::int64_t total = 0;
-        for (const std::size_t index : indexes)
-            total += countFittingTasks(entries_[index], request, CapacityKind::Projected, request.taskCount_);
+        for (const std::size_t index : rack.workers_)
+            total += countFittingTasks(entries_[index], request, entries_[index].projected_, request.taskCount_);
         if (total > bestTotal) {
             bestTotal = total;
-            best = &indexes;
+            best = &rack;
         }
     }
     if (best == nullptr)
         return;
-    for (const std::size_t index : *best) {
-        const std::int64_t count = countFittingTasks(entries_[index], request, CapacityKind::Projected, request.taskCount_);
-        const Resources delta = Resources {} - request.step_->allocation();
+    const Resources task = request.step_->allocation();
+    for (const std::size_t index : best->workers_) {
+        const std::int64_t count = countFittingTasks(entries_[index], request, entries_[index].projected_, request.taskCount_);
         for (std::int64_t i = 0; i < count; ++i)
-            adjustCapacity(entries_[index], delta, delta);
+            adjustCapacity(entries_[index], Resources {} - task, Resources {} - task);
     }
 }
 
-std::vector<const PoolWorkerState*> PlacementView::eligibleWorkers(const PlacementRequest& request, const std::string& rack) const
-{
-    std::vector<const PoolWorkerState*> result;
-    for (const WorkerEntry& entry : entries_) {
-        if (isEligible(entry, request) && (rack.empty() || *entry.rack_ == rack))
-            result.push_back(entry.worker_);
-    }
-    return result;
-}
-
 bool PlacementView::fitsEmptyRack(const PlacementRequest& request) const
 {
-    for (const auto& [rack, indexes] : racks_) {
-        std::int64_t total = 0;
-        for (const std::size_t index : indexes) {
-            const WorkerEntry& entry = entries_[index];
-            if (isEligible(entry, request))
-                total += entry.worker_->info_.capacity_.countFitting(request.step_->allocation(), request.taskCount_);
+    const auto [known, isNew] = emptyRackCounts_.emplace(shapeOf(request), 0);
+    if (isNew) {
+        for (const Rack& rack : racks_) {
+            std::int64_t total = 0;
+            for (const std::size_t index : rack.workers_) {
+                const WorkerEntry& entry = entries_[index];
+                if (isEligible(entry, request))
+                    total += entry.worker_->info_.capacity_.countFitting(request.step_->allocation(), std::max(request.taskCount_, 1000));
+            }
+            known->second = std::max(known->second, total);
         }
-        if (total >= request.taskCount_)
-            return true;
     }
-    return false;
+    return known->second >= request.taskCount_;
 }
 
 }
--- a/src/libfescuecleat/pool/placementview.h
+++ b/src/libfescuecleat/pool/placementview.h
@@ -1,32 +1,19 @@
 #pragma once
 
 #include "base/time.h"
-#include "pool/pooljobspec.h"
+#include "pool/placementrequest.h"
 #include "pool/poolworkerstate.h"
 
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
+#include <unordered_map>
 #include <vector>
 
 namespace fescuecleat {
 
-/** Requirements of a unit that is to be placed. */
-struct PlacementRequest {
-    const StepSpec* step_ = nullptr;
-    std::string service_;
-    int taskCount_ = 1;
-    /** Tasks of the step that are already placed, per worker; filled only if the step limits tasks per worker. */
-    std::map<WorkerKey, int> placedTasks_;
-    /** Ids of workers that are used only if no others fit. */
-    std::set<std::string> avoidedWorkers_;
-    /** A gang that prefers one rack may be spread over several. */
-    bool maySpanRacks_ = false;
-    /** Workers kept free as headroom for urgent jobs may be used. */
-    bool mayUseHeadroom_ = true;
-};
-
 /** Which capacity a placement may use. */
 enum class CapacityKind {
     Free,
@@ -39,62 +26,75 @@
 public:
     using Placement = std::vector<PoolWorkerState*>;
 
+    /** Capacity of one worker. */
+    struct WorkerEntry {
+        PoolWorkerState* worker_;
+        Resources free_;
+        Resources projected_;
+        /** Index of the rack. */
+        std::size_t rack_;
+        bool isAvoided_;
+        bool isHeadroom_ = false;
+    };
+
+    struct Rack {
+        std::string name_;
+        /** Indexes of its workers. */
+        std::vector<std::size_t> workers_;
+        /** Sums over its workers, each at least zero. */
+        Resources free_;
+        Resources projected_;
+    };
+
     PlacementView(std::map<WorkerKey, PoolWorkerState>& workers, const std::set<std::string>& closedDataCentres, Time now);
 
     /** Returns one worker per task, or nothing if the request doesn't fit. */
     std::optional<Placement> find(const PlacementRequest&, CapacityKind) const;
     /** Subtracts a placement from both kinds of capacity; `each` is the allocation of one task. */
     void reserve(const Placement&, const Resources& each);
-    /** Adds resources of runs that are to be stopped. */
+    /** Adds resources of a run that is to be stopped. */
     void addProjected(const PoolWorkerState*, const Resources&);
-    /** Reverts addProjected(). */
-    void removeProjected(const PoolWorkerState*, const Resources&);
     /** Marks up to `workers` idle workers, starting with the emptiest racks, as headroom. */
     void reserveHeadroom(std::size_t workers);
     /** Reserves capacity in the rack that can hold most of the request, so that units placed later in the pass leave it free. */
     void reserveRack(const PlacementRequest&);
 
-    /** Workers of a rack, or of all racks if `rack` is empty, that meet the request apart from their free capacity. */
-    std::vector<const PoolWorkerState*> eligibleWorkers(const PlacementRequest&, const std::string& rack) const;
+    /** Number of tasks that a worker could hold if it had the given capacity left, up to `limit`. */
+    std::int64_t countFittingTasks(const WorkerEntry&, const PlacementRequest&, const Resources& available, std::int64_t limit) const;
     /** Whether the request would fit into an empty rack. */
     bool fitsEmptyRack(const PlacementRequest&) const;
-    /** Indexes of the workers in each rack. */
-    const std::map<std::string, std::vector<std::size_t>>& racks() const { return racks_; }
+
+    const std::vector<WorkerEntry>& entries() const { return entries_; }
+    const std::vector<Rack>& racks() const { return racks_; }
+    /** Index of a worker's entry; nothing if the worker takes no new work. */
+    std::optional<std::size_t> indexOf(const PoolWorkerState*) const;
+    /** Most accelerators of a single worker. */
+    std::int64_t maxWorkerAccelerators() const { return maxWorkerAccelerators_; }
 
 private:
-    /** Capacity of one worker. */
-    struct WorkerEntry {
-        PoolWorkerState* worker_;
-        Resources free_;
-        Resources projected_;
-        bool isAvoided_;
-        const std::string* rack_;
-        bool isHeadroom_ = false;
-    };
-    /** Free accelerators of a rack for each kind of capacity. */
-    struct RackCapacity {
-        std::int64_t free_ = 0;
-        std::int64_t projected_ = 0;
-    };
+    /** Requirements that decide whether a request fits, apart from the number of its tasks. */
+    using Shape = std::tuple<std::int64_t, std::int64_t, std::int64_t, bool, bool, std::string, std::string>;
 
     bool isEligible(const WorkerEntry&, const PlacementRequest&) const;
     bool isAvoided(const WorkerEntry&, const PlacementRequest&) const;
-    std::int64_t countFittingTasks(const WorkerEntry&, const PlacementRequest&, CapacityKind, std::int64_t limit) const;
+    static Shape shapeOf(const PlacementRequest&);
     std::optional<Placement> findSingle(const PlacementRequest&, CapacityKind) const;
     std::optional<Placement> findGang(const PlacementRequest&, CapacityKind, bool allowAvoided) const;
     Placement distribute(std::vector<std::pair<std::size_t, std::int64_t>> workers, const PlacementRequest&, CapacityKind) const;
-    std::int64_t freeRackAccelerators(const WorkerEntry& entry, CapacityKind kind) const
-    {
-        const RackCapacity& rack = rackCapacities_.at(*entry.rack_);
-        return kind == CapacityKind::Free ? rack.free_ : rack.projected_;
-    }
     void adjustCapacity(WorkerEntry&, const Resources& free, const Resources& projected);
-    const Resources& available(const WorkerEntry& entry, CapacityKind kind) const { return kind == CapacityKind::Free ? entry.free_ : entry.projected_; }
+    static const Resources& available(const WorkerEntry& entry, CapacityKind kind) { return kind == CapacityKind::Free ? entry.free_ : entry.projected_; }
+    static const Resources& available(const Rack& rack, CapacityKind kind) { return kind == CapacityKind::Free ? rack.free_ : rack.projected_; }
 
     std::vector<WorkerEntry> entries_;
-    std::map<const PoolWorkerState*, std::size_t> entryIndexes_;
-    std::map<std::string, std::vector<std::size_t>> racks_;
-    std::map<std::string, RackCapacity> rackCapacities_;
+    std::vector<Rack> racks_;
+    std::unordered_map<const PoolWorkerState*, std::size_t> entryIndexes_;
+    std::int64_t maxWorkerAccelerators_ = 1;
+    /** Smallest number of tasks that didn't fit, by shape. Free capacity only shrinks during a pass. */
+    mutable std::map<Shape, int> unplaceableFree_;
+    /** The same for projected capacity; cleared when some is added. */
+    mutable std::map<Shape, int> unplaceableProjected_;
+    /** Most tasks that an empty rack holds, by shape. */
+    mutable std::map<Shape, std::int64_t> emptyRackCounts_;
 };
 
 }
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -3,6 +3,8 @@
 #include "pool/healthreview.h"
 #include "pool/schedulingpass.h"
 
+#include <algorithm>
+
 namespace fescuecleat {
 
 namespace {
@@ -36,7 +38,10 @@
     job.spec_ = std::move(spec);
     job.policy_ = std::move(policy);
     job.submittedAt_ = submittedAt;
+    job.computeTargets();
     Job& added = state_.jobs_.emplace(id, std::move(job)).first->second;
+    if (added.spec_.isTimed())
+        timedJobs_.insert(id);
     if (record != nullptr)
         restore(added, *record, now);
     else if (!added.spec_.isTimed())
@@ -59,7 +64,7 @@
             unit.lastRun_ = stored.lastRun_;
             unit.failures_ = stored.failures_;
             unit.checkpoint_ = stored.checkpoint_;
-            unit.state_ = stored.isDone_ ? UnitState::Done : UnitState::Waiting;
+            job.setUnitState(unit, stored.isDone_ ? UnitState::Done : UnitState::Waiting);
             const Resources allocation = job.step(unit).allocation();
             for (const PlacementRecord& placement : stored.placements_) {
                 const RunId run { { job.id_, unit.occurrence_, unit.step_, placement.index_ }, unit.lastRun_ };
@@ -69,9 +74,6 @@
                     worker.info_.key_ = placement.worker_;
                     worker.isListed_ = false;
                 }
-                worker.used_ += allocation;
-                worker.runs_.insert(run);
-                unit.openRuns_.insert(run);
                 TaskRun taskRun;
                 taskRun.worker_ = placement.worker_;
                 taskRun.phase_ = RunPhase::Starting;
@@ -80,10 +82,11 @@
                 taskRun.startedAt_ = now;
                 // Fencing: the worker rejects requests of the former lease holder that are still in flight.
                 taskRun.acknowledgedAt_ = now;
-                state_.runs_.emplace(run, taskRun);
+                state_.addRun(run, taskRun, job);
+                unansweredStarts_.emplace_back(now, run);
             }
             if (!stored.placements_.empty() && !stored.isDone_) {
-                unit.state_ = UnitState::Active;
+                job.setUnitState(unit, UnitState::Active);
                 unit.startedAt_ = now;
                 if (static_cast<int>(stored.placements_.size()) < unit.taskCount_)
                     abortRun(job, i, "part of the gang had ended", now);
@@ -132,16 +135,17 @@
         }
         return true;
     };
-    for (WorkUnit& unit : job.units_) {
-        if (unit.state_ != UnitState::Blocked)
+    for (std::size_t first = 0, end = 0; first < job.units_.size(); first = end) {
+        end = job.stepEnd(first);
+        if (job.units_[first].state_ != UnitState::Blocked)
             continue;
         bool isReady = true;
-        for (const int dependency : job.step(unit).after_)
-            isReady = isReady && isStepDone(unit.occurrence_, dependency);
-        if (!isReady)
-            continue;
-        unit.state_ = UnitState::Waiting;
-        unit.waitingSince_ = now;
+        for (const int dependency : job.step(job.units_[first]).after_)
+            isReady = isReady && isStepDone(job.units_[first].occurrence_, dependency);
+        for (std::size_t i = first; isReady && i < end; ++i) {
+            job.setUnitState(job.units_[i], UnitState::Waiting);
+            job.units_[i].waitingSince_ = now;
+        }
     }
 }
 
@@ -179,6 +183,7 @@
             return false;
     }
     state_.jobs_.erase(id);
+    timedJobs_.erase(id);
     return true;
 }
 
@@ -329,7 +334,7 @@
         unit.checkpoint_ = checkpoint;
     const bool isLongRunning = job->step(unit).isLongRunning_;
     if (reason == EndReason::Done && !isLongRunning) {
-        unit.state_ = UnitState::Done;
+        job->setUnitState(unit, UnitState::Done);
         if (PoolWorkerState* worker = state_.findWorker(taskRun.worker_))
             worker->consecutiveFailures_ = 0;
     }
@@ -385,6 +390,7 @@
         return false;
     entry->second.phase_ = RunPhase::Starting;
     entry->second.startedAt_ = now;
+    unansweredStarts_.emplace_back(now, run);
     return true;
 }
 
@@ -396,8 +402,10 @@
     TaskRun& taskRun = entry->second;
     if (answer == StartAnswer::Refused && taskRun.phase_ == RunPhase::Starting) {
         Job* job = state_.findJob(run.task_.job_);
-        if (job != nullptr)
+        if (job != nullptr) {
             job->units_[taskRun.unit_].retryAt_ = now + refusalBackoff;
+            retryTimes_.push_back(now + refusalBackoff);
+        }
         return applyEnd(run, EndReason::Stopped, {}, now);
     }
     taskRun.acknowledgedAt_ = now;
@@ -415,9 +423,11 @@
 void PoolScheduler::abortStalledStarts(Time now)
 {
     std::vector<std::pair<std::string, std::size_t>> stalled;
-    for (const auto& [run, taskRun] : state_.runs_) {
-        if (taskRun.phase_ == RunPhase::Starting && taskRun.startedAt_ + startTimeout < now)
-            stalled.emplace_back(run.task_.job_, taskRun.unit_);
+    while (!unansweredStarts_.empty() && unansweredStarts_.front().first + startTimeout < now) {
+        const auto entry = state_.runs_.find(unansweredStarts_.front().second);
+        if (entry != state_.runs_.end() && entry->second.phase_ == RunPhase::Starting)
+            stalled.emplace_back(entry->first.task_.job_, entry->second.unit_);
+        unansweredStarts_.pop_front();
     }
     for (const auto& [id, unit] : stalled) {
         if (Job* job = state_.findJob(id))
@@ -432,29 +442,28 @@
         HealthReview(state_, now).run();
         nextReviewAt_ = now + reviewInterval;
     }
-    for (auto& [id, job] : state_.jobs_) {
+    for (const std::string& id : timedJobs_) {
+        Job& job = state_.jobs_.at(id);
         if (job.isOpen())
             openDueOccurrences(job, unixMs, now);
     }
+    while (!retryTimes_.empty() && retryTimes_.front() <= now)
+        retryTimes_.pop_front();
     SchedulingPass(state_, now).run();
 }
 
 Time PoolScheduler::nextWake(Time now, std::int64_t unixMs) const
 {
     Time wake = now + maxScheduleInterval;
-    for (const auto& [id, job] : state_.jobs_) {
-        if (!job.isOpen())
+    for (const std::string& id : timedJobs_) {
+        const Job& job = state_.jobs_.at(id);
+        if (!job.isOpen() || job.openedOccurrences_ >= job.spec_.occurrences_)
             continue;
-        if (job.openedOccurrences_ < job.spec_.occurrences_) {
-            const std::int64_t left = std::max<std::int64_t>(1, job.spec_.dueUnixMs(job.openedOccurrences_) - unixMs);
-            wake = std::min<Time>(wake, now + std::chrono::milliseconds(std::min<std::int64_t>(left, 1000)));
-        }
-        for (const WorkUnit& unit : job.units_) {
-            if (unit.state_ == UnitState::Waiting && unit.retryAt_ > now)
-                wake = std::min(wake, unit.retryAt_);
-        }
+        const std::int64_t left = std::max<std::int64_t>(1, job.spec_.dueUnixMs(job.openedOccurrences_) - unixMs);
+        wake = std::min<Time>(wake, now + std::chrono::milliseconds(std::min<std::int64_t>(left, 1000)));
     }
-    return wake;
+    const auto retry = std::upper_bound(retryTimes_.begin(), retryTimes_.end(), now);
+    return retry == retryTimes_.end() ? wake : std::min(wake, *retry);
 }
 
 Decisions PoolScheduler::takeDecisions()
--- a/src/libfescuecleat/pool/poolscheduler.h
+++ b/src/libfescuecleat/pool/poolscheduler.h
@@ -5,6 +5,8 @@
 #include "pool/poolworkerreport.h"
 
 #include <cstdint>
+#include <deque>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -80,6 +82,12 @@
 
     PoolState state_;
     Time nextReviewAt_ {};
+    /** Jobs with scheduled occurrences. */
+    std::set<std::string> timedJobs_;
+    /** Ends of the backoffs after refused starts, in order. */
+    std::deque<Time> retryTimes_;
+    /** Starts that may be without an answer, oldest first. */
+    std::deque<std::pair<Time, RunId>> unansweredStarts_;
 };
 
 }
--- a/src/libfescuecleat/pool/poolstate.cpp
+++ b/src/libfescuecleat/pool/poolstate.cpp
@@ -19,29 +19,36 @@
     WorkUnit& unit = job.units_[unitIndex];
     const Resources allocation = job.step(unit).allocation();
     ++unit.lastRun_;
-    unit.state_ = UnitState::Active;
+    job.setUnitState(unit, UnitState::Active);
     unit.isRunAborted_ = false;
     unit.startedAt_ = now;
     for (std::size_t i = 0; i < workers.size(); ++i) {
         const int index = unit.isGang() ? static_cast<int>(i) : unit.index_;
         const RunId run { { job.id_, unit.occurrence_, unit.step_, index }, unit.lastRun_ };
-        PoolWorkerState& worker = *workers[i];
-        worker.used_ += allocation;
-        worker.runs_.insert(run);
-        unit.openRuns_.insert(run);
         TaskRun taskRun;
-        taskRun.worker_ = worker.info_.key_;
+        taskRun.worker_ = workers[i]->info_.key_;
         taskRun.resources_ = allocation;
         taskRun.unit_ = unitIndex;
         taskRun.startedAt_ = now;
-        runs_.emplace(run, taskRun);
-        decisions_.starts_.push_back({ run, worker.info_.key_, unit.checkpoint_ });
+        addRun(run, taskRun, job);
+        decisions_.starts_.push_back({ run, taskRun.worker_, unit.checkpoint_ });
     }
     if (job.state_ == PoolJobState::Queued)
         job.state_ = PoolJobState::Running;
     decisions_.changedJobs_.insert(job.id_);
 }
 
+void PoolState::addRun(const RunId& run, const TaskRun& taskRun, Job& job)
+{
+    PoolWorkerState& worker = workers_[taskRun.worker_];
+    worker.used_ += taskRun.resources_;
+    worker.runs_.insert(run);
+    job.units_[taskRun.unit_].openRuns_.insert(run);
+    if (job.policy_.priority_ == 0)
+        urgentAccelerators_ += taskRun.resources_.accelerators_;
+    runs_.emplace(run, taskRun);
+}
+
 void PoolState::stopRun(const RunId& run, TaskRun& taskRun, const std::string& cause, Time now)
 {
     if (taskRun.phase_ == RunPhase::Stopping)
@@ -108,10 +115,12 @@
     Job* job = findJob(run.task_.job_);
     if (job == nullptr)
         return;
+    if (job->policy_.priority_ == 0)
+        urgentAccelerators_ -= taskRun.resources_.accelerators_;
     WorkUnit& unit = job->units_[taskRun.unit_];
     unit.openRuns_.erase(run);
     if (unit.openRuns_.empty() && unit.state_ == UnitState::Active) {
-        unit.state_ = UnitState::Waiting;
+        job->setUnitState(unit, UnitState::Waiting);
         unit.waitingSince_ = now;
     }
     decisions_.changedJobs_.insert(job->id_);
--- a/src/libfescuecleat/pool/poolstate.h
+++ b/src/libfescuecleat/pool/poolstate.h
@@ -22,6 +22,8 @@
     /** Accelerators guaranteed to each organisation. */
     std::map<std::string, std::int64_t> guarantees_;
     UrgentDemand urgentDemand_;
+    /** Accelerators held by the runs of urgent jobs. */
+    std::int64_t urgentAccelerators_ = 0;
     Decisions decisions_;
 
     Job* findJob(const std::string& id);
@@ -29,6 +31,8 @@
 
     /** Starts a new run of a unit; `workers` holds one worker per task. */
     void place(Job&, std::size_t unit, const std::vector<PoolWorkerState*>& workers, Time now);
+    /** Adds a run that may be active on its worker, and occupies its resources there. */
+    void addRun(const RunId&, const TaskRun&, Job&);
     /** Stops the open runs of a unit. A run whose start has not been sent to a worker ends at once. */
     void stopUnit(Job&, std::size_t unit, const std::string& cause, Time now);
     /** Removes a run and releases its resources. */
--- a/src/libfescuecleat/pool/schedulingpass.cpp
+++ b/src/libfescuecleat/pool/schedulingpass.cpp
@@ -9,10 +9,6 @@
 
     /** How long guaranteed gangs wait for a single rack before they may span several; they must start within 2.7 s. */
     constexpr Duration guaranteedRackTimeout = std::chrono::milliseconds(1700);
-    /** Weight of an accelerator-second in core-seconds. */
-    constexpr double coresPerAccelerator = 8;
-    /** Most work lost when a task that saves its progress is stopped. */
-    constexpr double maxCheckpointLossSeconds = 1.0;
     /** Headroom beyond the expected rise of urgent demand; holds one gang of typical size. */
     constexpr std::size_t baseHeadroomWorkers = 3;
     /** Upper bound of the headroom as a share of the pool's workers. */
@@ -22,11 +18,6 @@
     /** Limit of gangs per pass for which a rack is reserved. */
     constexpr int maxRackReservations = 1;
 
-    double seconds(Duration duration)
-    {
-        return std::chrono::duration<double>(duration).count();
-    }
-
 }
 
 SchedulingPass::SchedulingPass(PoolState& state, Time now)
@@ -41,26 +32,30 @@
     selectGuaranteedJobs();
     reserveHeadroom();
     int reservations = 0;
-    // Tasks of a step have the same requirements: if one doesn't fit, the others don't either.
-    std::set<std::tuple<std::string, int, int>> unplaceableSteps;
     for (const Candidate& candidate : candidates()) {
-        const WorkUnit& unit = candidate.job_->units_[candidate.unit_];
-        const std::tuple<std::string, int, int> step(candidate.job_->id_, unit.occurrence_, unit.step_);
-        if (unplaceableSteps.count(step) > 0)
-            continue;
-        if (place(candidate))
-            continue;
-        if (!unit.isGang()) {
-            unplaceableSteps.insert(step);
-            continue;
-        }
-        if (candidate.rank_ >= Ordinary && !candidate.isExpired_ && reservations < maxRackReservations) {
-            view_.reserveRack(placementRequest(candidate));
+        const std::optional<PlacementRequest> unplaced = placeUnits(candidate);
+        const bool isGang = candidate.job_->units_[candidate.firstUnit_].isGang();
+        if (unplaced && isGang && candidate.rank_ >= Ordinary && !candidate.isExpired_ && reservations < maxRackReservations) {
+            view_.reserveRack(*unplaced);
             ++reservations;
         }
     }
 }
 
+std::optional<PlacementRequest> SchedulingPass::placeUnits(const Candidate& candidate)
+{
+    for (std::size_t i = candidate.firstUnit_; i < candidate.endUnit_; ++i) {
+        const WorkUnit& unit = candidate.job_->units_[i];
+        if (!isWaiting(unit))
+            continue;
+        PlacementRequest request = placementRequest(candidate, unit);
+        // The step's tasks have the same requirements: if one doesn't fit, the others don't either.
+        if (!place(candidate, i, request))
+            return request;
+    }
+    return std::nullopt;
+}
+
 void SchedulingPass::selectGuaranteedJobs()
 {
     std::map<std::string, std::vector<const Job*>> urgent;
@@ -87,17 +82,9 @@
 
 void SchedulingPass::reserveHeadroom()
 {
-    std::int64_t urgentAccelerators = 0;
-    std::int64_t maxPerWorker = 1;
-    for (const auto& [key, worker] : state_.workers_)
-        maxPerWorker = std::max(maxPerWorker, worker.info_.capacity_.accelerators_);
-    for (const auto& [id, run] : state_.runs_) {
-        const Job* job = state_.findJob(id.task_.job_);
-        if (job != nullptr && job->policy_.priority_ == 0)
-            urgentAccelerators += run.resources_.accelerators_;
-    }
-    state_.urgentDemand_.observe(urgentAccelerators, now_);
-    const auto rise = static_cast<std::size_t>((state_.urgentDemand_.expectedRise() + maxPerWorker - 1) / maxPerWorker);
+    state_.urgentDemand_.observe(state_.urgentAccelerators_, now_);
+    const std::int64_t perWorker = view_.maxWorkerAccelerators();
+    const auto rise = static_cast<std::size_t>((state_.urgentDemand_.expectedRise() + perWorker - 1) / perWorker);
     const auto maxWorkers = static_cast<std::size_t>(maxHeadroomShare * static_cast<double>(state_.workers_.size()));
     view_.reserveHeadroom(std::min(rise + baseHeadroomWorkers, maxWorkers));
 }
@@ -113,14 +100,16 @@
 {
     std::vector<Candidate> result;
     for (auto& [id, job] : state_.jobs_) {
-        if (!job.isOpen())
+        if (!job.isOpen() || job.waitingUnits_ == 0)
             continue;
         const int rank = rankOf(job);
-        const bool isExpired = now_ > job.creditExpiry();
-        for (std::size_t i = 0; i < job.units_.size(); ++i) {
-            const WorkUnit& unit = job.units_[i];
-            if (unit.state_ == UnitState::Waiting && unit.retryAt_ <= now_)
-                result.push_back({ &job, i, rank, isExpired, job.targetCompletion() - job.step(unit).estimate_ });
+        const bool isExpired = now_ > job.creditExpiry_;
+        for (std::size_t first = 0, end = 0; first < job.units_.size(); first = end) {
+            end = job.stepEnd(first);
+            const auto waiting = std::find_if(job.units_.begin() + static_cast<std::ptrdiff_t>(first), job.units_.begin() + static_cast<std::ptrdiff_t>(end), [this](const WorkUnit& unit) { return isWaiting(unit); });
+            const auto index = static_cast<std::size_t>(waiting - job.units_.begin());
+            if (index < end)
+                result.push_back({ &job, index, end, rank, isExpired, job.targetCompletion_ - job.step(*waiting).estimate_ });
         }
     }
     std::stable_sort(result.begin(), result.end(), [](const Candidate& left, const Candidate& right) {
@@ -129,14 +118,13 @@
     return result;
 }
 
-PlacementRequest SchedulingPass::placementRequest(const Candidate& candidate) const
+PlacementRequest SchedulingPass::placementRequest(const Candidate& candidate, const WorkUnit& unit) const
 {
-    const WorkUnit& unit = candidate.job_->units_[candidate.unit_];
     PlacementRequest request;
     request.step_ = &candidate.job_->step(unit);
-    request.service_ = candidate.job_->policy_.service_;
+    request.service_ = &candidate.job_->policy_.service_;
     request.taskCount_ = unit.taskCount_;
-    request.avoidedWorkers_ = unit.failedOn_;
+    request.avoidedWorkers_ = &unit.failedOn_;
     if (request.step_->maxTasksPerWorker_ > 0) {
         for (const WorkUnit& other : candidate.job_->units_) {
             if (other.occurrence_ != unit.occurrence_ || other.step_ != unit.step_)
@@ -145,26 +133,25 @@
                 ++request.placedTasks_[state_.runs_.at(run).worker_];
         }
     }
-    request.maySpanRacks_ = !shouldWaitForRack(candidate, request);
+    request.maySpanRacks_ = !shouldWaitForRack(candidate, unit, request);
     request.mayUseHeadroom_ = candidate.rank_ <= Urgent || (!candidate.isExpired_ && candidate.latestStart_ - headroomStartMargin < now_);
     return request;
 }
 
-bool SchedulingPass::shouldWaitForRack(const Candidate& candidate, const PlacementRequest& request) const
+bool SchedulingPass::shouldWaitForRack(const Candidate& candidate, const WorkUnit& unit, const PlacementRequest& request) const
 {
     if (!request.step_->wantsOneRack_ || !view_.fitsEmptyRack(request))
         return false;
-    const Time timeoutAt = candidate.job_->units_[candidate.unit_].waitingSince_ + guaranteedRackTimeout;
+    const Time timeoutAt = unit.waitingSince_ + guaranteedRackTimeout;
     return now_ < (candidate.rank_ == Guaranteed ? std::min(timeoutAt, candidate.latestStart_) : candidate.latestStart_);
 }
 
-bool SchedulingPass::place(const Candidate& candidate)
+bool SchedulingPass::place(const Candidate& candidate, std::size_t unit, const PlacementRequest& request)
 {
-    const PlacementRequest request = placementRequest(candidate);
     const Resources allocation = request.step_->allocation();
     if (const auto placement = view_.find(request, CapacityKind::Free)) {
         view_.reserve(*placement, allocation);
-        state_.place(*candidate.job_, candidate.unit_, *placement, now_);
+        state_.place(*candidate.job_, unit, *placement, now_);
         return true;
     }
     if (const auto placement = view_.find(request, CapacityKind::Projected)) {
@@ -178,103 +165,21 @@
     return false;
 }
 
-double SchedulingPass::lostCoreSeconds(const Job& job, const WorkUnit& unit) const
-{
-    const StepSpec& step = job.step(unit);
-    double elapsed = std::max(0.0, seconds(now_ - unit.startedAt_));
-    for (const RunId& run : unit.openRuns_)
-        elapsed = std::max(elapsed, state_.runs_.at(run).workDoneSeconds(step.estimate_));
-    if (step.savesProgress_)
-        elapsed = std::min(elapsed, maxCheckpointLossSeconds);
-    const double cores = static_cast<double>(step.resources_.cpuMillis_) / 1000 + coresPerAccelerator * static_cast<double>(step.resources_.accelerators_);
-    return elapsed * cores * unit.taskCount_;
-}
-
-std::vector<SchedulingPass::Victim> SchedulingPass::possibleVictims(const Candidate& candidate, const PlacementRequest& request, const std::string& rack) const
-{
-    std::set<std::pair<std::string, std::size_t>> seen;
-    std::vector<Victim> result;
-    for (const PoolWorkerState* worker : view_.eligibleWorkers(request, rack)) {
-        for (const RunId& run : worker->runs_) {
-            const TaskRun& taskRun = state_.runs_.at(run);
-            Job* job = state_.findJob(run.task_.job_);
-            if (job == nullptr || taskRun.phase_ == RunPhase::Stopping || rankOf(*job) <= candidate.rank_)
-                continue;
-            const WorkUnit& unit = job->units_[taskRun.unit_];
-            if (unit.state_ != UnitState::Active || job->step(unit).maxUnavailable_ > 0)
-                continue;
-            if (seen.emplace(job->id_, taskRun.unit_).second)
-                result.push_back({ job, taskRun.unit_, lostCoreSeconds(*job, unit) });
-        }
-    }
-    std::sort(result.begin(), result.end(), [](const Victim& left, const Victim& right) {
-        return std::tie(left.cost_, left.job_->id_, left.unit_) < std::tie(right.cost_, right.job_->id_, right.unit_);
-    });
-    return result;
-}
-
-void SchedulingPass::adjustForVictim(const Victim& victim, bool isAdded)
-{
-    for (const RunId& run : victim.job_->units_[victim.unit_].openRuns_) {
-        const TaskRun& taskRun = state_.runs_.at(run);
-        if (taskRun.phase_ == RunPhase::Stopping)
-            continue;
-        const PoolWorkerState* worker = state_.findWorker(taskRun.worker_);
-        if (isAdded)
-            view_.addProjected(worker, taskRun.resources_);
-        else
-            view_.removeProjected(worker, taskRun.resources_);
-    }
-}
-
-std::vector<SchedulingPass::Victim> SchedulingPass::selectVictims(const Candidate& candidate, const PlacementRequest& request, const std::string& rack)
-{
-    std::vector<Victim> chosen;
-    bool fits = false;
-    for (const Victim& victim : possibleVictims(candidate, request, rack)) {
-        adjustForVictim(victim, true);
-        chosen.push_back(victim);
-        fits = view_.find(request, CapacityKind::Projected).has_value();
-        if (fits)
-            break;
-    }
-    // Drop victims that are not needed after all, most expensive first.
-    for (std::size_t i = chosen.size(); fits && i-- > 0;) {
-        adjustForVictim(chosen[i], false);
-        if (view_.find(request, CapacityKind::Projected))
-            chosen.erase(chosen.begin() + static_cast<std::ptrdiff_t>(i));
-        else
-            adjustForVictim(chosen[i], true);
-    }
-    for (const Victim& victim : chosen)
-        adjustForVictim(victim, false);
-    if (!fits)
-        chosen.clear();
-    return chosen;
-}
-
 bool SchedulingPass::preempt(const Candidate& candidate, const PlacementRequest& request)
 {
-    const auto costOf = [](const std::vector<Victim>& victims) {
-        double cost = 0;
-        for (const Victim& victim : victims)
-            cost += victim.cost_;
-        return cost;
-    };
-    std::vector<Victim> best;
-    for (const auto& [rack, indexes] : view_.racks()) {
-        std::vector<Victim> chosen = selectVictims(candidate, request, rack);
-        if (!chosen.empty() && (best.empty() || costOf(chosen) < costOf(best)))
-            best = std::move(chosen);
-    }
-    const bool maySpanRacks = request.taskCount_ > 1 && (!request.step_->wantsOneRack_ || request.maySpanRacks_);
-    if (best.empty() && maySpanRacks)
-        best = selectVictims(candidate, request, {});
-    for (const Victim& victim : best) {
-        adjustForVictim(victim, true);
+    if (!preemption_)
+        preemption_.emplace(state_, view_, [this](const Job& job) { return rankOf(job); }, now_);
+    const auto plan = preemption_->plan(request, candidate.rank_);
+    if (!plan)
+        return false;
+    for (const std::size_t index : plan->victims_) {
+        preemption_->take(index);
+        const Preemption::Victim& victim = preemption_->victim(index);
+        for (const auto& [entry, resources] : victim.runs_)
+            view_.addProjected(view_.entries()[entry].worker_, resources);
         state_.stopUnit(*victim.job_, victim.unit_, "its room goes to urgent job " + candidate.job_->id_, now_);
     }
-    return !best.empty();
+    return true;
 }
 
 }
--- a/src/libfescuecleat/pool/schedulingpass.h
+++ b/src/libfescuecleat/pool/schedulingpass.h
@@ -2,8 +2,11 @@
 
 #include "pool/placementview.h"
 #include "pool/poolstate.h"
+#include "pool/preemption.h"
 
 #include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace fescuecleat {
@@ -23,9 +26,11 @@
         Ordinary = 2,
     };
 
+    /** The waiting units of one step and occurrence. */
     struct Candidate {
         Job* job_;
-        std::size_t unit_;
+        std::size_t firstUnit_;
+        std::size_t endUnit_;
         int rank_;
         /** Completing the job no longer earns any credit. */
         bool isExpired_;
@@ -37,29 +42,19 @@
     void reserveHeadroom();
     int rankOf(const Job&) const;
     std::vector<Candidate> candidates() const;
-    PlacementRequest placementRequest(const Candidate&) const;
-    bool shouldWaitForRack(const Candidate&, const PlacementRequest&) const;
-    bool place(const Candidate&);
+    bool isWaiting(const WorkUnit& unit) const { return unit.state_ == UnitState::Waiting && unit.retryAt_ <= now_; }
+    PlacementRequest placementRequest(const Candidate&, const WorkUnit&) const;
+    bool shouldWaitForRack(const Candidate&, const WorkUnit&, const PlacementRequest&) const;
+    /** Places the candidate's units until one doesn't fit; returns the request of that one. */
+    std::optional<PlacementRequest> placeUnits(const Candidate&);
+    bool place(const Candidate&, std::size_t unit, const PlacementRequest&);
     bool preempt(const Candidate&, const PlacementRequest&);
 
-    struct Victim {
-        Job* job_;
-        std::size_t unit_;
-        /** Core-seconds. */
-        double cost_;
-    };
-    /** Preemptible units in a rack, or in all racks if `rack` is empty, cheapest first. */
-    std::vector<Victim> possibleVictims(const Candidate&, const PlacementRequest&, const std::string& rack) const;
-    /** Victims whose preemption makes the request fit; empty if preemption doesn't suffice. */
-    std::vector<Victim> selectVictims(const Candidate&, const PlacementRequest&, const std::string& rack);
-    /** Work lost if the unit is preempted, in core-seconds. */
-    double lostCoreSeconds(const Job&, const WorkUnit&) const;
-    /** Adds or subtracts the resources of a victim in the projected capacity. */
-    void adjustForVictim(const Victim&, bool isAdded);
-
     PoolState& state_;
     Time now_;
     PlacementView view_;
+    /** Built when first needed. */
+    std::optional<Preemption> preemption_;
     std::set<std::string> guaranteedJobs_;
 };
 
--- a/tests/node/storetest.cpp
+++ b/tests/node/storetest.cpp
@@ -1,5 +1,6 @@
 #include "node/nodeclock.h"
 #include "node/poolfixture.h"
+#include "node/storelayout.h"
 #include "node/tablefollower.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -172,7 +173,7 @@
         CPPUNIT_ASSERT_EQUAL(410, api.call("GET", path).status_);
         CPPUNIT_ASSERT_EQUAL(200, api.call("POST", path).status_);
         CPPUNIT_ASSERT_EQUAL(std::string("0"), api.call("GET", path).body_);
-        pool.store_.put(JobRecorder::table, jobId, encodePoolJobRecord({ PoolJobState::Completed, {} }));
+        pool.store_.put(JobRecorder::table, jobId, encodePoolJobRecord({ PoolJobState::Completed, {} }), schedulerPart);
         CPPUNIT_ASSERT_EQUAL(std::to_string(static_cast<int>(PoolJobState::Completed)), api.call("GET", path).body_);
     }
 
