Quarantine failing workers, reserve racks for waiting gangs, stop saved work first

Work that saves its progress at a stop was charged a second of loss, so young work that saves nothing was stopped in its place; only one rack was reserved for waiting gangs, whatever the pool's size.

Changes: a worker that fails runs of several jobs in a row is quarantined with exponential backoff and probed by single tasks; failures of a job that fails everywhere don't count. Saved work is charged the restart only and may use the headroom. Up to a fifth of the racks are reserved. Jobs that are late anyway wait for those that can be in time.

--- a/src/libfescuecleat/pool/healthreview.cpp
+++ b/src/libfescuecleat/pool/healthreview.cpp
@@ -97,7 +97,7 @@
         if (!isKnown)
             slowUnits.push_back({ &job, run.unit_, medianSpeed });
         if (PoolWorkerState* worker = state_.findWorker(run.worker_))
-            worker->avoidedUntil_ = std::max(worker->avoidedUntil_, now_ + slowWorkerAvoidance);
+            worker->health_.runWasSlow(now_ + slowWorkerAvoidance);
     }
 }
 
--- a/src/libfescuecleat/pool/job.h
+++ b/src/libfescuecleat/pool/job.h
@@ -6,6 +6,7 @@
 #include "pool/pooljobstate.h"
 #include "pool/workunit.h"
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,10 @@
     std::vector<WorkUnit> units_;
     /** Number of occurrences whose units have been created. */
     int openedOccurrences_ = 0;
+    /** Ids of workers on which runs failed. */
+    std::set<std::string> failedOn_;
+    /** A run has progressed or succeeded. */
+    bool hasHealthyRun_ = false;
     /** Number of units in state Waiting. */
     int waitingUnits_ = 0;
     /** Latest completion that still earns full credit. */
--- a/src/libfescuecleat/pool/placementview.cpp
+++ b/src/libfescuecleat/pool/placementview.cpp
@@ -22,7 +22,7 @@
     for (auto& [key, worker] : workers) {
         const WorkerInfo& info = worker.info_;
         maxWorkerAccelerators_ = std::max(maxWorkerAccelerators_, info.capacity_.accelerators_);
-        if (!worker.isListed_ || !worker.isReachable_ || info.isDraining_ || closedDataCentres.count(info.dataCentre_) > 0)
+        if (!worker.isListed_ || !worker.isReachable_ || info.isDraining_ || worker.health_.isQuarantined(now) || closedDataCentres.count(info.dataCentre_) > 0)
             continue;
         const auto [known, isNew] = rackIndexes.emplace(info.rack_, racks_.size());
         if (isNew)
@@ -34,7 +34,8 @@
         rack.free_ += nonNegative(free);
         rack.projected_ += nonNegative(projected);
         entryIndexes_[&worker] = entries_.size();
-        entries_.push_back({ &worker, free, projected, known->second, worker.avoidedUntil_ > now });
+        entries_.push_back({ &worker, free, projected, known->second, worker.health_.isAvoided(now) });
+        entries_.back().isOnProbation_ = worker.health_.isOnProbation(now);
     }
 }
 
@@ -63,6 +64,9 @@
         const int placed = found == request.placedTasks_.end() ? 0 : found->second;
         limit = std::min<std::int64_t>(limit, request.step_->maxTasksPerWorker_ - placed);
     }
+    // A single task probes the worker.
+    if (entry.isOnProbation_)
+        limit = std::min<std::int64_t>(limit, request.taskCount_ == 1 && !entry.worker_->health_.isProbed() ? 1 : 0);
     return limit <= 0 ? 0 : available.countFitting(task, limit);
 }
 
--- a/src/libfescuecleat/pool/placementview.h
+++ b/src/libfescuecleat/pool/placementview.h
@@ -35,6 +35,7 @@
         std::size_t rack_;
         bool isAvoided_;
         bool isHeadroom_ = false;
+        bool isOnProbation_ = false;
     };
 
     struct Rack {
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -9,11 +9,10 @@
 
 namespace {
 
-    /** How long a worker is avoided after a failed run. */
-    constexpr Duration avoidanceAfterFailure = std::chrono::seconds(3);
-    /** How long a worker is avoided after consecutive failed runs. */
-    constexpr Duration avoidanceAfterRepeatedFailures = std::chrono::seconds(9);
-    constexpr int repeatedFailureThreshold = 2;
+    /** A job without a healthy run that has failed on this many workers is suspected to fail everywhere. */
+    constexpr std::size_t suspectFailureThreshold = 2;
+    /** A run that reports progress after this time counts as healthy. */
+    constexpr Duration minHealthyRunTime = std::chrono::seconds(1);
     /** Backoff before a unit is placed again after a worker refused it. */
     constexpr Duration refusalBackoff = std::chrono::milliseconds(200);
     /** Limit of ends per report; a report with this many may omit others. */
@@ -298,8 +297,12 @@
         }
         run.observeProgress(reported.percentDone_, now);
         Job* job = state_.findJob(reported.run_.task_.job_);
-        if (job != nullptr && !reported.checkpoint_.empty())
+        if (job == nullptr)
+            continue;
+        if (!reported.checkpoint_.empty())
             job->units_[run.unit_].checkpoint_ = reported.checkpoint_;
+        if (run.phase_ == RunPhase::Running && reported.percentDone_ > 0 && run.startedAt_ + minHealthyRunTime < now)
+            noteHealthyRun(*job, run);
     }
     if (report.ended_.size() >= maxEndsPerReport)
         return;
@@ -335,8 +338,7 @@
     const bool isLongRunning = job->step(unit).isLongRunning_;
     if (reason == EndReason::Done && !isLongRunning) {
         job->setUnitState(unit, UnitState::Done);
-        if (PoolWorkerState* worker = state_.findWorker(taskRun.worker_))
-            worker->consecutiveFailures_ = 0;
+        noteHealthyRun(*job, taskRun);
     }
     if (reason == EndReason::Failed && unit.state_ != UnitState::Done)
         recordFailure(*job, unit, taskRun, now);
@@ -359,15 +361,24 @@
 void PoolScheduler::recordFailure(Job& job, WorkUnit& unit, const TaskRun& run, Time now)
 {
     unit.failedOn_.insert(run.worker_.id_);
-    if (PoolWorkerState* worker = state_.findWorker(run.worker_)) {
-        ++worker->consecutiveFailures_;
-        worker->avoidedUntil_ = now + (worker->consecutiveFailures_ >= repeatedFailureThreshold ? avoidanceAfterRepeatedFailures : avoidanceAfterFailure);
-    }
+    // Failures of a job that fails on every worker say nothing about the workers.
+    const bool isJobSuspect = !job.hasHealthyRun_ && job.failedOn_.size() >= suspectFailureThreshold;
+    job.failedOn_.insert(run.worker_.id_);
+    PoolWorkerState* worker = state_.findWorker(run.worker_);
+    if (worker != nullptr && !isJobSuspect)
+        worker->health_.runFailed(job.id_, run.startedAt_, now);
     ++unit.failures_;
     if (!job.step(unit).isLongRunning_ && unit.failures_ >= job.policy_.maxAttempts_ && job.isOpen())
         endJob(job, PoolJobState::Failed, "a task failed as often as the queue allows", now);
 }
 
+void PoolScheduler::noteHealthyRun(Job& job, const TaskRun& run)
+{
+    job.hasHealthyRun_ = true;
+    if (PoolWorkerState* worker = state_.findWorker(run.worker_))
+        worker->health_.runSucceeded(run.startedAt_);
+}
+
 void PoolScheduler::completeIfDone(Job& job)
 {
     if (!job.isOpen())
--- a/src/libfescuecleat/pool/poolscheduler.h
+++ b/src/libfescuecleat/pool/poolscheduler.h
@@ -76,6 +76,8 @@
     void applyEnd(const RunId&, EndReason, const std::string& checkpoint, Time now);
     void abortRun(Job&, std::size_t unit, const std::string& cause, Time now);
     void recordFailure(Job&, WorkUnit&, const TaskRun&, Time now);
+    /** Notes that a run progresses or has succeeded. */
+    void noteHealthyRun(Job&, const TaskRun&);
     void completeIfDone(Job&);
     void abortStalledStarts(Time now);
     void endJob(Job&, PoolJobState, const std::string& cause, Time now);
--- a/src/libfescuecleat/pool/poolstate.cpp
+++ b/src/libfescuecleat/pool/poolstate.cpp
@@ -27,6 +27,7 @@
         const RunId run { { job.id_, unit.occurrence_, unit.step_, index }, unit.lastRun_ };
         TaskRun taskRun;
         taskRun.worker_ = workers[i]->info_.key_;
+        workers[i]->health_.runStarted(now);
         taskRun.resources_ = allocation;
         taskRun.unit_ = unitIndex;
         taskRun.startedAt_ = now;
--- a/src/libfescuecleat/pool/poolworkerstate.h
+++ b/src/libfescuecleat/pool/poolworkerstate.h
@@ -2,6 +2,7 @@
 
 #include "base/time.h"
 #include "pool/taskid.h"
+#include "pool/workerhealth.h"
 #include "pool/workerinfo.h"
 
 #include <set>
@@ -24,9 +25,7 @@
     std::int64_t lastProcessedEnd_ = 0;
     /** When the newest report was requested. */
     Time lastReportRequestedAt_ {};
-    /** Failed runs since the last successful one. */
-    int consecutiveFailures_ = 0;
-    Time avoidedUntil_ {};
+    WorkerHealth health_;
     /** Earliest time at which a draining worker may be gone. */
     Time leavesAt_ {};
 };
--- a/src/libfescuecleat/pool/preemption.cpp
+++ b/src/libfescuecleat/pool/preemption.cpp
@@ -10,8 +10,8 @@
 
     /** Weight of an accelerator-second in core-seconds. */
     constexpr double coresPerAccelerator = 8;
-    /** Most work lost when a task that saves its progress is stopped. */
-    constexpr double maxCheckpointLossSeconds = 1.0;
+    /** Time lost when a task that saves its progress is stopped; it saves once more at the stop. */
+    constexpr double restartSeconds = 0.2;
 
     double seconds(Duration duration)
     {
@@ -65,7 +65,7 @@
         const WorkUnit& unit = victim.job_->units_[victim.unit_];
         const StepSpec& step = victim.job_->step(unit);
         // So far, the cost is the progress in seconds.
-        const double lostSeconds = step.savesProgress_ ? std::min(victim.cost_, maxCheckpointLossSeconds) : victim.cost_;
+        const double lostSeconds = step.savesProgress_ ? restartSeconds : victim.cost_;
         victim.cost_ = lostSeconds * cores(step) * unit.taskCount_;
     }
     std::sort(allVictims_.begin(), allVictims_.end(), [this](std::size_t left, std::size_t right) {
--- a/src/libfescuecleat/pool/schedulingpass.cpp
+++ b/src/libfescuecleat/pool/schedulingpass.cpp
@@ -1,6 +1,7 @@
 #include "pool/schedulingpass.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace fescuecleat {
@@ -15,8 +16,8 @@
     constexpr double maxHeadroomShare = 0.2;
     /** Ordinary units may use the headroom when their latest start is nearer than this. */
     constexpr Duration headroomStartMargin = std::chrono::seconds(3);
-    /** Limit of gangs per pass for which a rack is reserved. */
-    constexpr int maxRackReservations = 1;
+    /** Share of the racks that may be reserved for waiting gangs. */
+    constexpr double maxReservedRackShare = 0.2;
 
 }
 
@@ -31,11 +32,12 @@
 {
     selectGuaranteedJobs();
     reserveHeadroom();
+    const auto maxReservations = static_cast<int>(std::ceil(maxReservedRackShare * static_cast<double>(view_.racks().size())));
     int reservations = 0;
     for (const Candidate& candidate : candidates()) {
         const std::optional<PlacementRequest> unplaced = placeUnits(candidate);
         const bool isGang = candidate.job_->units_[candidate.firstUnit_].isGang();
-        if (unplaced && isGang && candidate.rank_ >= Ordinary && !candidate.isExpired_ && reservations < maxRackReservations) {
+        if (unplaced && isGang && candidate.rank_ >= Ordinary && !candidate.isExpired_ && reservations < maxReservations) {
             view_.reserveRack(*unplaced);
             ++reservations;
         }
@@ -112,9 +114,12 @@
                 result.push_back({ &job, index, end, rank, isExpired, job.targetCompletion_ - job.step(*waiting).estimate_ });
         }
     }
-    std::stable_sort(result.begin(), result.end(), [](const Candidate& left, const Candidate& right) {
-        return std::tie(left.rank_, left.isExpired_, left.latestStart_) < std::tie(right.rank_, right.isExpired_, right.latestStart_);
-    });
+    const auto order = [this](const Candidate& candidate) {
+        // A job that is late anyway waits for those that can still be in time. Guaranteed ones keep their turn.
+        const bool isLate = candidate.rank_ > Guaranteed && candidate.latestStart_ < now_;
+        return std::make_tuple(candidate.rank_, candidate.isExpired_, isLate, candidate.latestStart_);
+    };
+    std::stable_sort(result.begin(), result.end(), [&order](const Candidate& left, const Candidate& right) { return order(left) < order(right); });
     return result;
 }
 
@@ -134,7 +139,8 @@
         }
     }
     request.maySpanRacks_ = !shouldWaitForRack(candidate, unit, request);
-    request.mayUseHeadroom_ = candidate.rank_ <= Urgent || (!candidate.isExpired_ && candidate.latestStart_ - headroomStartMargin < now_);
+    // Tasks that save their progress leave the headroom at almost no cost.
+    request.mayUseHeadroom_ = candidate.rank_ <= Urgent || request.step_->savesProgress_ || (!candidate.isExpired_ && candidate.latestStart_ - headroomStartMargin < now_);
     return request;
 }
 
--- a/tests/pool/patternstest.cpp
+++ b/tests/pool/patternstest.cpp
@@ -216,7 +216,7 @@
         CPPUNIT_ASSERT_EQUAL(0, pool.stopCount());
         CPPUNIT_ASSERT(pool.state(gang) == PoolJobState::Completed);
         for (const auto& [key, state] : pool.scheduler().state().workers_)
-            CPPUNIT_ASSERT(state.avoidedUntil_ == Time {});
+            CPPUNIT_ASSERT(state.health_.avoidedUntil() == Time {});
     }
 
     /** A worker that fails every run doesn't exhaust the attempts of any job. */
