--- a/src/libfescuecleat/pool/pooljobspec.h
+++ b/src/libfescuecleat/pool/pooljobspec.h
@@ -38,6 +38,13 @@
     int maxUnavailable_ = 0;
     std::string image_;
 
+    /** Cores of one task, with its accelerators counted as cores of the same value. */
+    double weightInCores() const
+    {
+        constexpr double coresPerAccelerator = 8;
+        return static_cast<double>(resources_.cpuMillis_) / 1000 + coresPerAccelerator * static_cast<double>(resources_.accelerators_);
+    }
+
     /** Resources that one task occupies on a worker. */
     Resources allocation() const
     {
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -136,12 +136,17 @@
     };
     for (std::size_t first = 0, end = 0; first < job.units_.size(); first = end) {
         end = job.stepEnd(first);
-        if (job.units_[first].state_ != UnitState::Blocked)
+        // After a failover, some units of a step may have a record and others none.
+        const auto begin = job.units_.begin() + static_cast<std::ptrdiff_t>(first);
+        const auto isBlocked = [](const WorkUnit& unit) { return unit.state_ == UnitState::Blocked; };
+        if (std::none_of(begin, begin + static_cast<std::ptrdiff_t>(end - first), isBlocked))
             continue;
         bool isReady = true;
         for (const int dependency : job.step(job.units_[first]).after_)
             isReady = isReady && isStepDone(job.units_[first].occurrence_, dependency);
         for (std::size_t i = first; isReady && i < end; ++i) {
+            if (!isBlocked(job.units_[i]))
+                continue;
             job.setUnitState(job.units_[i], UnitState::Waiting);
             job.units_[i].waitingSince_ = now;
         }
--- a/src/libfescuecleat/pool/preemption.cpp
+++ b/src/libfescuecleat/pool/preemption.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-    /** Weight of an accelerator-second in core-seconds. */
-    constexpr double coresPerAccelerator = 8;
     /** Time lost when a task that saves its progress is stopped; it saves once more at the stop. */
     constexpr double restartSeconds = 0.2;
 
@@ -18,11 +16,6 @@
         return std::chrono::duration<double>(duration).count();
     }
 
-    double cores(const StepSpec& step)
-    {
-        return static_cast<double>(step.resources_.cpuMillis_) / 1000 + coresPerAccelerator * static_cast<double>(step.resources_.accelerators_);
-    }
-
 }
 
 Preemption::Preemption(PoolState& state, const PlacementView& view, std::function<int(const Job&)> rankOf, Time now)
@@ -66,7 +59,7 @@
         const StepSpec& step = victim.job_->step(unit);
         // So far, the cost is the progress in seconds.
         const double lostSeconds = step.savesProgress_ ? restartSeconds : victim.cost_;
-        victim.cost_ = lostSeconds * cores(step) * unit.taskCount_;
+        victim.cost_ = lostSeconds * step.weightInCores() * unit.taskCount_;
     }
     std::sort(allVictims_.begin(), allVictims_.end(), [this](std::size_t left, std::size_t right) {
         return std::tie(victims_[left].cost_, victims_[left].job_->id_, left) < std::tie(victims_[right].cost_, victims_[right].job_->id_, right);
--- a/src/libfescuecleat/pool/schedulingpass.cpp
+++ b/src/libfescuecleat/pool/schedulingpass.cpp
@@ -16,9 +16,18 @@
     constexpr double maxHeadroomShare = 0.2;
     /** Ordinary units may use the headroom when their latest start is nearer than this. */
     constexpr Duration headroomStartMargin = std::chrono::seconds(3);
+    /** Most work that may be thrown away for an urgent job beyond its organisation's guarantee, as a multiple of the job's own. */
+    constexpr double maxLostWorkShare = 2;
     /** Share of the racks that may be reserved for waiting gangs. */
     constexpr double maxReservedRackShare = 0.2;
 
+    /** Estimated work of a request's tasks, in core-seconds. */
+    double workOf(const PlacementRequest& request)
+    {
+        const StepSpec& step = *request.step_;
+        return step.weightInCores() * request.taskCount_ * std::chrono::duration<double>(step.estimate_).count();
+    }
+
 }
 
 SchedulingPass::SchedulingPass(PoolState& state, Time now)
@@ -178,6 +187,9 @@
     const auto plan = preemption_->plan(request, candidate.rank_);
     if (!plan)
         return false;
+    // Only a guarantee is worth more lost work than the job itself brings.
+    if (candidate.rank_ > Guaranteed && plan->cost_ > maxLostWorkShare * workOf(request))
+        return false;
     for (const std::size_t index : plan->victims_) {
         preemption_->take(index);
         const Preemption::Victim& victim = preemption_->victim(index);
--- a/tests/pool/poolday.cpp
+++ b/tests/pool/poolday.cpp
@@ -26,11 +26,6 @@
     double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
     Duration fromSeconds(double value) { return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value)); }
 
-    double cores(const StepSpec& step)
-    {
-        return static_cast<double>(step.resources_.cpuMillis_) / 1000 + 8.0 * static_cast<double>(step.resources_.accelerators_);
-    }
-
     std::string unitKey(const RunId& run, const StepSpec& step)
     {
         TaskId task = run.task_;
@@ -404,7 +399,7 @@
         const bool isWhole = !step.isGang_ || static_cast<int>(members.size()) == step.taskCount_;
         if (isWhole)
             advance(run);
-        const double work = std::min(run.doneSeconds_, run.workSeconds_) * cores(step);
+        const double work = std::min(run.doneSeconds_, run.workSeconds_) * step.weightInCores();
         const EndReason end = member == id || reason == EndReason::Done ? reason : EndReason::GangBroken;
         if (end == EndReason::Done)
             result_.completedWork_ += work;
@@ -485,7 +480,7 @@
     for (const std::int64_t count : kind.accelerators_)
         meanAccelerators += static_cast<double>(count) / static_cast<double>(kind.accelerators_.size());
     const double meanWork = kind.meanTasks_ * kind.meanSeconds_ * (static_cast<double>(kind.resources_.cpuMillis_) / 1000 + 8 * meanAccelerators);
-    const double relative = cores(step) * step.taskCount_ * job.workSeconds_ / meanWork;
+    const double relative = step.weightInCores() * step.taskCount_ * job.workSeconds_ / meanWork;
     return kind.worth_ * std::min(4.0, 0.3 + 0.7 * relative);
 }
 
--- a/tests/pool/virtualpool.cpp
+++ b/tests/pool/virtualpool.cpp
@@ -155,11 +155,10 @@
     const StepSpec& step = stepOf(id);
     const std::string unit = unitKey(id, step.isGang_);
     if (reason != EndReason::Done) {
-        const double cores = static_cast<double>(step.resources_.cpuMillis_) / 1000 + 8.0 * static_cast<double>(step.resources_.accelerators_);
         if (step.savesProgress_)
             checkpoints_[unit] = run.doneSeconds_;
         else
-            wastedCoreSeconds_ += run.doneSeconds_ * cores;
+            wastedCoreSeconds_ += run.doneSeconds_ * step.weightInCores();
     }
     WorkerModel& worker = workers_.at(run.worker_);
     worker.ended_.push_back({ worker.nextEndSequence_++, id, reason, step.savesProgress_ ? "saved" : "" });
