--- a/src/libfescuecleat/node/instancesettings.cpp
+++ b/src/libfescuecleat/node/instancesettings.cpp
@@ -40,6 +40,8 @@
         settings.processorShare_ = json.value("processorShare", 1.0);
         settings.maxWorkerLease_ = readSeconds(json, "maxWorkerLeaseSeconds");
         settings.revocationLimit_ = readSeconds(json, "revocationLimitSeconds");
+        if (json.contains("guaranteeLimitSeconds"))
+            settings.guaranteeLimit_ = readSeconds(json, "guaranteeLimitSeconds");
         settings.stopLimit_ = readSeconds(json, "stopLimitSeconds");
         return settings;
     } catch (const Json::exception& error) {
--- a/src/libfescuecleat/node/instancesettings.h
+++ b/src/libfescuecleat/node/instancesettings.h
@@ -26,6 +26,8 @@
     Duration maxWorkerLease_ {};
     /** A revoked API key must be refused within this time. */
     Duration revocationLimit_ {};
+    /** Jobs within their organisation's guarantee must start within this time. */
+    Duration guaranteeLimit_ = std::chrono::milliseconds(2700);
     /** Time between the stop signal and the kill. */
     Duration stopLimit_ {};
 };
--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -84,6 +84,7 @@
     , linkTimer_(context.loop_)
 {
     registry_.setPollPause(registryPollPause);
+    scheduler_.setGuaranteeLimit(context.settings_.guaranteeLimit_);
 }
 
 PoolController::~PoolController() = default;
--- a/src/libfescuecleat/pool/job.cpp
+++ b/src/libfescuecleat/pool/job.cpp
@@ -6,6 +6,8 @@
 
     /** A job earns credit until this many times its target duration. */
     constexpr int expiryFactor = 3;
+    /** A job without a healthy run that has failed on this many workers is suspected to fail everywhere. */
+    constexpr std::size_t suspectFailureThreshold = 3;
 
 }
 
@@ -31,6 +33,11 @@
     return widest;
 }
 
+bool Job::isSuspect() const
+{
+    return !hasHealthyRun_ && failedOn_.size() >= suspectFailureThreshold;
+}
+
 std::size_t Job::stepEnd(std::size_t first) const
 {
     std::size_t end = first + 1;
--- a/src/libfescuecleat/pool/job.h
+++ b/src/libfescuecleat/pool/job.h
@@ -22,8 +22,8 @@
     std::vector<WorkUnit> units_;
     /** Number of occurrences whose units have been created. */
     int openedOccurrences_ = 0;
-    /** Ids of workers on which runs failed. */
-    std::set<std::string> failedOn_;
+    /** Workers on which runs failed. */
+    std::set<WorkerKey> failedOn_;
     /** A run has progressed or succeeded. */
     bool hasHealthyRun_ = false;
     /** Number of units in state Waiting. */
@@ -34,6 +34,8 @@
     Time creditExpiry_ {};
 
     const StepSpec& step(const WorkUnit& unit) const { return spec_.steps_[static_cast<std::size_t>(unit.step_)]; }
+    /** The job seems to fail on all workers: it has failed on several and no run was healthy. */
+    bool isSuspect() const;
     bool isOpen() const { return !isFinal(state_); }
     /** Length of the longest chain of dependent steps, from their estimates. */
     Duration criticalPath() const;
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-    /** A job without a healthy run that has failed on this many workers is suspected to fail everywhere. */
-    constexpr std::size_t suspectFailureThreshold = 2;
     /** A run that reports progress after this time counts as healthy. */
     constexpr Duration minHealthyRunTime = std::chrono::seconds(1);
     /** Backoff before a unit is placed again after a worker refused it. */
@@ -366,15 +364,35 @@
 void PoolScheduler::recordFailure(Job& job, WorkUnit& unit, const TaskRun& run, Time now)
 {
     unit.failedOn_.insert(run.worker_.id_);
-    // Failures of a job that fails on every worker say nothing about the workers.
-    const bool isJobSuspect = !job.hasHealthyRun_ && job.failedOn_.size() >= suspectFailureThreshold;
-    job.failedOn_.insert(run.worker_.id_);
-    PoolWorkerState* worker = state_.findWorker(run.worker_);
-    if (worker != nullptr && !isJobSuspect)
-        worker->health_.runFailed(job.id_, run.startedAt_, now);
+    noteFailedRun(job, run, now);
     ++unit.failures_;
-    if (!job.step(unit).isLongRunning_ && unit.failures_ >= job.policy_.maxAttempts_ && job.isOpen())
-        endJob(job, PoolJobState::Failed, "a task failed as often as the queue allows", now);
+    if (job.step(unit).isLongRunning_ || unit.failures_ < job.policy_.maxAttempts_ || !job.isOpen())
+        return;
+    if (!job.hasHealthyRun_ && job.failedOn_.size() > 1)
+        retractFailures(job);
+    endJob(job, PoolJobState::Failed, "a task failed as often as the queue allows", now);
+}
+
+void PoolScheduler::noteFailedRun(Job& job, const TaskRun& run, Time now)
+{
+    const bool wasSuspect = job.isSuspect();
+    job.failedOn_.insert(run.worker_);
+    PoolWorkerState* worker = state_.findWorker(run.worker_);
+    if (!job.isSuspect()) {
+        if (worker != nullptr)
+            worker->health_.runFailed(job.id_, run.startedAt_, now);
+        return;
+    }
+    if (!wasSuspect)
+        retractFailures(job);
+}
+
+void PoolScheduler::retractFailures(const Job& job)
+{
+    for (const WorkerKey& key : job.failedOn_) {
+        if (PoolWorkerState* worker = state_.findWorker(key))
+            worker->health_.retractFailures(job.id_);
+    }
 }
 
 void PoolScheduler::noteHealthyRun(Job& job, const TaskRun& run)
--- a/src/libfescuecleat/pool/poolscheduler.h
+++ b/src/libfescuecleat/pool/poolscheduler.h
@@ -28,6 +28,7 @@
 class PoolScheduler {
 public:
     void setGuarantees(std::map<std::string, std::int64_t> accelerators) { state_.guarantees_ = std::move(accelerators); }
+    void setGuaranteeLimit(Duration limit) { state_.guaranteeLimit_ = limit; }
     void setClosedDataCentres(std::set<std::string> dataCentres) { state_.closedDataCentres_ = std::move(dataCentres); }
 
     /** Adds a new job, or restores one from its record after a failover. Does nothing if the job is known. */
@@ -76,6 +77,10 @@
     void applyEnd(const RunId&, EndReason, const std::string& checkpoint, Time now);
     void abortRun(Job&, std::size_t unit, const std::string& cause, Time now);
     void recordFailure(Job&, WorkUnit&, const TaskRun&, Time now);
+    /** Blames the worker for a failed run unless the job seems to fail everywhere. */
+    void noteFailedRun(Job&, const TaskRun&, Time now);
+    /** Takes back the blame on workers for the failures of a job. */
+    void retractFailures(const Job&);
     /** Notes that a run progresses or has succeeded. */
     void noteHealthyRun(Job&, const TaskRun&);
     void completeIfDone(Job&);
--- a/src/libfescuecleat/pool/poolstate.h
+++ b/src/libfescuecleat/pool/poolstate.h
@@ -21,6 +21,8 @@
     std::set<std::string> closedDataCentres_;
     /** Accelerators guaranteed to each organisation. */
     std::map<std::string, std::int64_t> guarantees_;
+    /** Jobs within their organisation's guarantee must start within this time. */
+    Duration guaranteeLimit_ = std::chrono::milliseconds(2700);
     UrgentDemand urgentDemand_;
     /** Accelerators held by the runs of urgent jobs. */
     std::int64_t urgentAccelerators_ = 0;
--- a/src/libfescuecleat/pool/schedulingpass.cpp
+++ b/src/libfescuecleat/pool/schedulingpass.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-    /** How long guaranteed gangs wait for a single rack before they may span several; they must start within 2.7 s. */
-    constexpr Duration guaranteedRackTimeout = std::chrono::milliseconds(1700);
+    /** Share of the guarantee's limit after which a guaranteed gang may span several racks; preemption takes the rest. */
+    constexpr double rackWaitShare = 0.63;
     /** Headroom beyond the expected rise of urgent demand; holds one gang of typical size. */
     constexpr std::size_t baseHeadroomWorkers = 3;
     /** Upper bound of the headroom as a share of the pool's workers. */
@@ -157,7 +157,7 @@
 {
     if (!request.step_->wantsOneRack_ || !view_.fitsEmptyRack(request))
         return false;
-    const Time timeoutAt = unit.waitingSince_ + guaranteedRackTimeout;
+    const Time timeoutAt = unit.waitingSince_ + std::chrono::duration_cast<Duration>(state_.guaranteeLimit_ * rackWaitShare);
     return now_ < (candidate.rank_ == Guaranteed ? std::min(timeoutAt, candidate.latestStart_) : candidate.latestStart_);
 }
 
@@ -183,7 +183,8 @@
 bool SchedulingPass::preempt(const Candidate& candidate, const PlacementRequest& request)
 {
     if (!preemption_)
-        preemption_.emplace(state_, view_, [this](const Job& job) { return rankOf(job); }, now_);
+        preemption_.emplace(
+            state_, view_, [this](const Job& job) { return rankOf(job); }, now_);
     const auto plan = preemption_->plan(request, candidate.rank_);
     if (!plan)
         return false;
--- a/src/libfescuecleat/pool/workerhealth.h
+++ b/src/libfescuecleat/pool/workerhealth.h
@@ -2,6 +2,7 @@
 
 #include "base/time.h"
 
+#include <set>
 #include <string>
 
 namespace fescuecleat {
@@ -15,6 +16,8 @@
 public:
     void runStarted(Time now) { isProbed_ = isProbed_ || isOnProbation(now); }
     void runFailed(const std::string& job, Time startedAt, Time now);
+    /** The job is suspected to fail on all workers, so its failures don't count any more. */
+    void retractFailures(const std::string& job);
     /** A run is progressing or has succeeded. */
     void runSucceeded(Time startedAt);
     /** A run is slow or stalled. */
@@ -33,9 +36,8 @@
     Time quarantinedUntil_ {};
     Time probationUntil_ {};
     Time lastFailureAt_ {};
-    std::string lastFailedJob_;
-    /** Jobs in a row whose runs failed. */
-    int failedJobs_ = 0;
+    /** Jobs whose runs failed since the last success. */
+    std::set<std::string> failedJobs_;
     bool isProbed_ = false;
     /** Quarantines in a row. */
     int quarantines_ = 0;
--- a/tests/pool/patternstest.cpp
+++ b/tests/pool/patternstest.cpp
@@ -46,6 +46,14 @@
     CPPUNIT_TEST(overdueGangUsesHeadroom);
     CPPUNIT_TEST(preemptionCostUsesProgressAfterFailover);
     CPPUNIT_TEST(wrongEstimatesDontCauseRestarts);
+    CPPUNIT_TEST(quarantinedWorkerIsProbed);
+    CPPUNIT_TEST(hopelessJobsDontQuarantineWorkers);
+    CPPUNIT_TEST(savedWorkIsStoppedFirst);
+    CPPUNIT_TEST(savingTasksUseHeadroom);
+    CPPUNIT_TEST(lateJobsWaitForThoseInTime);
+    CPPUNIT_TEST(urgentGangBeyondGuaranteeThrowsLittleAway);
+    CPPUNIT_TEST(racksAreReservedForSeveralGangs);
+    CPPUNIT_TEST(guaranteeLimitComesFromSettings);
     CPPUNIT_TEST_SUITE_END();
 
     /** A burst of urgent gangs in a pool full of preemptible work starts within the preemption bound of 2.7 s. */
@@ -370,6 +378,161 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), decisions.stops_.size());
         CPPUNIT_ASSERT_EQUAL(std::string("b-just-begun"), decisions.stops_.front().run_.task_.job_);
     }
+
+    void quarantinedWorkerIsProbed()
+    {
+        VirtualPool pool;
+        pool.addWorkers(2, 8, workerCapacity);
+        pool.worker(0).failsRuns_ = true;
+        // Each job fills the other worker as well, so that the failing one is used again and again.
+        for (int i = 0; i < 6; ++i) {
+            pool.submit(tasksOf(12, 2s), 1);
+            pool.advance(1s);
+        }
+        CPPUNIT_ASSERT(pool.scheduler().state().workers_.at({ "w100", 1 }).health_.isAvoided(pool.now()));
+        pool.worker(0).failsRuns_ = false;
+        pool.advance(16s);
+        const std::string job = pool.submit(tasksOf(16, 2s), 1);
+        pool.advance(4s);
+        CPPUNIT_ASSERT(pool.state(job) == PoolJobState::Completed);
+        CPPUNIT_ASSERT(pool.duration(job).value_or(Duration::max()) <= 2500ms);
+        assertNoViolations(pool);
+    }
+
+    /** Jobs that fail wherever they run arrive in a wave; the workers stay in use for the others. */
+    void hopelessJobsDontQuarantineWorkers()
+    {
+        VirtualPool pool;
+        pool.addWorkers(16, 8, workerCapacity);
+        for (int i = 0; i < 40; ++i) {
+            pool.setHopeless(pool.submit(tasksOf(8, 4s), 2));
+            if (i % 4 == 0)
+                pool.submit(tasksOf(4, 4s), 2);
+            pool.advance(100ms);
+        }
+        int quarantined = 0;
+        for (const auto& [key, worker] : pool.scheduler().state().workers_)
+            quarantined += worker.health_.isQuarantined(pool.now()) ? 1 : 0;
+        CPPUNIT_ASSERT(quarantined <= 4);
+        const std::string urgent = pool.submit(gangOf(4, 8, 2s), 0);
+        pool.advance(1s);
+        CPPUNIT_ASSERT(pool.timeToStart(urgent).value_or(Duration::max()) <= 500ms);
+        assertNoViolations(pool);
+    }
+
+    /** Young work that saves nothing is worth more than old work that saves its progress. */
+    void savedWorkIsStoppedFirst()
+    {
+        VirtualPool pool;
+        pool.addWorkers(2, 1, workerCapacity);
+        StepSpec saving = gangOf(1, 8, 30s);
+        saving.savesProgress_ = true;
+        const std::string saved = pool.submit(saving, 1);
+        pool.advance(10s);
+        const std::string young = pool.submit(gangOf(1, 8, 30s), 1);
+        pool.advance(600ms);
+        const std::string urgent = pool.submit(gangOf(1, 8, 2500ms), 0);
+        pool.advance(1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), pool.workersOf(urgent).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), pool.workersOf(young).size());
+        CPPUNIT_ASSERT(pool.workersOf(saved).empty());
+        CPPUNIT_ASSERT_EQUAL(0.0, pool.wastedCoreSeconds());
+        assertNoViolations(pool);
+    }
+
+    void savingTasksUseHeadroom()
+    {
+        VirtualPool pool;
+        pool.addWorkers(16, 8, workerCapacity);
+        StepSpec saving = tasksOf(16 * 8, 20s);
+        saving.savesProgress_ = true;
+        pool.submit(saving, 2);
+        pool.advance(1s);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(16 * 8), pool.usedAccelerators());
+        const std::string urgent = pool.submit(gangOf(4, 8, 2500ms), 0);
+        pool.advance(500ms);
+        CPPUNIT_ASSERT(pool.timeToStart(urgent).value_or(Duration::max()) <= 500ms);
+        CPPUNIT_ASSERT_EQUAL(0.0, pool.wastedCoreSeconds());
+        assertNoViolations(pool);
+    }
+
+    /** In an overload, jobs that are late anyway must not make the next ones late too. */
+    void lateJobsWaitForThoseInTime()
+    {
+        VirtualPool pool;
+        pool.addWorkers(1, 1, workerCapacity);
+        std::vector<std::string> jobs;
+        for (int i = 0; i < 10; ++i)
+            jobs.push_back(pool.submit(gangOf(1, 8, 4s), 1));
+        pool.advance(14s);
+        const std::string fresh = pool.submit(gangOf(1, 8, 4s), 1);
+        pool.advance(13s);
+        CPPUNIT_ASSERT(pool.state(fresh) == PoolJobState::Completed);
+        pool.advance(60s);
+        for (const std::string& job : jobs)
+            CPPUNIT_ASSERT(pool.state(job) == PoolJobState::Completed);
+        assertNoViolations(pool);
+    }
+
+    /** Beyond its guarantee, an urgent gang doesn't stop work that is worth much more than its own. */
+    void urgentGangBeyondGuaranteeThrowsLittleAway()
+    {
+        VirtualPool pool;
+        pool.addWorkers(10, 10, workerCapacity);
+        pool.scheduler().setGuarantees({ { "a", 64 }, { "b", 8 } });
+        const std::string large = pool.submit(gangOf(8, 8, 30s), 1);
+        pool.advance(20s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(8), pool.workersOf(large).size());
+        pool.submit(gangOf(4, 8, 2s), 0, "b");
+        pool.advance(2s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(8), pool.workersOf(large).size());
+        const std::string guaranteed = pool.submit(gangOf(4, 8, 2s), 0, "a");
+        pool.advance(2s);
+        CPPUNIT_ASSERT(pool.timeToStart(guaranteed).value_or(Duration::max()) <= 2700ms);
+        assertNoViolations(pool);
+    }
+
+    /** Several gangs of a rack each start while small tasks keep arriving, in a pool of many racks. */
+    void racksAreReservedForSeveralGangs()
+    {
+        VirtualPool pool;
+        pool.addWorkers(80, 8, workerCapacity);
+        for (int i = 0; i < 20; ++i) {
+            const std::string job = pool.submit(tasksOf(32, 6s), 2);
+            pool.setDurationFactor(job, 0.5 + 0.05 * i);
+        }
+        pool.advance(1s);
+        std::vector<std::string> gangs;
+        for (int i = 0; i < 3; ++i)
+            gangs.push_back(pool.submit(gangOf(8, 8, 6s), 1));
+        for (int second = 0; second < 14; ++second) {
+            for (int i = 0; i < 4; ++i)
+                pool.submit(tasksOf(24, 6s), 2);
+            pool.advance(1s);
+        }
+        CPPUNIT_ASSERT(startPercentile(pool, gangs, 1.0) <= 12s);
+        assertNoViolations(pool);
+    }
+
+    /** A guaranteed gang waits for one rack no longer than the configured limit allows. */
+    void guaranteeLimitComesFromSettings()
+    {
+        VirtualPool pool;
+        pool.addWorkers(16, 8, workerCapacity);
+        pool.scheduler().setGuarantees({ { "a", 128 } });
+        pool.scheduler().setGuaranteeLimit(1s);
+        // Other guaranteed gangs, which can't be stopped, hold half of each rack.
+        for (int i = 0; i < 2; ++i) {
+            StepSpec half = gangOf(4, 8, 20s);
+            half.preferredRack_ = "r" + std::to_string(i);
+            pool.submit(half, 0, "a");
+        }
+        pool.advance(500ms);
+        const std::string gang = pool.submit(gangOf(8, 8, 2s), 0, "a");
+        pool.advance(1s);
+        CPPUNIT_ASSERT(pool.timeToStart(gang).value_or(Duration::max()) <= 1s);
+        assertNoViolations(pool);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PatternsTest);
--- a/tests/pool/poolday.cpp
+++ b/tests/pool/poolday.cpp
@@ -325,6 +325,7 @@
         job.startedAt_ = now_;
     const WorkerModel& worker = workers_.at(run.worker_);
     if (worker.isFailing_ || job.isHopeless_) {
+        result_.runsOnFailingWorkers_ += worker.isFailing_ ? 1 : 0;
         at(now_ + failureDelay, [this, id = decision.run_] { endRun(id, EndReason::Failed, "failed"); });
         return;
     }
--- a/tests/pool/poolday.h
+++ b/tests/pool/poolday.h
@@ -97,6 +97,8 @@
     double completedWork_ = 0;
     int starts_ = 0;
     int stops_ = 0;
+    /** Runs that failed on workers that fail all runs. */
+    int runsOnFailingWorkers_ = 0;
     /** Guaranteed jobs that began later than the bound. */
     int lateGuarantees_ = 0;
     /** Mean share of the accelerators in use while jobs arrive. */
--- a/tests/pool/virtualpool.cpp
+++ b/tests/pool/virtualpool.cpp
@@ -126,7 +126,7 @@
         run.doneSeconds_ = std::min(workSeconds(id), run.doneSeconds_ + seconds(span) * speed);
         if (run.stopAt_ && *run.stopAt_ <= now_)
             ends.emplace_back(id, EndReason::Stopped);
-        else if (worker.failsRuns_ && now_ - run.startedAt_ > std::chrono::milliseconds(200))
+        else if ((worker.failsRuns_ || hopelessJobs_.count(id.task_.job_) > 0) && now_ - run.startedAt_ > std::chrono::milliseconds(200))
             ends.emplace_back(id, EndReason::Failed);
         else if (run.doneSeconds_ >= workSeconds(id) && !step.isGang_)
             ends.emplace_back(id, EndReason::Done);
@@ -161,6 +161,7 @@
             wastedCoreSeconds_ += run.doneSeconds_ * step.weightInCores();
     }
     WorkerModel& worker = workers_.at(run.worker_);
+    worker.failedRuns_ += reason == EndReason::Failed ? 1 : 0;
     worker.ended_.push_back({ worker.nextEndSequence_++, id, reason, step.savesProgress_ ? "saved" : "" });
     if (!step.isGang_ || reason == EndReason::Done)
         return;
--- a/tests/pool/virtualpool.h
+++ b/tests/pool/virtualpool.h
@@ -21,6 +21,7 @@
         bool failsRuns_ = false;
         bool isDisconnected_ = false;
         std::int64_t nextEndSequence_ = 1;
+        int failedRuns_ = 0;
         std::vector<ReportedEnd> ended_;
         Time lastReport_ {};
     };
@@ -33,6 +34,8 @@
     std::string submit(const PoolJobSpec&, JobPolicy);
     /** Makes the job's tasks take `factor` times their estimate. */
     void setDurationFactor(const std::string& job, double factor) { durationFactors_[job] = factor; }
+    /** Makes all runs of the job fail. */
+    void setHopeless(const std::string& job) { hopelessJobs_.insert(job); }
     void advance(Duration);
 
     PoolJobState state(const std::string& job) const;
@@ -79,6 +82,7 @@
     std::map<RunId, Run> runs_;
     std::map<std::string, PoolJobSpec> specs_;
     std::map<std::string, double> durationFactors_;
+    std::set<std::string> hopelessJobs_;
     std::map<std::string, Time> submittedAt_;
     std::map<std::string, Time> startedAt_;
     std::map<std::string, Time> endedAt_;
