Give up runs of superseded incarnations, and check that each worker with runs has a link

A run decided after a silent worker's lease had expired was kept as well, since the expiry was reported once.

Change: links are reviewed every 250 ms, older incarnations of a worker are superseded, the expiry is reported while a worker stays silent. PoolControllerTest::givesUpRunsOfTwoIncarnations failed before. New tests for silent workers, a pause beyond the lease and lost stops; these passed at once.

--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -33,6 +33,8 @@
     /** Links are opened in batches, so that an instance with little processor time can renew its lease in between. */
     constexpr std::size_t linksPerBatch = 12;
     constexpr Duration linkBatchInterval = std::chrono::milliseconds(15);
+    /** Interval of the checks that each worker with runs has a link, and each link a worker. */
+    constexpr Duration linkReviewInterval = std::chrono::milliseconds(250);
     constexpr Duration minPassDelay = std::chrono::milliseconds(1);
 
     std::string describeState(PoolJobState state)
@@ -190,14 +192,7 @@
         if (listed.count(id) == 0)
             scheduler_.delistWorker(id);
     }
-    // Workers that the registry no longer lists keep a link until their leases have expired.
-    std::vector<WorkerInfo> unlisted;
-    for (const auto& [key, worker] : scheduler_.state().workers_) {
-        if (links_.count(key.id_) == 0)
-            unlisted.push_back(worker.info_);
-    }
-    for (const WorkerInfo& info : unlisted)
-        openLink(info);
+    reviewLinks();
     requestPass();
 }
 
@@ -299,8 +294,12 @@
         requestPass();
     };
     listener.leasesExpired_ = [this, id] {
-        context_.log_.write("worker.lapsed", { { "worker", id } });
-        scheduler_.workerLost(links_.at(id)->key(), bootTimeNow());
+        const WorkerKey key = links_.at(id)->key();
+        const auto worker = scheduler_.state().workers_.find(key);
+        if (worker == scheduler_.state().workers_.end() || worker->second.runs_.empty())
+            return;
+        context_.log_.write("worker.lapsed", { { "worker", id }, { "runs", worker->second.runs_.size() } });
+        scheduler_.workerLost(key, bootTimeNow());
         requestPass();
     };
     listener.isStartWanted_ = [this](const RunId& run) {
@@ -350,8 +349,9 @@
 {
     isPassPosted_ = false;
     runScheduler();
-    dropUnknownLinks();
     const Time now = bootTimeNow();
+    if (isReady_ && registry_.isLoaded() && linksReviewedAt_ + linkReviewInterval < now)
+        reviewLinks();
     const Duration delay = std::max(minPassDelay, remaining(scheduler_.nextWake(now, unixMsNow()), now));
     timer_.start(delay, [this] { runPass(); });
 }
@@ -438,12 +438,39 @@
     recorder_.addToNextCommit({ summaryTable, summaryKey, nlohmann::json(waiting).dump() });
 }
 
-void PoolController::dropUnknownLinks()
+void PoolController::reviewLinks()
 {
+    linksReviewedAt_ = bootTimeNow();
     for (auto it = links_.begin(); it != links_.end();) {
         const bool isKnown = scheduler_.state().workers_.count(it->second->key()) > 0;
         it = isKnown ? std::next(it) : links_.erase(it);
     }
+    // Workers that the registry no longer lists keep a link until their leases have expired.
+    std::map<std::string, WorkerInfo> unlinked;
+    std::vector<WorkerKey> superseded;
+    for (const auto& [key, worker] : scheduler_.state().workers_) {
+        if (findLink(key) != nullptr)
+            continue;
+        const auto link = links_.find(key.id_);
+        const auto older = unlinked.find(key.id_);
+        if (link != links_.end() && link->second->key().startedUnixMs_ > key.startedUnixMs_) {
+            superseded.push_back(key);
+            continue;
+        }
+        // Incarnations of a worker are ordered by their start.
+        if (older != unlinked.end())
+            superseded.push_back(older->second.key_);
+        unlinked[key.id_] = worker.info_;
+    }
+    for (const auto& [id, info] : unlinked)
+        openLink(info);
+    for (const WorkerKey& key : superseded) {
+        const WorkerKey current = links_.at(key.id_)->key();
+        context_.log_.write("worker.superseded", { { "worker", key.id_ }, { "formerBorn", key.startedUnixMs_ }, { "born", current.startedUnixMs_ } });
+        scheduler_.workerRestarted(key, current, bootTimeNow());
+    }
+    if (!superseded.empty())
+        requestPass();
 }
 
 std::optional<PoolJobState> PoolController::stateOf(const std::string& job) const
--- a/src/libfescuecleat/node/poolcontroller.h
+++ b/src/libfescuecleat/node/poolcontroller.h
@@ -64,7 +64,8 @@
     void handleJobStored(const std::string& job, PoolJobState);
     PoolWorkerLink* findLink(const WorkerKey&);
     PoolWorkerLink::Listener makeLinkListener(const std::string& id);
-    void dropUnknownLinks();
+    /** Opens missing links, drops those of unknown workers and gives up runs of superseded incarnations. */
+    void reviewLinks();
 
     void requestPass();
     void runPass();
@@ -97,6 +98,7 @@
     /** Links that are still to be opened, in batches. */
     std::deque<std::string> linksToOpen_;
     Timer linkTimer_;
+    Time linksReviewedAt_ {};
     std::map<std::string, int> summary_;
     Time summaryWrittenAt_ {};
 };
--- a/src/libfescuecleat/node/poolworkerlink.cpp
+++ b/src/libfescuecleat/node/poolworkerlink.cpp
@@ -92,7 +92,6 @@
     isClockKnown_ = true;
     clockMs_ = report.clockMs_;
     clockReadAt_ = bootTimeNow();
-    haveLeasesExpired_ = false;
     setReachable(true, "answered");
     for (const ReportedEnd& end : report.ended_)
         lastReportedEnd_ = std::max(lastReportedEnd_, end.sequence_);
@@ -128,10 +127,8 @@
 
 void PoolWorkerLink::checkLeaseExpiry()
 {
-    if (haveLeasesExpired_ || bootTimeNow() < leasesExpireAt_)
-        return;
-    haveLeasesExpired_ = true;
-    listener_.leasesExpired_();
+    if (bootTimeNow() >= leasesExpireAt_)
+        listener_.leasesExpired_();
 }
 
 void PoolWorkerLink::setReachable(bool isReachable, const char* cause)
--- a/src/libfescuecleat/node/poolworkerlink.h
+++ b/src/libfescuecleat/node/poolworkerlink.h
@@ -24,7 +24,7 @@
         /** The worker restarted as a new incarnation. */
         std::function<void(const WorkerKey& former, const WorkerKey& current)> restarted_;
         std::function<void(bool isReachable, const char* cause)> reachabilityChanged_;
-        /** The leases of all runs on the worker have certainly expired. */
+        /** The leases of all runs on the worker have certainly expired. Repeated while the worker is silent. */
         std::function<void()> leasesExpired_;
         std::function<bool(const RunId&)> isStartWanted_;
         std::function<void(const RunId&, StartAnswer)> startAnswered_;
@@ -87,7 +87,6 @@
     std::int64_t grantedUntilMs_ = 0;
     /** All leases on the worker have certainly expired by then. */
     Time leasesExpireAt_ {};
-    bool haveLeasesExpired_ = false;
     std::int64_t lastStoredEnd_ = 0;
     std::int64_t lastReportedEnd_ = 0;
     std::deque<Request> requests_;
--- a/tests/node/fakeworkers.cpp
+++ b/tests/node/fakeworkers.cpp
@@ -128,15 +128,27 @@
             return handler(tl::unexpected<WorkerFailure>(WorkerFailure::NoAnswer));
         if (request.epoch_ < worker.epoch_)
             return handler(tl::unexpected<WorkerFailure>(WorkerFailure::StaleEpoch));
+        const bool isLost = stopsToLose_ > 0;
+        stopsToLose_ -= isLost ? 1 : 0;
+        if (isLost && !areLostStopsExecuted_)
+            return handler(tl::unexpected<WorkerFailure>(WorkerFailure::NoAnswer));
         int& lastStopped = worker.lastStoppedRuns_[request.run_.task_];
         lastStopped = std::max(lastStopped, request.run_.number_);
         const auto running = worker.running_.find(request.run_.task_);
         if (running != worker.running_.end() && running->second == request.run_.number_)
             finish(id, request.run_.task_, EndReason::Stopped);
+        if (isLost)
+            return handler(tl::unexpected<WorkerFailure>(WorkerFailure::NoAnswer));
         handler({});
     });
 }
 
+void FakeWorkers::loseStops(int count, bool areExecuted)
+{
+    stopsToLose_ = count;
+    areLostStopsExecuted_ = areExecuted;
+}
+
 void FakeWorkers::finish(const std::string& id, const TaskId& task, EndReason reason)
 {
     Worker& worker = workers_[id];
--- a/tests/node/fakeworkers.h
+++ b/tests/node/fakeworkers.h
@@ -40,6 +40,8 @@
     void restart(const std::string& id);
     /** Loses the answers of the next starts, which are executed at once, or by executeLateStarts() with `isLate`. */
     void loseStartAnswers(int count, bool isLate);
+    /** Loses the next stops, or with `areExecuted` only their answers. */
+    void loseStops(int count, bool areExecuted);
     /** Executes the late starts; returns how many runs started. */
     int executeLateStarts();
     /** Number of start requests received, including lost and repeated ones. */
@@ -64,6 +66,8 @@
     std::vector<std::shared_ptr<LongPoll>> longPolls_;
     std::vector<std::pair<std::string, StartRequest>> lateStarts_;
     std::map<TaskId, int> startCounts_;
+    int stopsToLose_ = 0;
+    bool areLostStopsExecuted_ = false;
     int startAnswersToLose_ = 0;
     bool areLostStartsLate_ = false;
     int startsSeen_ = 0;
--- a/tests/node/poolcontrollertest.cpp
+++ b/tests/node/poolcontrollertest.cpp
@@ -1,6 +1,9 @@
+#include "node/nodeclock.h"
 #include "node/poolfixture.h"
+#include "node/storelayout.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <thread>
 
 using namespace fescuecleat;
 using namespace std::chrono_literals;
@@ -32,6 +35,11 @@
     CPPUNIT_TEST(rejectsLateCommitOfFormerHolder);
     CPPUNIT_TEST(stopsCancelledJob);
     CPPUNIT_TEST(ignoresUnreadableWorker);
+    CPPUNIT_TEST(givesUpRunsOfTwoIncarnations);
+    CPPUNIT_TEST(givesUpRunsOfDelistedWorker);
+    CPPUNIT_TEST(keepsRunsOfSilentWorkerThatReturns);
+    CPPUNIT_TEST(startsNothingAfterPauseBeyondLease);
+    CPPUNIT_TEST(stopsDespiteLostStops);
     CPPUNIT_TEST_SUITE_END();
 
     void runsJobToCompletion()
@@ -287,6 +295,100 @@
         CPPUNIT_ASSERT_EQUAL(0, pool.workers_.startsSeen());
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), scheduler->controller()->state().workers_.size());
     }
+
+    /** Records name two incarnations of a worker that is gone; both must be given up. */
+    void givesUpRunsOfTwoIncarnations()
+    {
+        PoolFixture pool;
+        pool.addWorker("w2");
+        StepSpec step = oneTask();
+        step.taskCount_ = 2;
+        pool.submit(jobId, step);
+        PoolJobRecord record { PoolJobState::Running, {} };
+        record.units_.push_back({ 0, 0, 0, 1, 0, false, {}, { { 0, { "w1", 1 } } } });
+        record.units_.push_back({ 0, 0, 1, 1, 0, false, {}, { { 1, { "w1", 2 } } } });
+        pool.store_.put(JobRecorder::table, jobId, encodePoolJobRecord(record), schedulerPart);
+        const auto scheduler = pool.scheduler("a");
+        CPPUNIT_ASSERT(pool.runUntil([&] { return pool.workers_.startCount(task(0)) == 1 && pool.workers_.startCount(task(1)) == 1; }));
+    }
+
+    /** A worker that is cut off and then leaves the registry keeps its runs until its lease has expired, and not longer. */
+    void givesUpRunsOfDelistedWorker()
+    {
+        PoolFixture pool;
+        pool.addWorker("w1");
+        const auto scheduler = pool.scheduler("a");
+        pool.submit(jobId, oneTask());
+        CPPUNIT_ASSERT(pool.runUntil([&] { return pool.workers_.startCount(task()) == 1; }));
+        pool.addWorker("w2");
+        pool.workers_.worker("w1").isUnreachable_ = true;
+        pool.runFor(200ms);
+        pool.store_.erase("registry", "w1");
+        pool.runFor(500ms);
+        CPPUNIT_ASSERT_EQUAL(1, pool.workers_.startCount(task()));
+        CPPUNIT_ASSERT(pool.runUntil([&] { return pool.workers_.startCount(task()) == 2; }));
+    }
+
+    /** A worker that was only silent keeps its run, which is neither started again nor stopped. */
+    void keepsRunsOfSilentWorkerThatReturns()
+    {
+        PoolFixture pool;
+        pool.settings_.maxWorkerLease_ = 4s;
+        pool.addWorker("w1");
+        pool.addWorker("w2");
+        const auto scheduler = pool.scheduler("a");
+        pool.submit(jobId, oneTask());
+        CPPUNIT_ASSERT(pool.runUntil([&] { return pool.workers_.startCount(task()) == 1; }));
+        const std::string holder = pool.workers_.worker("w1").running_.empty() ? "w2" : "w1";
+        pool.runFor(300ms);
+        pool.workers_.worker(holder).isUnreachable_ = true;
+        pool.runFor(1500ms);
+        pool.store_.erase("registry", holder);
+        pool.runFor(500ms);
+        pool.workers_.worker(holder).isUnreachable_ = false;
+        pool.addWorker(holder);
+        pool.runFor(3s);
+        CPPUNIT_ASSERT_EQUAL(1, pool.workers_.startCount(task()));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), pool.workers_.worker(holder).running_.size());
+    }
+
+    /** The process is paused while a start's commit is in flight; its permission has run out when the answer arrives. */
+    void startsNothingAfterPauseBeyondLease()
+    {
+        PoolFixture pool;
+        pool.addWorker("w1");
+        const auto scheduler = pool.scheduler("a");
+        CPPUNIT_ASSERT(pool.runUntil([&] { return scheduler->controller() != nullptr && pool.workers_.worker("w1").epoch_ > 0; }));
+        pool.store_.setCommitDelay(300ms);
+        pool.submit(jobId, oneTask());
+        CPPUNIT_ASSERT(pool.runUntil([&] { return scheduler->controller()->state().runs_.size() == 1; }));
+        CPPUNIT_ASSERT_EQUAL(0, pool.workers_.startsSeen());
+        std::this_thread::sleep_for(3500ms);
+        CPPUNIT_ASSERT(!scheduler->lease().isHeld(bootTimeNow()));
+        // Another instance has taken the lease, but the worker hasn't heard of it yet, so it doesn't fence.
+        const nlohmann::json lease { { "holder", "b" }, { "epoch", pool.workers_.worker("w1").epoch_ + 1 }, { "untilMs", std::int64_t(1) << 50 } };
+        pool.store_.put("lease", "pool", lease.dump(), schedulerPart);
+        CPPUNIT_ASSERT(pool.runUntil([&] { return scheduler->controller() == nullptr; }));
+        pool.runFor(300ms);
+        CPPUNIT_ASSERT_EQUAL(0, pool.workers_.startsSeen());
+    }
+
+    /** Stops of a cancelled job get lost, or are executed without an answer. */
+    void stopsDespiteLostStops()
+    {
+        for (const bool areExecuted : { false, true }) {
+            PoolFixture pool;
+            pool.addWorker("w1");
+            const auto scheduler = pool.scheduler("a");
+            pool.submit(jobId, oneTask());
+            CPPUNIT_ASSERT(pool.runUntil([&] { return pool.workers_.startCount(task()) == 1; }));
+            pool.workers_.loseStops(3, areExecuted);
+            pool.store_.put(intakeTable, cancelKey(jobId), "{}", intakePartOf(jobId));
+            CPPUNIT_ASSERT(pool.runUntil([&] { return pool.workers_.worker("w1").running_.empty(); }, 3s));
+            CPPUNIT_ASSERT(pool.runUntil([&] { return pool.recordedState(jobId) == PoolJobState::Cancelled; }, 3s));
+            CPPUNIT_ASSERT_EQUAL(1, pool.workers_.startCount(task()));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PoolControllerTest);
