--- a/tests/pool/patternstest.cpp
+++ b/tests/pool/patternstest.cpp
@@ -462,6 +462,7 @@
         VirtualPool pool;
         pool.addWorkers(1, 1, workerCapacity);
         std::vector<std::string> jobs;
+        jobs.reserve(32);
         for (int i = 0; i < 10; ++i)
             jobs.push_back(pool.submit(gangOf(1, 8, 4s), 1));
         pool.advance(14s);
@@ -503,6 +504,7 @@
         }
         pool.advance(1s);
         std::vector<std::string> gangs;
+        gangs.reserve(32);
         for (int i = 0; i < 3; ++i)
             gangs.push_back(pool.submit(gangOf(8, 8, 6s), 1));
         for (int second = 0; second < 14; ++second) {
--- a/tests/pool/poolday.cpp
+++ b/tests/pool/poolday.cpp
@@ -93,6 +93,7 @@
         at(now_ + fromSeconds(seconds(reportInterval) * i / deployment_.workers_), [this, id = std::string(name)] { report(id, true); });
     }
     std::vector<double> weights;
+    weights.reserve(static_cast<std::size_t>(deployment_.organisations_));
     for (int i = 0; i < deployment_.organisations_; ++i)
         weights.push_back(std::pow(i + 1, -0.3));
     double sum = 0;
