--- a/src/libfescuecleat/node/jobapi.cpp
+++ b/src/libfescuecleat/node/jobapi.cpp
@@ -256,9 +256,10 @@
         int jobs = 0;
         if (!page->rows_.empty()) {
             const auto summary = nlohmann::json::parse(page->rows_.front().value_, nullptr, false);
-            if (summary.is_object())
-                jobs = summary.value(call->queue_->name_, 0);
-            else
+            const auto count = summary.find(call->queue_->name_);
+            if (summary.is_object() && count != summary.end() && count->is_number_integer())
+                jobs = count->get<int>();
+            else if (!summary.is_object() || count != summary.end())
                 context_.log_.write("summary.unreadable", { { "version", page->rows_.front().version_ } });
         }
         answer(call, 200, context_.callerFormat_.encodeWaiting(jobs), "from the summary");
