--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -35,6 +35,8 @@
     constexpr Duration linkBatchInterval = std::chrono::milliseconds(15);
     /** Interval of the checks that each worker with runs has a link, and each link a worker. */
     constexpr Duration linkReviewInterval = std::chrono::milliseconds(250);
+    /** Delay before starts are tried again that the lease didn't cover. */
+    constexpr Duration deferredStartDelay = std::chrono::milliseconds(50);
     constexpr Duration minPassDelay = std::chrono::milliseconds(1);
 
     std::string describeState(PoolJobState state)
@@ -352,7 +354,9 @@
     const Time now = bootTimeNow();
     if (isReady_ && registry_.isLoaded() && linksReviewedAt_ + linkReviewInterval < now)
         reviewLinks();
-    const Duration delay = std::max(minPassDelay, remaining(scheduler_.nextWake(now, unixMsNow()), now));
+    Duration delay = std::max(minPassDelay, remaining(scheduler_.nextWake(now, unixMsNow()), now));
+    if (!deferredStarts_.empty())
+        delay = std::min(delay, deferredStartDelay);
     timer_.start(delay, [this] { runPass(); });
 }
 
@@ -360,6 +364,7 @@
 {
     const Time now = bootTimeNow();
     if (isReady_ && registry_.isLoaded() && listener_.isLeaseHeld_()) {
+        sendStarts(std::exchange(deferredStarts_, {}));
         scheduler_.schedule(now, unixMsNow());
         writeSummary();
     }
@@ -405,8 +410,11 @@
 
 void PoolController::sendStarts(const std::vector<StartDecision>& decisions)
 {
-    if (!listener_.isLeaseHeld_())
+    if (!listener_.isLeaseHeld_()) {
+        // A late renewal may still show that the lease is held; otherwise the next holder recovers the runs.
+        deferredStarts_.insert(deferredStarts_.end(), decisions.begin(), decisions.end());
         return;
+    }
     std::vector<StartDecision> begun;
     for (const StartDecision& decision : decisions) {
         if (scheduler_.beginStart(decision.run_, bootTimeNow()))
--- a/src/libfescuecleat/node/poolcontroller.h
+++ b/src/libfescuecleat/node/poolcontroller.h
@@ -18,6 +18,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace fescuecleat {
 
@@ -99,6 +100,8 @@
     std::deque<std::string> linksToOpen_;
     Timer linkTimer_;
     Time linksReviewedAt_ {};
+    /** Starts whose record was stored while the lease was in doubt. */
+    std::vector<StartDecision> deferredStarts_;
     std::map<std::string, int> summary_;
     Time summaryWrittenAt_ {};
 };
--- a/tests/node/poolcontrollertest.cpp
+++ b/tests/node/poolcontrollertest.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(keepsRunsOfSilentWorkerThatReturns);
     CPPUNIT_TEST(startsNothingAfterPauseBeyondLease);
     CPPUNIT_TEST(stopsDespiteLostStops);
+    CPPUNIT_TEST(sendsStartsOnceLeaseIsHeldAgain);
     CPPUNIT_TEST_SUITE_END();
 
     void runsJobToCompletion()
@@ -389,6 +390,31 @@
             CPPUNIT_ASSERT_EQUAL(1, pool.workers_.startCount(task()));
         }
     }
+
+    /** The lease is in doubt for a moment when the record of a start is stored, because a renewal is late. */
+    void sendsStartsOnceLeaseIsHeldAgain()
+    {
+        PoolFixture pool;
+        pool.addWorker("w1");
+        bool isHeld = true;
+        std::unique_ptr<PoolController> controller;
+        PoolSchedulerLease lease(pool.loop_, pool.store_, pool.clock_, pool.log_, "a", 1.0,
+            { [&](const AcquiredLease& acquired) {
+                 controller = std::make_unique<PoolController>(pool.context_, acquired, PoolController::Listener { [&isHeld] { return isHeld; }, [](const std::string&) {} });
+                 controller->start();
+             },
+                [](const std::string&) {} });
+        lease.start();
+        CPPUNIT_ASSERT(pool.runUntil([&] { return pool.workers_.worker("w1").epoch_ > 0; }));
+        pool.store_.setCommitDelay(200ms);
+        pool.submit(jobId, oneTask());
+        CPPUNIT_ASSERT(pool.runUntil([&] { return controller->state().runs_.size() == 1; }));
+        isHeld = false;
+        pool.runFor(500ms);
+        CPPUNIT_ASSERT_EQUAL(0, pool.workers_.startsSeen());
+        isHeld = true;
+        CPPUNIT_ASSERT(pool.runUntil([&] { return pool.workers_.startCount(task()) == 1; }, 2s));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PoolControllerTest);
