--- a/src/libfescuecleat/node/poolworkerlink.cpp
+++ b/src/libfescuecleat/node/poolworkerlink.cpp
@@ -3,6 +3,8 @@
 #include "base/overloaded.h"
 #include "node/nodeclock.h"
 
+#include <algorithm>
+
 namespace fescuecleat {
 
 namespace {
@@ -15,8 +17,6 @@
     constexpr Duration requestTimeout = std::chrono::milliseconds(500);
     constexpr Duration requestRetryDelay = std::chrono::milliseconds(150);
     constexpr std::size_t maxRequestsInFlight = 4;
-    /** Fraction of the longest lease that is requested. */
-    constexpr double requestedLeaseShare = 1.0;
     /** Added to the end of a lease before it counts as expired. */
     constexpr Duration leaseExpiryMargin = std::chrono::milliseconds(200);
 
@@ -46,7 +46,10 @@
     // would delay the time when its runs have certainly expired.
     if (!isReachable_ && grantedUntilMs_ > 0)
         return grantedUntilMs_;
-    const auto grant = std::chrono::duration_cast<Duration>(parameters_.maxLease_ * requestedLeaseShare);
+    // A draining worker may leave without a word, and its runs are lost only when its lease has expired.
+    // Its lease outlasts one unanswered poll.
+    const Duration drainingLease = 2 * (parameters_.pollWait_ + pollTimeoutMargin);
+    const Duration grant = info_.isDraining_ ? std::min(parameters_.maxLease_, drainingLease) : parameters_.maxLease_;
     const std::int64_t end = clockMs_ + wholeMilliseconds(bootTimeNow() - clockReadAt_) + wholeMilliseconds(grant);
     const auto left = std::chrono::milliseconds(static_cast<std::int64_t>(static_cast<double>(end - clockMs_) / (1 - maxWorkerClockDriftRatio)));
     leasesExpireAt_ = std::max<Time>(leasesExpireAt_, clockReadAt_ + left + leaseExpiryMargin);
--- a/tests/node/poolcontrollertest.cpp
+++ b/tests/node/poolcontrollertest.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(startsNothingAfterPauseBeyondLease);
     CPPUNIT_TEST(stopsDespiteLostStops);
     CPPUNIT_TEST(sendsStartsOnceLeaseIsHeldAgain);
+    CPPUNIT_TEST(drainingWorkerGetsShortLeases);
     CPPUNIT_TEST_SUITE_END();
 
     void runsJobToCompletion()
@@ -415,6 +416,30 @@
         isHeld = true;
         CPPUNIT_ASSERT(pool.runUntil([&] { return pool.workers_.startCount(task()) == 1; }, 2s));
     }
+
+    /** A draining worker may leave without a word; its runs are given up soon, not only after the longest lease. */
+    void drainingWorkerGetsShortLeases()
+    {
+        for (const bool isDraining : { true, false }) {
+            PoolFixture pool;
+            pool.workers_.worker("w1");
+            WorkerInfo info;
+            info.key_ = { "w1", 1 };
+            info.endpoint_ = { "127.0.0.1", 1 };
+            info.isDraining_ = isDraining;
+            bool hasExpired = false;
+            PoolWorkerLink::Listener listener;
+            listener.reported_ = [](const PoolWorkerReport&, Time) {};
+            listener.reachabilityChanged_ = [](bool, const char*) {};
+            listener.leasesExpired_ = [&hasExpired] { hasExpired = true; };
+            PoolWorkerLink link(pool.loop_, pool.workers_, info, { 1, 7s, bootTimeNow(), 300ms }, listener);
+            link.open();
+            pool.runFor(800ms);
+            pool.workers_.worker("w1").isUnreachable_ = true;
+            pool.runFor(3500ms);
+            CPPUNIT_ASSERT_EQUAL(isDraining, hasExpired);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PoolControllerTest);
