Make the clock of boot time a base of timers and replaceable in tests

Cause: tests of leases and late requests need seconds of real time each, so none plays histories of them. The clock lay in node/, and timers used another one. Change: bootTimeNow() moves to base/bootclock.h, timers use it as their clock, so they count time of suspension as the deadlines do; a test program that defines the two functions itself replaces them at link time.

--- a/src/libfescuecleat/node/nodeclock.cpp
+++ b/src/libfescuecleat/base/bootclock.cpp
@@ -1,4 +1,4 @@
-#include "node/nodeclock.h"
+#include "base/bootclock.h"
 
 #include <ctime>
 
--- a/src/libfescuecleat/node/nodeclock.h
+++ b/src/libfescuecleat/base/bootclock.h
@@ -11,4 +11,15 @@
 /** Milliseconds since the Unix epoch by the system clock, which may jump. */
 std::int64_t unixMsNow();
 
+/** bootTimeNow() as a standard clock, for timers. */
+struct BootClock {
+    using duration = Duration;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = Time;
+    static constexpr bool is_steady = true;
+
+    static Time now() { return bootTimeNow(); }
+};
+
 }
--- a/src/libfescuecleat/net/timer.h
+++ b/src/libfescuecleat/net/timer.h
@@ -1,15 +1,15 @@
 #pragma once
 
-#include "base/time.h"
+#include "base/bootclock.h"
 
+#include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 
 namespace fescuecleat {
 
-/** Runs a callback once after a delay. Destroying the timer cancels it. */
+/** Runs a callback once after a delay, which includes time of suspension. Destroying the timer cancels it. */
 class Timer {
 public:
     explicit Timer(boost::asio::io_context& context)
@@ -29,7 +29,7 @@
     void cancel() { timer_.cancel(); }
 
 private:
-    boost::asio::steady_timer timer_;
+    boost::asio::basic_waitable_timer<BootClock> timer_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/libfescuecleat/node/instance.cpp
+++ b/src/libfescuecleat/node/instance.cpp
@@ -1,7 +1,7 @@
 #include "node/instance.h"
 
 #include "base/overloaded.h"
-#include "node/nodeclock.h"
+#include "base/bootclock.h"
 
 #include <boost/asio/post.hpp>
 
--- a/src/libfescuecleat/node/jsoneventlog.cpp
+++ b/src/libfescuecleat/node/jsoneventlog.cpp
@@ -1,6 +1,6 @@
 #include "node/jsoneventlog.h"
 
-#include "node/nodeclock.h"
+#include "base/bootclock.h"
 
 #include <climits>
 #include <fcntl.h>
--- a/src/libfescuecleat/node/poolschedulerlease.cpp
+++ b/src/libfescuecleat/node/poolschedulerlease.cpp
@@ -1,6 +1,6 @@
 #include "node/poolschedulerlease.h"
 
-#include "node/nodeclock.h"
+#include "base/bootclock.h"
 #include "node/storelayout.h"
 
 #include <algorithm>
--- a/src/libfescuecleat/node/poolworkerlink.cpp
+++ b/src/libfescuecleat/node/poolworkerlink.cpp
@@ -1,7 +1,7 @@
 #include "node/poolworkerlink.h"
 
 #include "base/overloaded.h"
-#include "node/nodeclock.h"
+#include "base/bootclock.h"
 
 #include <algorithm>
 
--- a/src/libfescuecleat/node/tablefollower.cpp
+++ b/src/libfescuecleat/node/tablefollower.cpp
@@ -1,6 +1,6 @@
 #include "node/tablefollower.h"
 
-#include "node/nodeclock.h"
+#include "base/bootclock.h"
 
 namespace fescuecleat {
 
--- a/tests/node/fakerowstore.cpp
+++ b/tests/node/fakerowstore.cpp
@@ -1,6 +1,6 @@
 #include "node/fakerowstore.h"
 
-#include "node/nodeclock.h"
+#include "base/bootclock.h"
 
 #include <boost/asio/post.hpp>
 
--- a/tests/node/fakeworkers.cpp
+++ b/tests/node/fakeworkers.cpp
@@ -1,6 +1,6 @@
 #include "node/fakeworkers.h"
 
-#include "node/nodeclock.h"
+#include "base/bootclock.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
--- a/tests/node/poolcontrollertest.cpp
+++ b/tests/node/poolcontrollertest.cpp
@@ -1,4 +1,4 @@
-#include "node/nodeclock.h"
+#include "base/bootclock.h"
 #include "node/poolfixture.h"
 #include "node/storelayout.h"
 
--- a/tests/node/poolfixture.cpp
+++ b/tests/node/poolfixture.cpp
@@ -1,6 +1,6 @@
 #include "node/poolfixture.h"
 
-#include "node/nodeclock.h"
+#include "base/bootclock.h"
 
 #include <sstream>
 
