Log which runs are given up or moved, and why a worker's lease counts as expired

Cause: a run that is given up left no line, and worker.lapsed did not say whose grant had expired or when the worker last answered. So the logs can't tell whether a task ran twice because a start reached the next incarnation or because a lease lasted longer than believed. Change: run.lost and run.moved name the runs with cause or incarnation, one line for the runs of a step; worker.lapsed says how long ago, by whose grant, and when the worker last answered. The scheduler returns both with its decisions.

--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -295,13 +295,17 @@
         scheduler_.setReachable(links_.at(id)->key(), isReachable);
         requestPass();
     };
-    listener.leasesExpired_ = [this, id] {
+    listener.leasesExpired_ = [this, id](const PoolWorkerLink::LeaseExpiry& expiry) {
         const WorkerKey key = links_.at(id)->key();
         const auto worker = scheduler_.state().workers_.find(key);
         if (worker == scheduler_.state().workers_.end() || worker->second.runs_.empty())
             return;
-        context_.log_.write("worker.lapsed", { { "worker", id }, { "runs", worker->second.runs_.size() } });
-        scheduler_.workerLost(key, bootTimeNow());
+        const Time now = bootTimeNow();
+        nlohmann::json fields { { "worker", id }, { "born", key.startedUnixMs_ }, { "runs", worker->second.runs_.size() }, { "expiredMsAgo", wholeMilliseconds(now - expiry.expiredAt_) }, { "isOwnGrant", expiry.isOwnGrant_ } };
+        if (expiry.lastAnswerAt_)
+            fields["lastAnswerMsAgo"] = wholeMilliseconds(now - *expiry.lastAnswerAt_);
+        context_.log_.write("worker.lapsed", std::move(fields));
+        scheduler_.workerLost(key, "its lease has expired", now);
         requestPass();
     };
     listener.isStartWanted_ = [this](const RunId& run) {
@@ -375,6 +379,8 @@
 void PoolController::executeDecisions()
 {
     const Decisions decisions = scheduler_.takeDecisions();
+    runLog_.moved(decisions.movedRuns_);
+    runLog_.lost(decisions.lostRuns_);
     runLog_.stopped(decisions.stops_);
     for (const StopDecision& stop : decisions.stops_) {
         if (PoolWorkerLink* link = findLink(stop.worker_))
--- a/src/libfescuecleat/node/poolworkerlink.cpp
+++ b/src/libfescuecleat/node/poolworkerlink.cpp
@@ -130,8 +130,12 @@
 
 void PoolWorkerLink::checkLeaseExpiry()
 {
-    if (bootTimeNow() >= leasesExpireAt_)
-        listener_.leasesExpired_();
+    if (bootTimeNow() < leasesExpireAt_)
+        return;
+    LeaseExpiry expiry { leasesExpireAt_, grantedUntilMs_ > 0, std::nullopt };
+    if (isClockKnown_)
+        expiry.lastAnswerAt_ = clockReadAt_;
+    listener_.leasesExpired_(expiry);
 }
 
 void PoolWorkerLink::setReachable(bool isReachable, const char* cause)
--- a/src/libfescuecleat/node/poolworkerlink.h
+++ b/src/libfescuecleat/node/poolworkerlink.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -19,13 +20,21 @@
  */
 class PoolWorkerLink {
 public:
+    /** What the belief that all leases on a worker have expired is based on. */
+    struct LeaseExpiry {
+        Time expiredAt_ {};
+        /** This link has granted a lease itself; otherwise only former links or schedulers may have. */
+        bool isOwnGrant_ = false;
+        std::optional<Time> lastAnswerAt_;
+    };
+
     struct Listener {
         std::function<void(const PoolWorkerReport&, Time askedAt)> reported_;
         /** The worker restarted as a new incarnation. */
         std::function<void(const WorkerKey& former, const WorkerKey& current)> restarted_;
         std::function<void(bool isReachable, const char* cause)> reachabilityChanged_;
         /** The leases of all runs on the worker have certainly expired. Repeated while the worker is silent. */
-        std::function<void()> leasesExpired_;
+        std::function<void(const LeaseExpiry&)> leasesExpired_;
         std::function<bool(const RunId&)> isStartWanted_;
         std::function<void(const RunId&, StartAnswer)> startAnswered_;
         std::function<void(const RunId&)> stopConfirmed_;
--- a/src/libfescuecleat/node/runlog.cpp
+++ b/src/libfescuecleat/node/runlog.cpp
@@ -70,6 +70,30 @@
     }
 }
 
+void RunLog::lost(const std::vector<LostRun>& runs)
+{
+    std::map<GroupKey, TasksByWorker> groups;
+    for (const LostRun& lost : runs)
+        groups[groupOf(lost.run_, lost.cause_)][lost.worker_.id_].push_back(lost.run_.task_.index_);
+    for (const auto& [group, workers] : groups) {
+        Json fields = fieldsOf(group, "cause");
+        fields["workers"] = workers;
+        log_.write("run.lost", std::move(fields));
+    }
+}
+
+void RunLog::moved(const std::vector<MovedRun>& runs)
+{
+    std::map<GroupKey, TasksByWorker> groups;
+    for (const MovedRun& moved : runs)
+        groups[groupOf(moved.run_, std::to_string(moved.current_.startedUnixMs_))][moved.current_.id_].push_back(moved.run_.task_.index_);
+    for (const auto& [group, workers] : groups) {
+        Json fields = fieldsOf(group, "born");
+        fields["workers"] = workers;
+        log_.write("run.moved", std::move(fields));
+    }
+}
+
 void RunLog::ended(const std::string& worker, const std::vector<ReportedEnd>& ends)
 {
     std::map<GroupKey, std::vector<int>> groups;
--- a/src/libfescuecleat/node/runlog.h
+++ b/src/libfescuecleat/node/runlog.h
@@ -9,7 +9,7 @@
 
 namespace fescuecleat {
 
-/** Logs starts, stops and ends of runs; the runs of a step that share the other fields share one line. */
+/** Logs starts, stops, ends and losses of runs; the runs of a step that share the other fields share one line. */
 class RunLog {
 public:
     explicit RunLog(JsonEventLog& log)
@@ -20,6 +20,8 @@
     void started(const std::vector<StartDecision>&);
     void stopped(const std::vector<StopDecision>&);
     void ended(const std::string& worker, const std::vector<ReportedEnd>&);
+    void lost(const std::vector<LostRun>&);
+    void moved(const std::vector<MovedRun>&);
 
 private:
     JsonEventLog& log_;
--- a/src/libfescuecleat/pool/decisions.h
+++ b/src/libfescuecleat/pool/decisions.h
@@ -23,12 +23,28 @@
     std::string cause_;
 };
 
-/** Actions that the scheduler requests from its owner. */
+/** A run that was given up, since it can no longer be active on its worker. */
+struct LostRun {
+    RunId run_;
+    WorkerKey worker_;
+    std::string cause_;
+};
+
+/** A run that may be active on the next incarnation of its worker, and counts as a run there. */
+struct MovedRun {
+    RunId run_;
+    WorkerKey former_;
+    WorkerKey current_;
+};
+
+/** Actions that the scheduler requests from its owner, and changes of its beliefs for the log. */
 struct Decisions {
     /** Jobs whose records must be stored before the starts are sent. */
     std::set<std::string> changedJobs_;
     std::vector<StartDecision> starts_;
     std::vector<StopDecision> stops_;
+    std::vector<LostRun> lostRuns_;
+    std::vector<MovedRun> movedRuns_;
 
     bool isEmpty() const { return changedJobs_.empty() && starts_.empty() && stops_.empty(); }
 };
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -202,7 +202,7 @@
         if (key.id_ == info.key_.id_) {
             workerRestarted(key, info.key_, now);
         } else {
-            workerLost(key, now);
+            workerLost(key, "another worker runs on its machine", now);
             state_.workers_.erase(key);
         }
     }
@@ -231,13 +231,22 @@
         worker->isReachable_ = isReachable;
 }
 
-void PoolScheduler::workerLost(const WorkerKey& key, Time now)
+void PoolScheduler::giveUp(const RunId& run, const std::string& cause, Time now)
+{
+    const auto entry = state_.runs_.find(run);
+    if (entry == state_.runs_.end())
+        return;
+    state_.decisions_.lostRuns_.push_back({ run, entry->second.worker_, cause });
+    applyEnd(run, EndReason::LeaseExpired, {}, now);
+}
+
+void PoolScheduler::workerLost(const WorkerKey& key, const std::string& cause, Time now)
 {
     const PoolWorkerState* worker = state_.findWorker(key);
     if (worker == nullptr)
         return;
     for (const RunId& run : std::set<RunId>(worker->runs_))
-        applyEnd(run, EndReason::LeaseExpired, {}, now);
+        giveUp(run, cause, now);
     const PoolWorkerState* current = state_.findWorker(key);
     if (current != nullptr && !current->isListed_ && current->runs_.empty())
         state_.workers_.erase(key);
@@ -260,8 +269,9 @@
             continue;
         // The former incarnation's last report was requested before this start, so the start may have reached the new one.
         state_.rebindRun(run, taskRun, current);
+        state_.decisions_.movedRuns_.push_back({ run, former, current });
     }
-    workerLost(former, now);
+    workerLost(former, "the worker restarted", now);
     state_.workers_.erase(former);
 }
 
@@ -322,7 +332,7 @@
         if (listed.count(run) > 0)
             continue;
         if (entry->second.acknowledgedAt_ && *entry->second.acknowledgedAt_ < requestedAt)
-            applyEnd(run, EndReason::LeaseExpired, {}, now);
+            giveUp(run, "the worker no longer reports it", now);
     }
 }
 
--- a/src/libfescuecleat/pool/poolscheduler.h
+++ b/src/libfescuecleat/pool/poolscheduler.h
@@ -45,7 +45,7 @@
      * Ends all runs of this incarnation of a worker. Call it only when none of them can
      * still be active: its lease has certainly expired, or the worker has restarted.
      */
-    void workerLost(const WorkerKey&, Time now);
+    void workerLost(const WorkerKey&, const std::string& cause, Time now);
 
     /** Replaces an incarnation of a worker by a newer one with the same id. */
     void workerRestarted(const WorkerKey& former, const WorkerKey& current, Time now);
@@ -75,6 +75,7 @@
     void unblockReadyUnits(Job&, Time now);
     void restore(Job&, const PoolJobRecord&, Time now);
     void applyEnd(const RunId&, EndReason, const std::string& checkpoint, Time now);
+    void giveUp(const RunId&, const std::string& cause, Time now);
     void abortRun(Job&, std::size_t unit, const std::string& cause, Time now);
     void recordFailure(Job&, WorkUnit&, const TaskRun&, Time now);
     /** Blames the worker for a failed run unless the job seems to fail everywhere. */
--- a/tests/node/poolcontrollertest.cpp
+++ b/tests/node/poolcontrollertest.cpp
@@ -431,7 +431,7 @@
             PoolWorkerLink::Listener listener;
             listener.reported_ = [](const PoolWorkerReport&, Time) {};
             listener.reachabilityChanged_ = [](bool, const char*) {};
-            listener.leasesExpired_ = [&hasExpired] { hasExpired = true; };
+            listener.leasesExpired_ = [&hasExpired](const PoolWorkerLink::LeaseExpiry&) { hasExpired = true; };
             PoolWorkerLink link(pool.loop_, pool.workers_, info, { 1, 7s, bootTimeNow(), 300ms }, listener);
             link.open();
             pool.runFor(800ms);
--- a/tests/pool/poolday.cpp
+++ b/tests/pool/poolday.cpp
@@ -272,7 +272,7 @@
     for (const RunId& id : lost)
         endRun(id, EndReason::LeaseExpired, "lost with its worker");
     scheduler_.delistWorker(name);
-    scheduler_.workerLost(worker.info_.key_, now_);
+    scheduler_.workerLost(worker.info_.key_, "its lease has expired", now_);
     ++worker.info_.key_.startedUnixMs_;
     worker.nextEnd_ = 1;
     worker.ended_.clear();
--- a/tests/pool/recoverytest.cpp
+++ b/tests/pool/recoverytest.cpp
@@ -75,7 +75,7 @@
         addWorker(scheduler, "w1", 8);
         scheduler.addJob(jobId, jobWithSteps(1, 1), policy(), start, &record, start);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(1), scheduler.state().urgentAccelerators_);
-        scheduler.workerLost({ "w1", 1 }, start);
+        scheduler.workerLost({ "w1", 1 }, "its lease has expired", start);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(0), scheduler.state().urgentAccelerators_);
     }
 };
