Play random histories of late, lost and reordered requests in virtual time

Change: ModelWorkers keep the platform's contract in virtual time (leases by slow clocks, fencing, barred runs, gangs, several incarnations under one id), and check what must hold whatever arrives. OrderHistory plays instances of the real scheduler on them; the seed gives the whole history, with requests lost, late or reordered, restarts, cuts, hidden registry rows, and instances killed, paused or cut off. The other tests of the suite pass with 6 histories each.

--- a/src/libfescuecleat/node/instance.cpp
+++ b/src/libfescuecleat/node/instance.cpp
@@ -1,7 +1,7 @@
 #include "node/instance.h"
 
-#include "base/overloaded.h"
 #include "base/bootclock.h"
+#include "base/overloaded.h"
 
 #include <boost/asio/post.hpp>
 
--- a/src/libfescuecleat/node/jobapi.cpp
+++ b/src/libfescuecleat/node/jobapi.cpp
@@ -1,7 +1,7 @@
 #include "node/jobapi.h"
 
-#include "node/jobintake.h"
 #include "base/bootclock.h"
+#include "node/jobintake.h"
 #include "node/storelayout.h"
 
 #include <nlohmann/json.hpp>
--- a/src/libfescuecleat/node/peerrowstore.cpp
+++ b/src/libfescuecleat/node/peerrowstore.cpp
@@ -1,7 +1,7 @@
 #include "node/peerrowstore.h"
 
-#include "base/overloaded.h"
 #include "base/bootclock.h"
+#include "base/overloaded.h"
 
 namespace fescuecleat {
 
--- a/src/libfescuecleat/node/poolworkerlink.cpp
+++ b/src/libfescuecleat/node/poolworkerlink.cpp
@@ -1,7 +1,7 @@
 #include "node/poolworkerlink.h"
 
-#include "base/overloaded.h"
 #include "base/bootclock.h"
+#include "base/overloaded.h"
 
 #include <algorithm>
 
--- /dev/null
+++ b/tests/node/modelworkers.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include "node/poolworkerclient.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fescuecleat {
+
+/** How requests to the workers and their answers fare. */
+struct DeliveryFaults {
+    /** Share of requests that are never executed. */
+    double lostRequests_ = 0;
+    /** Share of requests that are executed without an answer. */
+    double lostAnswers_ = 0;
+    /** Share of requests that are executed seconds later, without an answer. */
+    double lateRequests_ = 0;
+    Duration maxDelay_ = std::chrono::milliseconds(3);
+};
+
+/**
+ * Workers in virtual time that keep the contract of real ones: leases by a clock that may
+ * be slow, fencing, barred runs, gangs, and incarnations that share an id and know nothing
+ * of each other. Requests and answers are delayed, reordered, lost or executed late.
+ * Checks what must hold whatever arrives: one run of a task at a time, none after its
+ * recorded end, and no more than fits on a worker.
+ */
+class ModelWorkers {
+public:
+    ModelWorkers(std::uint32_t seed, Duration maxLease);
+
+    void addWorker(const std::string& id, const Resources& capacity);
+    /** Declares the step that all tasks of a job belong to, and how long a run takes. */
+    void addJob(const std::string& id, const StepSpec&, Duration runTime);
+    std::unique_ptr<PoolWorkerClient> makeClient(int instance, const std::shared_ptr<boost::asio::io_context>& loop);
+
+    /** Executes what is due; call it after each step of the clock. */
+    void runDue();
+    /** Runs a callback at a time, in order with the workers' own events. */
+    void schedule(Time, std::function<void()>);
+    /** Ends the incarnation; the next one starts under the same id after `downtime`. */
+    void crash(const std::string& id, Duration downtime);
+    /** Cuts the way of requests or answers between an instance and a worker until `until`. */
+    void cut(int instance, const std::string& id, bool cutsRequests, bool cutsAnswers, Time until);
+    void setFaults(const DeliveryFaults& faults) { faults_ = faults; }
+    std::int64_t born(const std::string& id) const { return workers_.at(id).born_; }
+    bool isUp(const std::string& id) const { return workers_.at(id).isUp_; }
+
+    const std::vector<std::string>& violations() const { return violations_; }
+    int startCount() const { return startCount_; }
+
+private:
+    class Client;
+
+    struct Run {
+        int number_ = 0;
+        Time startedAt_ {};
+        std::optional<Time> endsAt_;
+        std::optional<Time> stopsAt_;
+    };
+    struct LongPoll {
+        Time until_ {};
+        std::function<void(tl::expected<PoolWorkerReport, WorkerFailure>)> respond_;
+    };
+    struct Worker {
+        std::string id_;
+        Resources capacity_;
+        double clockRate_ = 1;
+        bool isUp_ = true;
+        std::int64_t born_ = 1;
+        Time startedAt_ {};
+        std::int64_t epoch_ = 0;
+        std::int64_t leaseUntilMs_ = 0;
+        std::map<TaskId, Run> runs_;
+        /** Highest run number of each task that may no longer start. */
+        std::map<TaskId, int> barredRuns_;
+        std::vector<ReportedEnd> ends_;
+        std::int64_t nextEnd_ = 1;
+        std::int64_t acknowledgedEnds_ = 0;
+        /** Ends up to this one lost their lease before they were acknowledged. */
+        std::int64_t expiredEnds_ = 0;
+        std::vector<LongPoll> longPolls_;
+    };
+    struct JobModel {
+        StepSpec step_;
+        Duration runTime_ {};
+    };
+    struct Cut {
+        Time requestsUntil_ {};
+        Time answersUntil_ {};
+    };
+
+    template <typename Answer>
+    void call(int instance, const std::weak_ptr<boost::asio::io_context>& loop, const std::string& id, Duration timeout,
+        std::function<void(Worker&, std::function<void(tl::expected<Answer, WorkerFailure>)>)> execute,
+        std::function<void(tl::expected<Answer, WorkerFailure>)> handler);
+
+    void executePoll(Worker&, const PollRequest&, std::function<void(tl::expected<PoolWorkerReport, WorkerFailure>)> respond);
+    tl::expected<StartAnswer, WorkerFailure> executeStart(Worker&, const StartRequest&);
+    tl::expected<void, WorkerFailure> executeStop(Worker&, const StopRequest&);
+    static bool acceptEpoch(Worker&, std::int64_t epoch);
+    void extendLease(Worker&, std::int64_t untilMs) const;
+    std::int64_t clockMs(const Worker&) const;
+    PoolWorkerReport reportOf(const Worker&) const;
+    void answerLongPolls(Worker&, bool onlyDue);
+    void advanceWorker(Worker&);
+    void endRun(Worker&, TaskId, EndReason);
+    void breakGang(const RunId&, EndReason);
+    void startGangIfComplete(const RunId&);
+    void checkStart(const Worker&, const RunId&);
+    void noteEnds(Worker&, std::int64_t upTo);
+    void report(const std::string& rule, const Worker&, const RunId&, const std::string& detail);
+    const JobModel& jobOf(const TaskId& task) const { return jobs_.at(task.job_); }
+    bool draws(double probability);
+    Duration drawDuration(Duration from, Duration to);
+
+    std::mt19937 random_;
+    Duration maxLease_;
+    DeliveryFaults faults_;
+    std::map<std::string, Worker> workers_;
+    std::map<std::string, JobModel> jobs_;
+    std::map<std::pair<int, std::string>, Cut> cuts_;
+    std::multimap<Time, std::function<void()>> events_;
+    std::map<TaskId, Time> lastStarts_;
+    /** When a run of the task ended as done. */
+    std::map<TaskId, Time> doneAt_;
+    std::set<TaskId> recordedDone_;
+    std::vector<std::string> violations_;
+    int startCount_ = 0;
+};
+
+}
--- /dev/null
+++ b/tests/node/orderhistory.cpp
@@ -0,0 +1,284 @@
+#include "node/orderhistory.h"
+
+#include "base/bootclock.h"
+
+namespace fescuecleat {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    constexpr int instanceCount = 3;
+    constexpr int rackSize = 4;
+    constexpr Duration tick = 2ms;
+    constexpr Duration historyLength = 30s;
+    /** Time for the jobs to end once nothing is disrupted. */
+    constexpr Duration settlingTime = 45s;
+    constexpr Duration heartbeatInterval = 1500ms;
+    constexpr Resources workerCapacity { 64000, 256000, 8 };
+
+    Duration drawLease(std::uint32_t seed)
+    {
+        constexpr Duration leases[] = { 3s, 6s, 10s };
+        return leases[seed % 3];
+    }
+
+}
+
+/** One instance with its own event loop, so that it can be paused. */
+struct OrderHistory::ModelInstance {
+    ModelInstance(OrderHistory& history, int index, std::string name)
+        : index_(index)
+        , log_(name)
+        , store_(history.store_, loop_, [&history](Time at, std::function<void()> event) { history.workers_.schedule(at, std::move(event)); })
+        , workers_(history.workers_.makeClient(index, loop_))
+        , context_ { *loop_, settings_, log_, store_, *workers_, history.operatorFormat_, history.registryFormat_, history.callerFormat_, clock_ }
+    {
+        settings_.instance_ = name;
+        settings_.maxWorkerLease_ = history.maxLease_;
+        scheduler_ = std::make_unique<SchedulerUnderTest>(context_, std::move(name));
+    }
+
+    std::shared_ptr<boost::asio::io_context> loop_ = std::make_shared<boost::asio::io_context>();
+    int index_;
+    InstanceSettings settings_;
+    JsonEventLog log_;
+    RelayRowStore store_;
+    std::unique_ptr<PoolWorkerClient> workers_;
+    StoreClock clock_;
+    NodeContext context_;
+    Time pausedUntil_ {};
+    std::unique_ptr<SchedulerUnderTest> scheduler_;
+};
+
+OrderHistory::OrderHistory(std::uint32_t seed, const HistoryFaults& faults)
+    : random_(seed)
+    , faults_(faults)
+    , workers_(seed, drawLease(seed))
+    , maxLease_(drawLease(seed))
+{
+    const int workerCount = std::uniform_int_distribution<>(4, 10)(random_);
+    for (int i = 0; i < workerCount; ++i) {
+        workerIds_.push_back("w" + std::to_string(i));
+        workers_.addWorker(workerIds_.back(), workerCapacity);
+        writeRegistryRow(workerIds_.back());
+    }
+    for (int i = 0; i < instanceCount; ++i) {
+        instances_.push_back(nullptr);
+        startInstance(i);
+    }
+}
+
+OrderHistory::~OrderHistory() = default;
+
+void OrderHistory::startInstance(int index)
+{
+    auto& instance = instances_[static_cast<std::size_t>(index)];
+    const int life = instance ? instance->index_ / instanceCount + 1 : 0;
+    const int number = index + life * instanceCount;
+    instance.reset();
+    instance = std::make_unique<ModelInstance>(*this, number, "i" + std::to_string(number));
+}
+
+Duration OrderHistory::drawDuration(Duration from, Duration to)
+{
+    return Duration(std::uniform_int_distribution<std::int64_t>(from.count(), to.count())(random_));
+}
+
+bool OrderHistory::draws(double probability)
+{
+    return std::uniform_real_distribution<>(0, 1)(random_) < probability;
+}
+
+std::string OrderHistory::drawWorker()
+{
+    return workerIds_[std::uniform_int_distribution<std::size_t>(0, workerIds_.size() - 1)(random_)];
+}
+
+void OrderHistory::writeRegistryRow(const std::string& worker)
+{
+    const int index = std::stoi(worker.substr(1));
+    store_.put("registry", worker, "r" + std::to_string(index / rackSize) + " " + std::to_string(workers_.born(worker)) + " ready");
+}
+
+void OrderHistory::repeatRegistryRows()
+{
+    for (const std::string& worker : workerIds_) {
+        if (workers_.isUp(worker) && hiddenUntil_[worker] <= bootTimeNow())
+            writeRegistryRow(worker);
+    }
+}
+
+void OrderHistory::submitJob()
+{
+    StepSpec step;
+    // At most half of the pool, so that a job fits although some workers are away.
+    const int maxWidth = static_cast<int>(workerIds_.size()) / 2;
+    step.taskCount_ = draws(0.6) ? 1 : std::uniform_int_distribution<>(2, maxWidth)(random_);
+    step.isGang_ = step.taskCount_ > 1 && draws(0.6);
+    step.resources_ = { 7000, 20000, draws(0.2) ? 8 : std::uniform_int_distribution<>(1, 4)(random_) };
+    const Duration runTime = drawDuration(500ms, 4s);
+    step.estimate_ = runTime;
+    JobIntake intake;
+    intake.policy_.priority_ = std::uniform_int_distribution<>(0, 2)(random_);
+    intake.policy_.queue_ = "queue" + std::to_string(intake.policy_.priority_);
+    intake.policy_.service_ = "service";
+    intake.policy_.maxAttempts_ = 3;
+    intake.policy_.stretch_ = 2;
+    intake.spec_.steps_.push_back(step);
+    intake.submittedMs_ = wholeMilliseconds(bootTimeNow().time_since_epoch());
+    char id[17];
+    std::snprintf(id, sizeof id, "%016zx", jobs_.size() + 1);
+    jobs_.emplace_back(id);
+    workers_.addJob(id, step, runTime);
+    store_.put(intakeTable, id, encodeJobIntake(intake), intakePartOf(id));
+}
+
+OrderHistory::ModelInstance* OrderHistory::holder()
+{
+    for (const auto& instance : instances_) {
+        if (instance->scheduler_->controller() != nullptr)
+            return instance.get();
+    }
+    return nullptr;
+}
+
+void OrderHistory::disruptDelivery()
+{
+    DeliveryFaults faults;
+    faults.lostRequests_ = draws(0.5) ? 0.1 : 0;
+    faults.lostAnswers_ = draws(0.5) ? 0.3 : 0;
+    faults.lateRequests_ = draws(0.5) ? 0.4 : 0;
+    faults.maxDelay_ = draws(0.5) ? 300ms : 3ms;
+    workers_.setFaults(faults);
+    deliveryFaultsEndAt_ = bootTimeNow() + drawDuration(1s, 8s);
+}
+
+void OrderHistory::disruptWorker()
+{
+    // Several workers at once, each down for less than a poll or longer.
+    const int count = std::uniform_int_distribution<>(1, 3)(random_);
+    for (int i = 0; i < count; ++i)
+        workers_.crash(drawWorker(), draws(0.6) ? drawDuration(20ms, 500ms) : drawDuration(500ms, 4s));
+}
+
+void OrderHistory::cutWorkers()
+{
+    const Time now = bootTimeNow();
+    const Time until = now + drawDuration(300ms, 8s);
+    const bool restartsBehindCut = faults_.restarts_ && draws(0.5);
+    const bool cutsRequests = draws(0.7);
+    const bool cutsAnswers = !cutsRequests || draws(0.7);
+    const bool cutsAll = draws(0.5);
+    const auto lucky = static_cast<std::size_t>(std::uniform_int_distribution<>(0, instanceCount - 1)(random_));
+    for (const std::string& worker : workerIds_) {
+        if (!draws(0.4))
+            continue;
+        for (std::size_t i = 0; i < instances_.size(); ++i) {
+            if (cutsAll || i != lucky)
+                workers_.cut(instances_[i]->index_, worker, cutsRequests, cutsAnswers, until);
+        }
+        if (restartsBehindCut) {
+            workers_.schedule(now + drawDuration(0ms, until - now), [this, worker] { workers_.crash(worker, drawDuration(50ms, 1500ms)); });
+        }
+    }
+}
+
+void OrderHistory::hideWorker()
+{
+    const std::string worker = drawWorker();
+    hiddenUntil_[worker] = bootTimeNow() + drawDuration(1s, 8s);
+    store_.erase("registry", worker);
+}
+
+void OrderHistory::disruptInstance()
+{
+    ModelInstance* instance = holder();
+    if (instance == nullptr)
+        return;
+    const double kind = std::uniform_real_distribution<>(0, 1)(random_);
+    const Time now = bootTimeNow();
+    if (kind < 0.3)
+        startInstance(instance->index_ % instanceCount);
+    else if (kind < 0.65)
+        instance->pausedUntil_ = now + drawDuration(200ms, 6s);
+    else
+        instance->store_.setCutUntil(now + drawDuration(500ms, 6s));
+}
+
+void OrderHistory::disrupt()
+{
+    std::vector<void (OrderHistory::*)()> kinds;
+    if (faults_.delivery_)
+        kinds.push_back(&OrderHistory::disruptDelivery);
+    if (faults_.restarts_)
+        kinds.push_back(&OrderHistory::disruptWorker);
+    if (faults_.cuts_)
+        kinds.push_back(&OrderHistory::cutWorkers);
+    if (faults_.registry_)
+        kinds.push_back(&OrderHistory::hideWorker);
+    if (faults_.instances_)
+        kinds.push_back(&OrderHistory::disruptInstance);
+    if (!kinds.empty())
+        (this->*kinds[std::uniform_int_distribution<std::size_t>(0, kinds.size() - 1)(random_)])();
+}
+
+void OrderHistory::advance(Duration duration)
+{
+    const Time until = bootTimeNow() + duration;
+    while (bootTimeNow() < until) {
+        clock_.advance(tick);
+        workers_.runDue();
+        VirtualClock::poll(storeLoop_);
+        for (const auto& instance : instances_) {
+            if (instance->pausedUntil_ > bootTimeNow())
+                continue;
+            VirtualClock::poll(*instance->loop_);
+            if (printsLog_)
+                instance->log_.flush();
+        }
+    }
+}
+
+void OrderHistory::run()
+{
+    advance(2s);
+    const Time start = bootTimeNow();
+    faultsEndAt_ = start + historyLength;
+    Time nextJobAt = start;
+    Time nextFaultAt = start + 1s;
+    Time nextHeartbeatAt = start;
+    const Time end = faultsEndAt_ + settlingTime;
+    while (bootTimeNow() < faultsEndAt_ || (bootTimeNow() < end && !openJobs().empty())) {
+        const Time now = bootTimeNow();
+        if (now >= nextHeartbeatAt) {
+            repeatRegistryRows();
+            nextHeartbeatAt = now + heartbeatInterval;
+        }
+        if (now >= nextJobAt && now < faultsEndAt_) {
+            submitJob();
+            nextJobAt = now + drawDuration(200ms, 1400ms);
+        }
+        if (now >= nextFaultAt && now < faultsEndAt_) {
+            disrupt();
+            nextFaultAt = now + drawDuration(200ms, 2500ms);
+        }
+        if (now >= deliveryFaultsEndAt_ || now >= faultsEndAt_)
+            workers_.setFaults({});
+        advance(100ms);
+    }
+}
+
+std::vector<std::string> OrderHistory::openJobs() const
+{
+    std::vector<std::string> open;
+    for (const std::string& job : jobs_) {
+        PoolJobRecord record;
+        const auto value = store_.value(JobRecorder::table, job);
+        if (!value || !decodePoolJobRecord(*value, record) || !isFinal(record.state_))
+            open.push_back(job);
+    }
+    return open;
+}
+
+}
--- /dev/null
+++ b/tests/node/orderhistory.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "node/modelworkers.h"
+#include "node/poolfixture.h"
+#include "node/relayrowstore.h"
+#include "node/virtualclock.h"
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace fescuecleat {
+
+/** The kinds of disruption that an OrderHistory draws from. */
+struct HistoryFaults {
+    /** Requests and answers are lost, reordered, or executed seconds later. */
+    bool delivery_ = false;
+    /** Workers crash and start again under their ids. */
+    bool restarts_ = false;
+    /** Workers are cut off from some or all instances, one way or both. */
+    bool cuts_ = false;
+    /** Workers leave the registry for a while and run on. */
+    bool registry_ = false;
+    /** Instances are killed, paused and cut off from the store. */
+    bool instances_ = false;
+};
+
+/**
+ * A random history of instances that schedule jobs on ModelWorkers in virtual time,
+ * under disruptions in series that overlap. The seed gives the whole history.
+ */
+class OrderHistory {
+public:
+    OrderHistory(std::uint32_t seed, const HistoryFaults&);
+    ~OrderHistory();
+
+    void run();
+    const std::vector<std::string>& violations() const { return workers_.violations(); }
+    int startCount() const { return workers_.startCount(); }
+    /** Jobs that have not ended although all disruptions ended long before. */
+    std::vector<std::string> openJobs() const;
+    /** Writes the log of all instances to standard output while the history runs. */
+    void setPrintsLog(bool prints) { printsLog_ = prints; }
+
+private:
+    struct ModelInstance;
+
+    void startInstance(int index);
+    void submitJob();
+    void disrupt();
+    void disruptDelivery();
+    void disruptWorker();
+    void cutWorkers();
+    void hideWorker();
+    void disruptInstance();
+    void writeRegistryRow(const std::string& worker);
+    void repeatRegistryRows();
+    ModelInstance* holder();
+    std::string drawWorker();
+    Duration drawDuration(Duration from, Duration to);
+    bool draws(double probability);
+    void advance(Duration);
+
+    VirtualClock clock_;
+    std::mt19937 random_;
+    HistoryFaults faults_;
+    boost::asio::io_context storeLoop_;
+    FakeRowStore store_ { storeLoop_ };
+    ModelWorkers workers_;
+    Duration maxLease_;
+    std::vector<std::string> workerIds_;
+    std::map<std::string, Time> hiddenUntil_;
+    std::vector<std::string> jobs_;
+    std::vector<std::unique_ptr<ModelInstance>> instances_;
+    FakeOperatorFormat operatorFormat_;
+    FakeRegistryFormat registryFormat_;
+    FakeCallerFormat callerFormat_;
+    bool printsLog_ = false;
+    Time faultsEndAt_ {};
+    Time deliveryFaultsEndAt_ {};
+};
+
+}
--- /dev/null
+++ b/tests/node/orderhistorytest.cpp
@@ -0,0 +1,104 @@
+#include "node/orderhistory.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <cstdlib>
+#include <iostream>
+
+using namespace fescuecleat;
+
+namespace {
+
+/** Histories per test; the default suits each build, more are played by hand. */
+std::uint32_t historyCount()
+{
+    const char* const text = std::getenv("POOL_HISTORIES");
+    return text == nullptr ? 6 : static_cast<std::uint32_t>(std::strtoul(text, nullptr, 10));
+}
+
+std::uint32_t firstSeed()
+{
+    const char* const text = std::getenv("POOL_SEED");
+    return text == nullptr ? 20261204 : static_cast<std::uint32_t>(std::strtoul(text, nullptr, 10));
+}
+
+}
+
+/**
+ * Random histories of late, lost and reordered requests, reports and ends: no task runs
+ * twice, no worker gets more than fits, and all jobs end once the disruptions are over.
+ */
+class OrderHistoryTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(OrderHistoryTest);
+    CPPUNIT_TEST(calmHistory);
+    CPPUNIT_TEST(lostAndLateRequests);
+    CPPUNIT_TEST(restartsUnderTheSameId);
+    CPPUNIT_TEST(cutsWithRestartsBehindThem);
+    CPPUNIT_TEST(failoversWithUnreachableWorkers);
+    CPPUNIT_TEST(allTogether);
+    CPPUNIT_TEST_SUITE_END();
+
+    static void play(const HistoryFaults& faults)
+    {
+        std::string failures;
+        int starts = 0;
+        for (std::uint32_t seed = firstSeed(); seed < firstSeed() + historyCount(); ++seed) {
+            OrderHistory history(seed, faults);
+            history.setPrintsLog(std::getenv("POOL_LOG") != nullptr);
+            history.run();
+            starts += history.startCount();
+            for (const std::string& violation : history.violations())
+                failures += "seed " + std::to_string(seed) + ": " + violation + "\n";
+            for (const std::string& job : history.openJobs())
+                failures += "seed " + std::to_string(seed) + ": job " + job + " has not ended\n";
+        }
+        CPPUNIT_ASSERT_MESSAGE("nothing ran", starts > 0);
+        CPPUNIT_ASSERT_MESSAGE(failures, failures.empty());
+    }
+
+    void calmHistory() { play({}); }
+
+    void lostAndLateRequests()
+    {
+        HistoryFaults faults;
+        faults.delivery_ = true;
+        play(faults);
+    }
+
+    void restartsUnderTheSameId()
+    {
+        HistoryFaults faults;
+        faults.delivery_ = true;
+        faults.restarts_ = true;
+        play(faults);
+    }
+
+    void cutsWithRestartsBehindThem()
+    {
+        HistoryFaults faults;
+        faults.cuts_ = true;
+        faults.restarts_ = true;
+        faults.registry_ = true;
+        play(faults);
+    }
+
+    void failoversWithUnreachableWorkers()
+    {
+        HistoryFaults faults;
+        faults.cuts_ = true;
+        faults.instances_ = true;
+        play(faults);
+    }
+
+    void allTogether()
+    {
+        HistoryFaults faults;
+        faults.delivery_ = true;
+        faults.restarts_ = true;
+        faults.cuts_ = true;
+        faults.registry_ = true;
+        faults.instances_ = true;
+        play(faults);
+    }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(OrderHistoryTest, "history");
--- a/tests/support/main.cpp
+++ b/tests/support/main.cpp
@@ -5,12 +5,14 @@
 #include <string>
 #include <vector>
 
-/** Runs all tests of the default registry, those of another one (--registry NAME), or only the test whose path is given. */
+/** Runs all tests of the default registry or of another one (--registry NAME), or only the test whose path follows. */
 int main(int argc, char** argv)
 {
-    const std::vector<std::string> arguments(argv + 1, argv + argc);
-    const bool namesRegistry = arguments.size() == 2 && arguments[0] == "--registry";
+    std::vector<std::string> arguments(argv + 1, argv + argc);
+    const bool namesRegistry = arguments.size() >= 2 && arguments[0] == "--registry";
     CppUnit::TestFactoryRegistry& registry = namesRegistry ? CppUnit::TestFactoryRegistry::getRegistry(arguments[1]) : CppUnit::TestFactoryRegistry::getRegistry();
+    if (namesRegistry)
+        arguments.erase(arguments.begin(), arguments.begin() + 2);
     CppUnit::Test* const tests = registry.makeTest();
     if (tests->countTestCases() == 0) {
         std::cerr << "no tests are registered\n";
