Begin a worker's link with the expiry of leases granted before it opens

Seen by callers: a task ran twice at the same time, and a worker got more than fits. Cause: each link began with the time at which leases of former schedulers expire. That is right for links opened at the start of a term. A link opened later, because the registry lists a new incarnation, began with a time that had passed: its first poll without an answer gave up the runs that had just been moved to it, among them starts that the new incarnation had accepted. In the log: run.moved, and 600 ms later worker.lapsed with isOwnGrant false and an expiry before the worker was first seen. Change: whoever may have granted leases before a link opens, a former holder or this one, has done so by then; the longest lease counts from that time.

--- a/src/libfescuecleat/node/poolworkerlink.cpp
+++ b/src/libfescuecleat/node/poolworkerlink.cpp
@@ -29,7 +29,7 @@
     , listener_(std::move(listener))
     , pollTimer_(context)
     , retryTimer_(context)
-    , leasesExpireAt_(parameters.formerLeasesExpireAt_)
+    , leasesExpireAt_(parameters.earlierLeasesExpireAt_)
 {
 }
 
--- a/src/libfescuecleat/node/poolworkerlink.h
+++ b/src/libfescuecleat/node/poolworkerlink.h
@@ -47,8 +47,8 @@
         std::int64_t epoch_ = 0;
         /** The longest lease that workers grant. */
         Duration maxLease_ {};
-        /** Leases granted to former schedulers have expired by then. */
-        Time formerLeasesExpireAt_ {};
+        /** Leases that were granted before this link opens have expired by then. */
+        Time earlierLeasesExpireAt_ {};
         /** How long a poll waits for the end of a run. */
         Duration pollWait_ {};
     };
--- a/tests/node/poolcontrollertest.cpp
+++ b/tests/node/poolcontrollertest.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(stopsDespiteLostStops);
     CPPUNIT_TEST(sendsStartsOnceLeaseIsHeldAgain);
     CPPUNIT_TEST(drainingWorkerGetsShortLeases);
+    CPPUNIT_TEST(keepsStartThatNextIncarnationMayHave);
     CPPUNIT_TEST_SUITE_END();
 
     void runsJobToCompletion()
@@ -102,6 +103,27 @@
         CPPUNIT_ASSERT(pool.runUntil([&] { return pool.recordedState(jobId) == PoolJobState::Completed; }));
     }
 
+    /** Guards against two runs of one task: a link opened in mid-term gave up a start that the worker's next incarnation had accepted. */
+    void keepsStartThatNextIncarnationMayHave()
+    {
+        PoolFixture pool;
+        pool.addWorker("w1");
+        const auto scheduler = pool.scheduler("a");
+        // Leases of former schedulers have expired by now.
+        pool.runFor(2300ms);
+        pool.workers_.loseStartAnswers(1, false);
+        pool.submit(jobId, oneTask());
+        CPPUNIT_ASSERT(pool.runUntil([&] { return pool.workers_.startCount(task()) == 1; }));
+        pool.addWorker("w2");
+        FakeWorkers::Worker& next = pool.workers_.worker("w1");
+        next.born_ = 2;
+        next.isUnreachable_ = true;
+        pool.store_.put("registry", "w1", "r0 2 ready");
+        pool.runFor(1400ms);
+        CPPUNIT_ASSERT_EQUAL(1, pool.workers_.startCount(task()));
+        CPPUNIT_ASSERT(pool.runUntil([&] { return pool.workers_.startCount(task()) == 2; }));
+    }
+
     /** The task of an unreachable worker starts elsewhere, but not before the worker's lease has expired. */
     void waitsForLeaseOfUnreachableWorker()
     {
