Poll silent workers without lease and acknowledgement

Seen by callers: a task was started again after its end had been recorded, and two runs of one task were active. Cause: the header of a request names the worker's id, which its next incarnation keeps. A poll repeated after silence carried the expiry and the sequence number of the former incarnation. The next one granted the longest lease from each arrival, and forgot ends that no report had listed; without them its runs counted as lost and were started again. Change: polls of a worker whose last poll was not answered carry neither; others acknowledge ends only while the worker still lists some. Result: pollsOfSilentWorkerSuitAnyIncarnation fails without the change.

--- a/src/libfescuecleat/node/poolworkerlink.cpp
+++ b/src/libfescuecleat/node/poolworkerlink.cpp
@@ -67,10 +67,13 @@
     pollTimer_.cancel();
     PollRequest request;
     request.epoch_ = parameters_.epoch_;
-    request.acknowledgedEnds_ = lastStoredEnd_;
     request.wait_ = waitsForEnd ? parameters_.pollWait_ : Duration::zero();
-    if (isClockKnown_)
+    // A worker that was silent may have restarted: neither the expiry nor the sequence number
+    // is valid for its next incarnation, which would grant a lease and forget ends by them.
+    if (isReachable_) {
         request.leaseUntilMs_ = extendLease();
+        request.acknowledgedEnds_ = listsEnds_ ? lastStoredEnd_ : 0;
+    }
     const Time askedAt = bootTimeNow();
     client_.poll(info_, request, request.wait_ + pollTimeoutMargin, lifetime_.guard([this, askedAt](const tl::expected<PoolWorkerReport, WorkerFailure>& report) {
         isPolling_ = false;
@@ -96,6 +99,7 @@
     clockMs_ = report.clockMs_;
     clockReadAt_ = bootTimeNow();
     setReachable(true, "answered");
+    listsEnds_ = !report.ended_.empty();
     for (const ReportedEnd& end : report.ended_)
         lastReportedEnd_ = std::max(lastReportedEnd_, end.sequence_);
     auto next = lifetime_.guard([this, wasClockKnown] {
--- a/src/libfescuecleat/node/poolworkerlink.h
+++ b/src/libfescuecleat/node/poolworkerlink.h
@@ -98,6 +98,8 @@
     Time leasesExpireAt_ {};
     std::int64_t lastStoredEnd_ = 0;
     std::int64_t lastReportedEnd_ = 0;
+    /** The last report contained ends; only then a poll acknowledges any. */
+    bool listsEnds_ = false;
     std::deque<Request> requests_;
     /** Unanswered requests that are sent again after a delay. */
     std::deque<Request> requestsToRetry_;
--- a/tests/node/fakeworkers.cpp
+++ b/tests/node/fakeworkers.cpp
@@ -32,6 +32,7 @@
     const std::string id = info.key_.id_;
     boost::asio::post(loop_, [this, id, request, handler = std::move(handler)] {
         Worker& worker = workers_[id];
+        worker.lastPoll_ = request;
         if (worker.isUnreachable_)
             return handler(tl::unexpected<WorkerFailure>(WorkerFailure::NoAnswer));
         if (request.epoch_ < worker.epoch_)
--- a/tests/node/fakeworkers.h
+++ b/tests/node/fakeworkers.h
@@ -25,6 +25,8 @@
         std::vector<ReportedEnd> ended_;
         std::int64_t acknowledgedEnds_ = 0;
         bool isUnreachable_ = false;
+        /** The newest poll, also if it got no answer. */
+        PollRequest lastPoll_;
     };
 
     explicit FakeWorkers(boost::asio::io_context&);
--- a/tests/node/poolcontrollertest.cpp
+++ b/tests/node/poolcontrollertest.cpp
@@ -43,6 +43,7 @@
     CPPUNIT_TEST(sendsStartsOnceLeaseIsHeldAgain);
     CPPUNIT_TEST(drainingWorkerGetsShortLeases);
     CPPUNIT_TEST(keepsStartThatNextIncarnationMayHave);
+    CPPUNIT_TEST(pollsOfSilentWorkerSuitAnyIncarnation);
     CPPUNIT_TEST_SUITE_END();
 
     void runsJobToCompletion()
@@ -124,6 +125,26 @@
         CPPUNIT_ASSERT(pool.runUntil([&] { return pool.workers_.startCount(task()) == 2; }));
     }
 
+    /** Guards against two runs of one task: a restarted worker granted leases and forgot ends by numbers of its former incarnation. */
+    void pollsOfSilentWorkerSuitAnyIncarnation()
+    {
+        PoolFixture pool;
+        pool.addWorker("w1");
+        const auto scheduler = pool.scheduler("a");
+        pool.submit(jobId, oneTask());
+        CPPUNIT_ASSERT(pool.runUntil([&] { return pool.workers_.startCount(task()) == 1; }));
+        FakeWorkers::Worker& worker = pool.workers_.worker("w1");
+        CPPUNIT_ASSERT(worker.lastPoll_.leaseUntilMs_.has_value());
+        pool.workers_.finish("w1", task(), EndReason::Done);
+        CPPUNIT_ASSERT(pool.runUntil([&] { return worker.lastPoll_.acknowledgedEnds_ == 1; }));
+        worker.isUnreachable_ = true;
+        CPPUNIT_ASSERT(pool.runUntil([&] { return !worker.lastPoll_.leaseUntilMs_; }));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), worker.lastPoll_.acknowledgedEnds_);
+        worker.isUnreachable_ = false;
+        CPPUNIT_ASSERT(pool.runUntil([&] { return worker.lastPoll_.leaseUntilMs_.has_value(); }));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), worker.lastPoll_.acknowledgedEnds_);
+    }
+
     /** The task of an unreachable worker starts elsewhere, but not before the worker's lease has expired. */
     void waitsForLeaseOfUnreachableWorker()
     {
