Decide by the worker's answers which incarnation received a start

Seen by callers: a task ran twice at the same time; a worker got more than fits. Cause: when a worker had restarted, its runs were told apart by when they had been decided. A start without an answer is sent again for 1.5 s, so it can reach the new incarnation although the former one reported after the decision; its run was given up there. A run that was moved kept the stop that the former incarnation had confirmed, which the new one doesn't know, and an answer to a start counted as confirming a stop. Change: a run ends with the former incarnation only if that one has confirmed it and no request was sent after its last report was asked for. All others move, and a stop is sent again. While a run is being stopped, only the stop's own answer confirms it. Result: restartedWorkerMayHaveRepeatedStart and stopIsRepeatedForNextIncarnation fail without the change.

--- a/src/libfescuecleat/node/poolworkerlink.cpp
+++ b/src/libfescuecleat/node/poolworkerlink.cpp
@@ -181,6 +181,7 @@
     if (!isClockKnown_ || !listener_.isStartWanted_(request.run_))
         return;
     request.leaseUntilMs_ = extendLease();
+    listener_.startSent_(request.run_);
     ++requestsInFlight_;
     client_.start(info_, request, requestTimeout, lifetime_.guard([this, request](const tl::expected<StartAnswer, WorkerFailure>& answer) {
         --requestsInFlight_;
--- a/src/libfescuecleat/node/poolworkerlink.h
+++ b/src/libfescuecleat/node/poolworkerlink.h
@@ -36,6 +36,7 @@
         /** The leases of all runs on the worker have certainly expired. Repeated while the worker is silent. */
         std::function<void(const LeaseExpiry&)> leasesExpired_;
         std::function<bool(const RunId&)> isStartWanted_;
+        std::function<void(const RunId&)> startSent_;
         std::function<void(const RunId&, StartAnswer)> startAnswered_;
         std::function<void(const RunId&)> stopConfirmed_;
         std::function<bool(const RunId&)> isStopWanted_;
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -265,10 +265,9 @@
     }
     for (const RunId& run : std::set<RunId>(old->runs_)) {
         TaskRun& taskRun = state_.runs_.at(run);
-        if (taskRun.startedAt_ <= old->lastReportRequestedAt_ || taskRun.phase_ == RunPhase::Recording)
+        if (taskRun.wasReceivedBefore(old->lastReportRequestedAt_) || taskRun.phase_ == RunPhase::Recording)
             continue;
-        // The former incarnation's last report was requested before this start, so the start may have reached the new one.
-        state_.rebindRun(run, taskRun, current);
+        state_.rebindRun(run, taskRun, current, now);
         state_.decisions_.movedRuns_.push_back({ run, former, current });
     }
     workerLost(former, "the worker restarted", now);
@@ -304,6 +303,8 @@
             continue;
         }
         TaskRun& run = entry->second;
+        if (!run.startConfirmedAt_)
+            run.startConfirmedAt_ = requestedAt;
         if (run.phase_ == RunPhase::Starting) {
             run.phase_ = RunPhase::Running;
             run.acknowledgedAt_ = now;
@@ -438,6 +439,13 @@
     return true;
 }
 
+void PoolScheduler::startSent(const RunId& run, Time now)
+{
+    const auto entry = state_.runs_.find(run);
+    if (entry != state_.runs_.end())
+        entry->second.startSentAt_ = now;
+}
+
 void PoolScheduler::startAnswered(const RunId& run, StartAnswer answer, Time now)
 {
     const auto entry = state_.runs_.find(run);
@@ -452,6 +460,11 @@
         }
         return applyEnd(run, EndReason::Stopped, {}, now);
     }
+    if (!taskRun.startConfirmedAt_)
+        taskRun.startConfirmedAt_ = now;
+    // An answer to the start doesn't confirm a stop that was decided meanwhile.
+    if (taskRun.phase_ == RunPhase::Stopping)
+        return;
     taskRun.acknowledgedAt_ = now;
     if (taskRun.phase_ == RunPhase::Starting && answer == StartAnswer::Accepted)
         taskRun.phase_ = RunPhase::Running;
--- a/src/libfescuecleat/pool/poolscheduler.h
+++ b/src/libfescuecleat/pool/poolscheduler.h
@@ -54,6 +54,8 @@
     void report(const WorkerKey&, const PoolWorkerReport&, Time requestedAt, Time now);
     /** Returns whether a decided start is still wanted. If so, the worker is assumed to know the run from then on. */
     bool beginStart(const RunId&, Time now);
+    /** A request for the start is about to be sent, for the first time or again. */
+    void startSent(const RunId&, Time now);
     void startAnswered(const RunId&, StartAnswer, Time now);
     /** The worker has confirmed the stop; a run that it didn't know can no longer start there. */
     void stopConfirmed(const RunId&, Time now);
--- a/src/libfescuecleat/pool/poolstate.cpp
+++ b/src/libfescuecleat/pool/poolstate.cpp
@@ -62,7 +62,7 @@
     decisions_.stops_.push_back({ run, taskRun.worker_, cause });
 }
 
-void PoolState::rebindRun(const RunId& run, TaskRun& taskRun, const WorkerKey& key)
+void PoolState::rebindRun(const RunId& run, TaskRun& taskRun, const WorkerKey& key, Time now)
 {
     const auto move = [&](PoolWorkerState& worker, bool isAdded) {
         const Resources none;
@@ -79,6 +79,12 @@
     PoolWorkerState& current = workers_[key];
     move(current, true);
     current.runs_.insert(run);
+    if (taskRun.phase_ == RunPhase::Stopping) {
+        // The new incarnation doesn't know of a stop that the former one confirmed.
+        taskRun.acknowledgedAt_.reset();
+        taskRun.stopRequestedAt_ = now;
+        decisions_.stops_.push_back({ run, key, "its worker restarted" });
+    }
     decisions_.changedJobs_.insert(run.task_.job_);
 }
 
--- a/src/libfescuecleat/pool/poolstate.h
+++ b/src/libfescuecleat/pool/poolstate.h
@@ -39,8 +39,8 @@
     void stopUnit(Job&, std::size_t unit, const std::string& cause, Time now);
     /** Removes a run and releases its resources. */
     void releaseRun(const RunId&, Time now);
-    /** Moves a run to another incarnation of its worker. */
-    void rebindRun(const RunId&, TaskRun&, const WorkerKey&);
+    /** Moves a run to another incarnation of its worker; a stop is decided again for it. */
+    void rebindRun(const RunId&, TaskRun&, const WorkerKey&, Time now);
     /** Marks a run as stopping and adds a stop decision. */
     void stopRun(const RunId&, TaskRun&, const std::string& cause, Time now);
 };
--- a/src/libfescuecleat/pool/taskrun.cpp
+++ b/src/libfescuecleat/pool/taskrun.cpp
@@ -11,6 +11,11 @@
 
 }
 
+bool TaskRun::wasReceivedBefore(Time upAt) const
+{
+    return startConfirmedAt_ && *startConfirmedAt_ <= upAt && startSentAt_ <= upAt;
+}
+
 void TaskRun::observeProgress(int percent, Time now)
 {
     percentDone_ = percent;
--- a/src/libfescuecleat/pool/taskrun.h
+++ b/src/libfescuecleat/pool/taskrun.h
@@ -31,6 +31,10 @@
      */
     std::optional<Time> acknowledgedAt_;
     Time startedAt_ {};
+    /** When the newest request for the start was sent. */
+    Time startSentAt_ {};
+    /** When a worker first showed that it had received the start. */
+    std::optional<Time> startConfirmedAt_;
     /** When the last stop request was decided. */
     Time stopRequestedAt_ {};
     int percentDone_ = 0;
@@ -41,6 +45,8 @@
     std::optional<double> percentPerSecond_;
     double maxPercentPerSecond_ = 0;
 
+    /** Whether an incarnation that was up at `upAt` has certainly received the start, so that the next one hasn't. */
+    bool wasReceivedBefore(Time upAt) const;
     void observeProgress(int percent, Time now);
     /**
      * Seconds of work that the progress corresponds to. After a failover it is more
--- /dev/null
+++ b/tests/pool/ambiguousstarttest.cpp
@@ -0,0 +1,123 @@
+#include "pool/poolscheduler.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace fescuecleat;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char* jobId = "00000000000000aa";
+constexpr Time start { 1000s };
+const RunId firstRun { { jobId, 0, 0, 0 }, 1 };
+
+WorkerInfo worker(const std::string& id, std::int64_t born)
+{
+    WorkerInfo info;
+    info.key_ = { id, born };
+    info.service_ = "service";
+    info.rack_ = "r0";
+    info.capacity_ = { 64000, 64000, 8 };
+    return info;
+}
+
+/** A scheduler with one job, whose only task has been decided to start on w1; w2 has room as well. */
+class StartedJob {
+public:
+    StartedJob()
+    {
+        StepSpec step;
+        step.resources_ = { 1000, 1000, 8 };
+        step.estimate_ = 5s;
+        PoolJobSpec spec;
+        spec.steps_.push_back(step);
+        JobPolicy policy;
+        policy.service_ = "service";
+        policy.maxAttempts_ = 3;
+        add("w1", 1);
+        scheduler_.addJob(jobId, spec, policy, start, nullptr, start);
+        scheduler_.schedule(start, 0);
+        scheduler_.takeDecisions();
+        add("w2", 1);
+        scheduler_.beginStart(firstRun, start);
+        scheduler_.startSent(firstRun, start);
+    }
+
+    void add(const std::string& id, std::int64_t born)
+    {
+        scheduler_.putWorker(worker(id, born), start);
+        scheduler_.setReachable({ id, born }, true);
+    }
+
+    /** Applies a report of w1 without ends. */
+    void report(std::int64_t born, const std::vector<ReportedRun>& running, Time requestedAt)
+    {
+        PoolWorkerReport report;
+        report.startedUnixMs_ = born;
+        report.running_ = running;
+        scheduler_.report({ "w1", born }, report, requestedAt, requestedAt + 5ms);
+    }
+
+    std::size_t startsDecided(Time now)
+    {
+        scheduler_.schedule(now, 0);
+        return scheduler_.takeDecisions().starts_.size();
+    }
+
+    PoolScheduler scheduler_;
+};
+
+}
+
+/** Starts without an answer, and which incarnation of a worker may have received them. */
+class AmbiguousStartTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(AmbiguousStartTest);
+    CPPUNIT_TEST(restartedWorkerMayHaveRepeatedStart);
+    CPPUNIT_TEST(confirmedRunEndsWithItsIncarnation);
+    CPPUNIT_TEST(stopIsRepeatedForNextIncarnation);
+    CPPUNIT_TEST_SUITE_END();
+
+    /** Guards against two runs of one task: a start repeated after the last report reached the next incarnation, and its run was given up. */
+    void restartedWorkerMayHaveRepeatedStart()
+    {
+        StartedJob job;
+        job.report(1, {}, start + 100ms);
+        job.scheduler_.startSent(firstRun, start + 650ms);
+        job.scheduler_.workerRestarted({ "w1", 1 }, { "w1", 2 }, start + 800ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), job.startsDecided(start + 801ms));
+        job.report(2, { { firstRun, "", 10 } }, start + 900ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), job.startsDecided(start + 910ms));
+        CPPUNIT_ASSERT(job.scheduler_.state().runs_.at(firstRun).phase_ == RunPhase::Running);
+    }
+
+    /** Its task starts again at once. */
+    void confirmedRunEndsWithItsIncarnation()
+    {
+        StartedJob job;
+        job.scheduler_.startAnswered(firstRun, StartAnswer::Accepted, start + 5ms);
+        job.report(1, { { firstRun, "", 10 } }, start + 100ms);
+        job.scheduler_.workerRestarted({ "w1", 1 }, { "w1", 2 }, start + 800ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), job.startsDecided(start + 801ms));
+    }
+
+    /** Guards against two runs of one task: a stop confirmed by one incarnation counted for the next. */
+    void stopIsRepeatedForNextIncarnation()
+    {
+        StartedJob job;
+        // The start is not answered in time.
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), job.startsDecided(start + 1600ms));
+        job.scheduler_.stopConfirmed(firstRun, start + 1610ms);
+        job.scheduler_.workerRestarted({ "w1", 1 }, { "w1", 2 }, start + 1700ms);
+        job.scheduler_.schedule(start + 1701ms, 0);
+        const Decisions decisions = job.scheduler_.takeDecisions();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), decisions.stops_.size());
+        CPPUNIT_ASSERT(decisions.stops_.front().worker_ == (WorkerKey { "w1", 2 }));
+        job.report(2, {}, start + 1705ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), job.startsDecided(start + 1711ms));
+        job.scheduler_.stopConfirmed(firstRun, start + 1720ms);
+        job.report(2, {}, start + 1800ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), job.startsDecided(start + 1810ms));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AmbiguousStartTest);
