Stop a run whose repeated start is refused after a request without an answer

Cause: a start that gets no answer is sent again. If the worker refuses the repetition, because it is unhealthy, full or out of its lease, that request has done nothing, but the first one may still be executed seconds later. The scheduler took the refusal as the outcome of the run, freed its room and placed the task again. Change: a run with a request that got no answer ends only by a confirmed stop, which bars it on the worker, by a report, or when the lease has expired. A refusal of the only request frees the room at once, as before. Result: refusalDoesNotResolveEarlierRequest fails without the change.

--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -315,6 +315,7 @@
         return listener_.isLeaseHeld_() && entry != scheduler_.state().runs_.end() && entry->second.phase_ == RunPhase::Starting;
     };
     listener.startSent_ = [this](const RunId& run) { scheduler_.startSent(run, bootTimeNow()); };
+    listener.startUnanswered_ = [this](const RunId& run) { scheduler_.startUnanswered(run); };
     listener.startAnswered_ = [this, id](const RunId& run, StartAnswer answer) {
         if (answer != StartAnswer::Accepted)
             context_.log_.write("run.start_refused", { { "job", run.task_.job_ }, { "task", toString(run.task_) }, { "run", run.number_ }, { "worker", id }, { "cause", answer == StartAnswer::StaleRun ? "old" : "refused" } });
--- a/src/libfescuecleat/node/poolworkerlink.cpp
+++ b/src/libfescuecleat/node/poolworkerlink.cpp
@@ -189,8 +189,11 @@
             listener_.startAnswered_(request.run_, *answer);
         else if (answer.error() == WorkerFailure::StaleEpoch)
             return listener_.superseded_("worker " + info_.key_.id_ + " has accepted a newer scheduler");
-        else
+        else {
+            if (answer.error() != WorkerFailure::NotSent)
+                listener_.startUnanswered_(request.run_);
             retry(request);
+        }
         sendRequests();
     }));
 }
--- a/src/libfescuecleat/node/poolworkerlink.h
+++ b/src/libfescuecleat/node/poolworkerlink.h
@@ -37,6 +37,7 @@
         std::function<void(const LeaseExpiry&)> leasesExpired_;
         std::function<bool(const RunId&)> isStartWanted_;
         std::function<void(const RunId&)> startSent_;
+        std::function<void(const RunId&)> startUnanswered_;
         std::function<void(const RunId&, StartAnswer)> startAnswered_;
         std::function<void(const RunId&)> stopConfirmed_;
         std::function<bool(const RunId&)> isStopWanted_;
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -446,6 +446,13 @@
         entry->second.startSentAt_ = now;
 }
 
+void PoolScheduler::startUnanswered(const RunId& run)
+{
+    const auto entry = state_.runs_.find(run);
+    if (entry != state_.runs_.end())
+        entry->second.mayStartLate_ = true;
+}
+
 void PoolScheduler::startAnswered(const RunId& run, StartAnswer answer, Time now)
 {
     const auto entry = state_.runs_.find(run);
@@ -458,7 +465,10 @@
             job->units_[taskRun.unit_].retryAt_ = now + refusalBackoff;
             retryTimes_.push_back(now + refusalBackoff);
         }
-        return applyEnd(run, EndReason::Stopped, {}, now);
+        if (!taskRun.mayStartLate_ || job == nullptr)
+            return applyEnd(run, EndReason::Stopped, {}, now);
+        // Only a confirmed stop keeps the worker from executing an earlier request after all.
+        return abortRun(*job, taskRun.unit_, "the worker refused the start after an earlier request without an answer", now);
     }
     if (!taskRun.startConfirmedAt_)
         taskRun.startConfirmedAt_ = now;
--- a/src/libfescuecleat/pool/poolscheduler.h
+++ b/src/libfescuecleat/pool/poolscheduler.h
@@ -17,7 +17,7 @@
     Accepted,
     /** The run has already ended on the worker, or was stopped before it could start. */
     StaleRun,
-    /** Nothing was started: the worker lacks capacity, is unhealthy, or its lease has expired. */
+    /** This request started nothing: the worker lacks capacity, is unhealthy, or its lease has expired. */
     Refused,
 };
 
@@ -56,6 +56,8 @@
     bool beginStart(const RunId&, Time now);
     /** A request for the start is about to be sent, for the first time or again. */
     void startSent(const RunId&, Time now);
+    /** The worker may have executed the request, or may execute it later. */
+    void startUnanswered(const RunId&);
     void startAnswered(const RunId&, StartAnswer, Time now);
     /** The worker has confirmed the stop; a run that it didn't know can no longer start there. */
     void stopConfirmed(const RunId&, Time now);
--- a/src/libfescuecleat/pool/taskrun.h
+++ b/src/libfescuecleat/pool/taskrun.h
@@ -33,6 +33,8 @@
     Time startedAt_ {};
     /** When the newest request for the start was sent. */
     Time startSentAt_ {};
+    /** A request for the start got no answer, so it may be executed later. */
+    bool mayStartLate_ = false;
     /** When a worker first showed that it had received the start. */
     std::optional<Time> startConfirmedAt_;
     /** When the last stop request was decided. */
--- a/tests/node/modelworkers.cpp
+++ b/tests/node/modelworkers.cpp
@@ -207,6 +207,8 @@
 {
     if (!acceptEpoch(worker, request.epoch_))
         return tl::unexpected<WorkerFailure>(WorkerFailure::StaleEpoch);
+    if (draws(faults_.refusedStarts_))
+        return StartAnswer::Refused;
     const TaskId& task = request.run_.task_;
     const auto running = worker.runs_.find(task);
     if (running != worker.runs_.end() && running->second.number_ == request.run_.number_) {
--- a/tests/node/modelworkers.h
+++ b/tests/node/modelworkers.h
@@ -22,6 +22,8 @@
     double lostAnswers_ = 0;
     /** Share of requests that are executed seconds later, without an answer. */
     double lateRequests_ = 0;
+    /** Share of starts that unhealthy workers refuse; such a request has done nothing. */
+    double refusedStarts_ = 0;
     Duration maxDelay_ = std::chrono::milliseconds(3);
 };
 
--- a/tests/node/orderhistory.cpp
+++ b/tests/node/orderhistory.cpp
@@ -149,6 +149,7 @@
     faults.lostRequests_ = draws(0.5) ? 0.1 : 0;
     faults.lostAnswers_ = draws(0.5) ? 0.3 : 0;
     faults.lateRequests_ = draws(0.5) ? 0.4 : 0;
+    faults.refusedStarts_ = draws(0.3) ? 0.3 : 0;
     faults.maxDelay_ = draws(0.5) ? 300ms : 3ms;
     workers_.setFaults(faults);
     deliveryFaultsEndAt_ = bootTimeNow() + drawDuration(1s, 8s);
--- a/tests/pool/ambiguousstarttest.cpp
+++ b/tests/pool/ambiguousstarttest.cpp
@@ -75,6 +75,8 @@
     CPPUNIT_TEST(restartedWorkerMayHaveRepeatedStart);
     CPPUNIT_TEST(confirmedRunEndsWithItsIncarnation);
     CPPUNIT_TEST(stopIsRepeatedForNextIncarnation);
+    CPPUNIT_TEST(refusalDoesNotResolveEarlierRequest);
+    CPPUNIT_TEST(refusalOfOnlyRequestFreesTheRoom);
     CPPUNIT_TEST_SUITE_END();
 
     /** Guards against two runs of one task: a start repeated after the last report reached the next incarnation, and its run was given up. */
@@ -118,6 +120,29 @@
         job.report(2, {}, start + 1800ms);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), job.startsDecided(start + 1810ms));
     }
+
+    /** Guards against two runs of one task: a start without an answer was repeated and refused, and the first request was executed later. */
+    void refusalDoesNotResolveEarlierRequest()
+    {
+        StartedJob job;
+        job.scheduler_.startUnanswered(firstRun);
+        job.scheduler_.startSent(firstRun, start + 650ms);
+        job.scheduler_.startAnswered(firstRun, StartAnswer::Refused, start + 655ms);
+        job.scheduler_.schedule(start + 1000ms, 0);
+        const Decisions decisions = job.scheduler_.takeDecisions();
+        CPPUNIT_ASSERT(decisions.starts_.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), decisions.stops_.size());
+        job.scheduler_.stopConfirmed(firstRun, start + 1005ms);
+        job.report(1, {}, start + 1010ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), job.startsDecided(start + 1300ms));
+    }
+
+    void refusalOfOnlyRequestFreesTheRoom()
+    {
+        StartedJob job;
+        job.scheduler_.startAnswered(firstRun, StartAnswer::Refused, start + 5ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), job.startsDecided(start + 300ms));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AmbiguousStartTest);
