--- a/src/libfescuecleat/node/poolworkerlink.cpp
+++ b/src/libfescuecleat/node/poolworkerlink.cpp
@@ -29,7 +29,7 @@
     , listener_(std::move(listener))
     , pollTimer_(context)
     , retryTimer_(context)
-    , leasesExpireAt_(parameters.formerLeasesExpireAt_)
+    , leasesExpireAt_(parameters.earlierLeasesExpireAt_)
 {
 }
 
@@ -67,10 +67,13 @@
     pollTimer_.cancel();
     PollRequest request;
     request.epoch_ = parameters_.epoch_;
-    request.acknowledgedEnds_ = lastStoredEnd_;
     request.wait_ = waitsForEnd ? parameters_.pollWait_ : Duration::zero();
-    if (isClockKnown_)
+    // A worker that was silent may have restarted: neither the expiry nor the sequence number
+    // is valid for its next incarnation, which would grant a lease and forget ends by them.
+    if (isReachable_) {
         request.leaseUntilMs_ = extendLease();
+        request.acknowledgedEnds_ = listsEnds_ ? lastStoredEnd_ : 0;
+    }
     const Time askedAt = bootTimeNow();
     client_.poll(info_, request, request.wait_ + pollTimeoutMargin, lifetime_.guard([this, askedAt](const tl::expected<PoolWorkerReport, WorkerFailure>& report) {
         isPolling_ = false;
@@ -96,6 +99,7 @@
     clockMs_ = report.clockMs_;
     clockReadAt_ = bootTimeNow();
     setReachable(true, "answered");
+    listsEnds_ = !report.ended_.empty();
     for (const ReportedEnd& end : report.ended_)
         lastReportedEnd_ = std::max(lastReportedEnd_, end.sequence_);
     auto next = lifetime_.guard([this, wasClockKnown] {
@@ -177,6 +181,7 @@
     if (!isClockKnown_ || !listener_.isStartWanted_(request.run_))
         return;
     request.leaseUntilMs_ = extendLease();
+    listener_.startSent_(request.run_);
     ++requestsInFlight_;
     client_.start(info_, request, requestTimeout, lifetime_.guard([this, request](const tl::expected<StartAnswer, WorkerFailure>& answer) {
         --requestsInFlight_;
@@ -184,8 +189,11 @@
             listener_.startAnswered_(request.run_, *answer);
         else if (answer.error() == WorkerFailure::StaleEpoch)
             return listener_.superseded_("worker " + info_.key_.id_ + " has accepted a newer scheduler");
-        else
+        else {
+            if (answer.error() != WorkerFailure::NotSent)
+                listener_.startUnanswered_(request.run_);
             retry(request);
+        }
         sendRequests();
     }));
 }
--- a/src/libfescuecleat/node/poolworkerlink.h
+++ b/src/libfescuecleat/node/poolworkerlink.h
@@ -36,6 +36,8 @@
         /** The leases of all runs on the worker have certainly expired. Repeated while the worker is silent. */
         std::function<void(const LeaseExpiry&)> leasesExpired_;
         std::function<bool(const RunId&)> isStartWanted_;
+        std::function<void(const RunId&)> startSent_;
+        std::function<void(const RunId&)> startUnanswered_;
         std::function<void(const RunId&, StartAnswer)> startAnswered_;
         std::function<void(const RunId&)> stopConfirmed_;
         std::function<bool(const RunId&)> isStopWanted_;
@@ -47,8 +49,8 @@
         std::int64_t epoch_ = 0;
         /** The longest lease that workers grant. */
         Duration maxLease_ {};
-        /** Leases granted to former schedulers have expired by then. */
-        Time formerLeasesExpireAt_ {};
+        /** Leases that were granted before this link opens have expired by then. */
+        Time earlierLeasesExpireAt_ {};
         /** How long a poll waits for the end of a run. */
         Duration pollWait_ {};
     };
@@ -98,6 +100,8 @@
     Time leasesExpireAt_ {};
     std::int64_t lastStoredEnd_ = 0;
     std::int64_t lastReportedEnd_ = 0;
+    /** The last report contained ends; only then a poll acknowledges any. */
+    bool listsEnds_ = false;
     std::deque<Request> requests_;
     /** Unanswered requests that are sent again after a delay. */
     std::deque<Request> requestsToRetry_;
