Keep an ended job until its last change has been taken for the record

Seen by callers: a completed job ran again after another instance had taken over. Cause: a run of a completed gang whose worker was silent ended when the worker's lease expired, which changed the job's record. Change: a job is forgotten only when none of its changes is pending.

--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -178,7 +178,7 @@
 bool PoolScheduler::forgetJob(const std::string& id)
 {
     const Job* job = state_.findJob(id);
-    if (job == nullptr || job->isOpen())
+    if (job == nullptr || job->isOpen() || state_.decisions_.changedJobs_.count(id) > 0)
         return false;
     for (const WorkUnit& unit : job->units_) {
         if (!unit.openRuns_.empty())
--- a/src/libfescuecleat/pool/poolscheduler.h
+++ b/src/libfescuecleat/pool/poolscheduler.h
@@ -34,7 +34,7 @@
     /** Adds a new job, or restores one from its record after a failover. Does nothing if the job is known. */
     void addJob(const std::string& id, PoolJobSpec, JobPolicy, Time submittedAt, const PoolJobRecord*, Time now);
     void cancelJob(const std::string& id, Time now);
-    /** Removes an ended job; returns false if the job is unknown or open, or any of its runs is still active. */
+    /** Removes an ended job; returns false if the job is unknown or open, any of its runs is still active, or a change of it is yet to be taken. */
     bool forgetJob(const std::string& id);
 
     void putWorker(const WorkerInfo&, Time now);
--- a/tests/pool/recoverytest.cpp
+++ b/tests/pool/recoverytest.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST_SUITE(RecoveryTest);
     CPPUNIT_TEST(restoresTasksThatHadNotStarted);
     CPPUNIT_TEST(restoresUrgentAccelerators);
+    CPPUNIT_TEST(changedJobIsNotForgotten);
     CPPUNIT_TEST_SUITE_END();
 
     /** Only some tasks of a step had started when the scheduler failed; the others have no record. */
@@ -78,6 +79,23 @@
         scheduler.workerLost({ "w1", 1 }, "its lease has expired", start);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(0), scheduler.state().urgentAccelerators_);
     }
+
+    /** Guards against running a completed job again: forgotten before its last change was recorded, it was recorded as a new one. */
+    void changedJobIsNotForgotten()
+    {
+        PoolJobRecord record;
+        record.state_ = PoolJobState::Completed;
+        record.units_.push_back({ 0, 0, 0, 1, 0, true, {}, { { 0, { "w1", 1 } } } });
+        PoolScheduler scheduler;
+        addWorker(scheduler, "w1", 8);
+        scheduler.addJob(jobId, jobWithSteps(1, 1), policy(), start, &record, start);
+        scheduler.takeDecisions();
+        scheduler.workerLost({ "w1", 1 }, "its lease has expired", start);
+        CPPUNIT_ASSERT(!scheduler.forgetJob(jobId));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), scheduler.takeDecisions().changedJobs_.count(jobId));
+        CPPUNIT_ASSERT(scheduler.record(jobId).state_ == PoolJobState::Completed);
+        CPPUNIT_ASSERT(scheduler.forgetJob(jobId));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RecoveryTest);
