Renew workers' leases only while the scheduler holds its own

Cause: a holder that wakes from a pause answers polls before it notices that its lease has ended, and renewed with each. Its successor counts the leases on a worker that it can't reach from the end of that lease, so it could start the worker's tasks again while they still ran. Change: polls carry a lease only while the scheduler's own is certainly held. Result: renewsOnlyWhileLeaseIsHeld fails without the change.

--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -310,6 +310,7 @@
         scheduler_.workerLost(key, "its lease has expired", now);
         requestPass();
     };
+    listener.isLeaseHeld_ = [this] { return listener_.isLeaseHeld_(); };
     listener.isStartWanted_ = [this](const RunId& run) {
         const auto entry = scheduler_.state().runs_.find(run);
         return listener_.isLeaseHeld_() && entry != scheduler_.state().runs_.end() && entry->second.phase_ == RunPhase::Starting;
--- a/src/libfescuecleat/node/poolworkerlink.cpp
+++ b/src/libfescuecleat/node/poolworkerlink.cpp
@@ -71,7 +71,9 @@
     // A worker that was silent may have restarted: neither the expiry nor the sequence number
     // is valid for its next incarnation, which would grant a lease and forget ends by them.
     if (isReachable_) {
-        request.leaseUntilMs_ = extendLease();
+        // The next holder counts the leases on a worker that it can't reach from the end of this one.
+        if (listener_.isLeaseHeld_())
+            request.leaseUntilMs_ = extendLease();
         request.acknowledgedEnds_ = listsEnds_ ? lastStoredEnd_ : 0;
     }
     const Time askedAt = bootTimeNow();
--- a/src/libfescuecleat/node/poolworkerlink.h
+++ b/src/libfescuecleat/node/poolworkerlink.h
@@ -35,6 +35,8 @@
         std::function<void(bool isReachable, const char* cause)> reachabilityChanged_;
         /** The leases of all runs on the worker have certainly expired. Repeated while the worker is silent. */
         std::function<void(const LeaseExpiry&)> leasesExpired_;
+        /** Whether the scheduler still holds its own lease; only then leases of workers are renewed. */
+        std::function<bool()> isLeaseHeld_;
         std::function<bool(const RunId&)> isStartWanted_;
         std::function<void(const RunId&)> startSent_;
         std::function<void(const RunId&)> startUnanswered_;
--- a/tests/node/poolcontrollertest.cpp
+++ b/tests/node/poolcontrollertest.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST(drainingWorkerGetsShortLeases);
     CPPUNIT_TEST(keepsStartThatNextIncarnationMayHave);
     CPPUNIT_TEST(pollsOfSilentWorkerSuitAnyIncarnation);
+    CPPUNIT_TEST(renewsOnlyWhileLeaseIsHeld);
     CPPUNIT_TEST_SUITE_END();
 
     void runsJobToCompletion()
@@ -145,6 +146,26 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(0), worker.lastPoll_.acknowledgedEnds_);
     }
 
+    /** Guards against two runs of one task: after a pause beyond its lease, a holder renewed runs on a worker that its successor could not reach. */
+    void renewsOnlyWhileLeaseIsHeld()
+    {
+        PoolFixture pool;
+        FakeWorkers::Worker& worker = pool.workers_.worker("w1");
+        WorkerInfo info;
+        info.key_ = { "w1", 1 };
+        info.endpoint_ = { "127.0.0.1", 1 };
+        bool isHeld = true;
+        PoolWorkerLink::Listener listener;
+        listener.isLeaseHeld_ = [&isHeld] { return isHeld; };
+        listener.reported_ = [](const PoolWorkerReport&, Time) {};
+        listener.reachabilityChanged_ = [](bool, const char*) {};
+        PoolWorkerLink link(pool.loop_, pool.workers_, info, { 1, 7s, bootTimeNow(), 100ms }, listener);
+        link.open();
+        CPPUNIT_ASSERT(pool.runUntil([&] { return worker.lastPoll_.leaseUntilMs_.has_value(); }));
+        isHeld = false;
+        CPPUNIT_ASSERT(pool.runUntil([&] { return !worker.lastPoll_.leaseUntilMs_; }));
+    }
+
     /** The task of an unreachable worker starts elsewhere, but not before the worker's lease has expired. */
     void waitsForLeaseOfUnreachableWorker()
     {
@@ -472,6 +493,7 @@
             info.isDraining_ = isDraining;
             bool hasExpired = false;
             PoolWorkerLink::Listener listener;
+            listener.isLeaseHeld_ = [] { return true; };
             listener.reported_ = [](const PoolWorkerReport&, Time) {};
             listener.reachabilityChanged_ = [](bool, const char*) {};
             listener.leasesExpired_ = [&hasExpired](const PoolWorkerLink::LeaseExpiry&) { hasExpired = true; };
