Keep a run whose repeated start was not delivered

Cause: a start without an answer may have taken effect. When its repetition found no connection, no start permit or no address, the scheduler took the task for refused: its room was free and the job was placed again, while the first start still held. A late refusal of a repeated prepare or start did the same to a task that its worker had already reported as prepared or running. Change: StartTask says whether an earlier request may have been sent. If so, a repetition that isn't sent decides nothing; reports, the worker's loss or the timeout of the phase do. The decision core ignores refusals of tasks that were reported.

--- a/src/libfescuecleat/daemon/datacentrescheduler.cpp
+++ b/src/libfescuecleat/daemon/datacentrescheduler.cpp
@@ -311,26 +311,38 @@
 void DataCentreScheduler::issueStart(const StartTask& start)
 {
     const std::optional<WorkerTarget> target = fleet_.target(start.worker_);
+    const auto reportNotSent = [&](const std::string& reason) {
+        // An earlier request can outlive this one; only the worker knows whether the task runs.
+        if (!start.mayHaveBeenSent_)
+            reportRefused(start.task_, start.worker_, reason);
+    };
     const std::optional<Time> permit = lease_.beginStart(monotonicNow());
     if (!permit)
-        return reportRefused(start.task_, start.worker_, "there is no start permit");
+        return reportNotSent("there is no start permit");
     const std::optional<std::int64_t> startBefore = fleet_.toWorkerClock(start.worker_, std::min(start.deadline_, *permit));
     if (!target || !startBefore) {
         lease_.endStart();
-        return reportRefused(start.task_, start.worker_, "the worker is gone");
+        return reportNotSent("the worker is gone");
     }
     const WorkerAnswer answer = workers_.start(target->address_, target->epoch_, start.task_, *startBefore, monotonicNow() + commandTimeout);
     lease_.endStart();
+    // The start may be sent again: it is idempotent and expires by the worker's clock.
+    const auto repeat = [&] {
+        StartTask repeated = start;
+        repeated.mayHaveBeenSent_ = true;
+        if (monotonicNow() < std::min(start.deadline_, *permit))
+            commands_.post(monotonicNow() + retryInterval, [this, repeated] { issueStart(repeated); });
+    };
     std::visit(Overloaded {
                    [&](const WorkerDone&) { reportState(start.task_, start.worker_, TaskState::Running); },
                    [&](const WorkerRefused& refused) { reportRefused(start.task_, start.worker_, refused.message_); },
-                   [&](const WorkerNotReached& unreached) { reportRefused(start.task_, start.worker_, unreached.message_); },
-                   [](const WorkerFenced&) {},
-                   // The start may be sent again: it is idempotent and expires by the worker's clock.
-                   [&](const WorkerOutcomeUnknown&) {
-                       if (monotonicNow() < std::min(start.deadline_, *permit))
-                           commands_.post(monotonicNow() + retryInterval, [this, start] { issueStart(start); });
+                   [&](const WorkerNotReached& unreached) {
+                       reportNotSent(unreached.message_);
+                       if (start.mayHaveBeenSent_)
+                           repeat();
                    },
+                   [](const WorkerFenced&) {},
+                   [&](const WorkerOutcomeUnknown&) { repeat(); },
                },
         answer);
 }
--- a/src/libfescuecleat/scheduler/gangstatemachine.cpp
+++ b/src/libfescuecleat/scheduler/gangstatemachine.cpp
@@ -400,6 +400,9 @@
     GangTask& task = entry->tasks_[static_cast<std::size_t>(event.task_.index_)];
     if (task.worker_ != worker || hasEnded(task.state_))
         return;
+    // The refusal is of a repeated request: the task is on the worker, whose reports show its end.
+    if (task.state_ == GangTaskState::Prepared || task.state_ == GangTaskState::Running)
+        return;
     if (entry->phase_ != JobPhase::Stopping)
         entry->stopReason_ = "worker " + event.worker_.value() + " refused task " + std::to_string(event.task_.index_) + ": " + event.reason_;
     setTaskState(*entry, event.task_.index_, GangTaskState::Refused);
@@ -475,6 +478,8 @@
     entry.phaseDeadline_ = state_.startPermitUntil_ + startConfirmTimeout;
     entry.resendAt_ = now_ + resendInterval;
     entry.wasStartSent_ = true;
+    // The previous lease holder may have sent starts once it had recorded them.
+    const bool mayHaveBeenSent = entry.recordedState_ != JobState::Placed;
     if (entry.recordedState_ != JobState::Running)
         record(entry, JobState::Prepared, {});
     for (int index = 0; index < static_cast<int>(entry.tasks_.size()); ++index) {
@@ -482,7 +487,7 @@
         if (task.state_ != GangTaskState::Prepared)
             continue;
         task.state_ = GangTaskState::StartSent;
-        state_.actions_.emplace_back(StartTask { entry.taskKey(index), state_.workers_.at(task.worker_).id(), state_.startPermitUntil_ });
+        state_.actions_.emplace_back(StartTask { entry.taskKey(index), state_.workers_.at(task.worker_).id(), state_.startPermitUntil_, mayHaveBeenSent });
     }
     updateTimer(entry);
 }
@@ -624,7 +629,7 @@
         else if (task.state_ == GangTaskState::PrepareSent)
             sendPrepare(entry, index);
         else if (task.state_ == GangTaskState::StartSent && state_.mayStart(now_))
-            state_.actions_.emplace_back(StartTask { entry.taskKey(index), worker, state_.startPermitUntil_ });
+            state_.actions_.emplace_back(StartTask { entry.taskKey(index), worker, state_.startPermitUntil_, true });
     }
     if (entry.phase_ == JobPhase::Starting && state_.mayStart(now_))
         entry.phaseDeadline_ = std::max(entry.phaseDeadline_, state_.startPermitUntil_ + startConfirmTimeout);
--- a/src/libfescuecleat/scheduler/scheduleraction.h
+++ b/src/libfescuecleat/scheduler/scheduleraction.h
@@ -26,6 +26,8 @@
     TaskKey task_;
     WorkerId worker_;
     Time deadline_;
+    /** True if an earlier request for the same start may have taken effect or still may. */
+    bool mayHaveBeenSent_ = false;
 };
 
 /** Write a checkpoint, then stop. The task is killed at the deadline. */
--- /dev/null
+++ b/tests/daemon/datacentreschedulertest.cpp
@@ -0,0 +1,133 @@
+#include "daemon/datacentrescheduler.h"
+#include "support/faketable.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace fescuecleat;
+
+namespace {
+
+/**
+ * Two workers. The first start takes effect, but its answer is lost, and the
+ * worker is unreachable from then on; its task runs on until its permit ends.
+ */
+class LostAnswerWorkers : public WorkerClient {
+public:
+    Result<WorkerReport> renew(const Address& address, std::uint64_t epoch, std::int64_t, const std::vector<TaskKey>&, Time) override
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (address.port_ == unreachablePort_)
+            return tl::unexpected<Error>(Error { ErrorKind::Unavailable, "no answer", "", "" });
+        WorkerReport report;
+        report.rack_ = RackId("r");
+        report.capacity_ = { 8, 64000, 256LL << 30 };
+        report.clockMicros_ = monotonicNow().time_since_epoch().count();
+        report.epoch_ = epoch;
+        for (const auto& [task, port] : prepared_) {
+            if (port != address.port_)
+                continue;
+            TaskReported reported;
+            reported.task_ = task;
+            reported.accelerators_ = { 0 };
+            report.tasks_.push_back(reported);
+        }
+        return report;
+    }
+
+    WorkerAnswer prepare(const Address& address, std::uint64_t, const PreparedTask& task, Time) override
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (address.port_ == unreachablePort_)
+            return WorkerNotReached { "connection refused" };
+        prepared_[task.task_] = address.port_;
+        return WorkerDone {};
+    }
+
+    WorkerAnswer start(const Address& address, std::uint64_t, const TaskKey& task, std::int64_t, Time) override
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (address.port_ == unreachablePort_) {
+            ++unreachedStarts_;
+            return WorkerNotReached { "connection refused" };
+        }
+        started_.push_back(task);
+        if (unreachablePort_ != 0)
+            return WorkerDone {};
+        unreachablePort_ = address.port_;
+        return WorkerOutcomeUnknown { "no answer" };
+    }
+
+    WorkerAnswer checkpoint(const Address&, std::uint64_t, const TaskKey&, std::int64_t, Time) override { return WorkerNotReached {}; }
+    WorkerAnswer stop(const Address&, std::uint64_t, const TaskKey&, Time) override { return WorkerNotReached {}; }
+    WorkerAnswer throttle(const Address&, std::uint64_t, const TaskKey&, Time) override { return WorkerNotReached {}; }
+
+    std::vector<TaskKey> started() const
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return started_;
+    }
+
+    int unreachedStarts() const
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return unreachedStarts_;
+    }
+
+private:
+    mutable std::mutex mutex_;
+    unsigned short unreachablePort_ = 0;
+    std::map<TaskKey, unsigned short> prepared_;
+    std::vector<TaskKey> started_;
+    int unreachedStarts_ = 0;
+};
+
+ListedInstance listedWorker(const std::string& id, unsigned short port)
+{
+    ListedInstance worker;
+    worker.id_ = id;
+    worker.role_ = InstanceRole::Worker;
+    worker.address_ = { "127.0.0.1", port };
+    return worker;
+}
+
+}
+
+/** Commands to workers and what follows from their answers. */
+class DataCentreSchedulerTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(DataCentreSchedulerTest);
+    CPPUNIT_TEST(repeatedStartThatIsNotReachedKeepsTheRun);
+    CPPUNIT_TEST_SUITE_END();
+
+    /** Guards against a second run of a task whose first start took effect, because its repetition was not delivered. */
+    void repeatedStartThatIsNotReachedKeepsTheRun()
+    {
+        const DataCentreId dataCentre("d");
+        FakeTable table;
+        WriteIds writeIds("i");
+        LeaseService lease(table, writeIds, InstanceId("i"), dataCentre);
+        JobStore store(table, writeIds);
+        LostAnswerWorkers workers;
+        Metrics metrics;
+        DataCentreScheduler scheduler(dataCentre, lease, store, workers, metrics, [](const JobSpec&) { return std::nullopt; });
+        scheduler.setWorkers({ listedWorker("w1", 1), listedWorker("w2", 2) });
+        scheduler.setConfiguration({});
+        JobSpec spec;
+        spec.id_ = JobId("j");
+        spec.organisation_ = OrganisationId("studio");
+        CPPUNIT_ASSERT(store.submit(spec, dataCentre, 0, monotonicNow() + std::chrono::seconds(1)));
+
+        const Time giveUp = monotonicNow() + std::chrono::seconds(20);
+        while (workers.unreachedStarts() == 0 && monotonicNow() < giveUp)
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        CPPUNIT_ASSERT(workers.unreachedStarts() > 0);
+        // Well below the duration of a run permit: the first run still holds.
+        std::this_thread::sleep_for(std::chrono::seconds(5));
+        const auto job = store.find(spec.id_, { dataCentre }, monotonicNow() + std::chrono::seconds(1));
+        CPPUNIT_ASSERT(job && *job);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE((*job)->record_.reason_, std::string(jobStateName(JobState::Prepared)), std::string(jobStateName((*job)->record_.state_)));
+        CPPUNIT_ASSERT_EQUAL(1, (*job)->record_.attempt_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, workers.started().size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DataCentreSchedulerTest);
--- a/tests/scheduler/gangtest.cpp
+++ b/tests/scheduler/gangtest.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(workerLostBetweenPrepareAndStart);
     CPPUNIT_TEST(lostStartIsSentAgain);
     CPPUNIT_TEST(lateStartConfirmationAfterStop);
+    CPPUNIT_TEST(lateRefusalOfARunningTask);
     CPPUNIT_TEST(noStartWithoutPermit);
     CPPUNIT_TEST(noStartAfterTakingOut);
     CPPUNIT_TEST(nonIdempotentIsStartedOnce);
@@ -97,6 +98,17 @@
         CPPUNIT_ASSERT(recorded("b") == JobState::Running);
     }
 
+    /** Guards against giving up a run because a repeated start was not delivered after the first had taken effect. */
+    void lateRefusalOfARunningTask()
+    {
+        submitAndRun(jobOf("a", 2, 8));
+        const TaskKey task = workers_.runningTasks().front();
+        workers_.handle(scheduler_, TaskRefused { task, workers_.tasks().at(task).first, "not reached" }, now_);
+        workers_.deliverAll(scheduler_, now_);
+        CPPUNIT_ASSERT_EQUAL(2, workers_.count(TaskState::Running));
+        CPPUNIT_ASSERT_EQUAL(1, workers_.startsOf(JobId("a")));
+    }
+
     void noStartWithoutPermit()
     {
         now_ += 95 * second;
