Ignore a worker's answer to a renewal of an earlier term

Cause: when a term begins, the links to the workers are made anew, but an answer to a renewal of the term before counted for the new link. The link took the worker for one that refuses earlier epochs, so it waited for one permit duration instead of the grace period of former holders, and a report requested before the term ended lacked tasks that were prepared since. Change: a renewal carries the number of its term; an answer of another is dropped. Result: answerToAnEarlierTermIsIgnored failed before (2 events in the new term) and passes; test_worker passes (5).

--- a/src/libfescuecleat/worker/workerfleet.cpp
+++ b/src/libfescuecleat/worker/workerfleet.cpp
@@ -77,6 +77,7 @@
         const std::lock_guard<std::mutex> lock(shard.mutex_);
         for (auto& [id, entry] : shard.workers_) {
             entry.link_.emplace(policy_, earlierPermitsUntil, now);
+            ++entry.term_;
             entry.isJoined_ = false;
             entry.isLost_ = false;
             entry.ended_.clear();
@@ -207,7 +208,7 @@
         const bool hasAddress = entry.address_.port_ != 0;
         if (!hasAddress || entry.link_->nextRenewal() > now)
             continue;
-        return Renewal { id, entry.address_, entry.link_->plan(now), entry.ended_, now };
+        return Renewal { id, entry.address_, entry.term_, entry.link_->plan(now), entry.ended_, now };
     }
     return std::nullopt;
 }
@@ -242,7 +243,8 @@
     {
         const std::lock_guard<std::mutex> lock(shard.mutex_);
         Entry& entry = shard.workers_[worker];
-        if (!entry.link_)
+        // The worker may not have seen the present epoch yet, and the report may lack what was sent since.
+        if (!entry.link_ || entry.term_ != renewal.term_)
             return;
         entry.link_->onReport(report.clockMicros_, received);
         entry.ended_.clear();
--- a/src/libfescuecleat/worker/workerfleet.h
+++ b/src/libfescuecleat/worker/workerfleet.h
@@ -92,6 +92,8 @@
         Address address_;
         RackId rack_;
         std::optional<WorkerLink> link_;
+        /** Number of calls of begin(); answers to renewals of an earlier one say nothing about the present link. */
+        std::uint64_t term_ = 0;
         bool isJoined_ = false;
         bool isLost_ = false;
         bool isListed_ = true;
@@ -109,6 +111,7 @@
     struct Renewal {
         WorkerId worker_;
         Address address_;
+        std::uint64_t term_ = 0;
         RenewalPlan plan_;
         std::vector<TaskKey> ended_;
         Time sentAt_;
