Count the grace period for run permits from the end of the lease

Cause: a former holder renewed run permits for the grace period from when it noticed that its lease had ended. With a pause shorter than a permit the runs survive it, so the successor could take a worker that it can't reach for stopped while the former holder still renewed its permit. Change: the fleet knows the end of the lease and stops renewing one grace period after it, whether it was told of the end or not. Result: gracePeriodRunsFromTheEndOfTheLease failed with the former computation behind the new interface and passes; test_worker (6) and test_daemon (5) pass.

--- a/src/libfescuecleat/daemon/datacentrescheduler.cpp
+++ b/src/libfescuecleat/daemon/datacentrescheduler.cpp
@@ -180,7 +180,7 @@
     }
     eventPosted_.notify_all();
     takeovers_.add();
-    fleet_.begin(status.fence_.epoch_, placedWorkers(*live));
+    fleet_.begin(status.fence_.epoch_, status.heldUntil_, placedWorkers(*live));
     logStateChange("scheduler", "took over", { { "data_centre", dataCentre_.value() }, { "epoch", std::to_string(status.fence_.epoch_) }, { "jobs", std::to_string(live->size()) } });
 }
 
@@ -200,6 +200,7 @@
 
 void DataCentreScheduler::applyControlStatus(const ControlStatus& status)
 {
+    fleet_.leaseExtended(status.heldUntil_);
     if (status.service_.isInService_)
         post(StartPermitExtended { status.startPermitUntil_ });
     if (status.serviceVersion_ == serviceVersion_)
--- a/src/libfescuecleat/worker/workerfleet.cpp
+++ b/src/libfescuecleat/worker/workerfleet.cpp
@@ -56,7 +56,7 @@
     }
 }
 
-void WorkerFleet::begin(std::uint64_t epoch, const std::set<WorkerId>& expected)
+void WorkerFleet::begin(std::uint64_t epoch, Time leaseUntil, const std::set<WorkerId>& expected)
 {
     for (const WorkerId& worker : expected) {
         Shard& shard = shardOf(worker);
@@ -71,7 +71,7 @@
         const std::lock_guard<std::mutex> lock(modeMutex_);
         mode_ = Mode::Active;
         epoch_ = epoch;
-        renewUntil_ = Time::max();
+        renewUntil_ = leaseUntil + policy_.gracePeriod_;
     }
     for (Shard& shard : shards_) {
         const std::lock_guard<std::mutex> lock(shard.mutex_);
@@ -86,13 +86,21 @@
     }
 }
 
+void WorkerFleet::leaseExtended(Time leaseUntil)
+{
+    const std::lock_guard<std::mutex> lock(modeMutex_);
+    if (mode_ == Mode::Active)
+        renewUntil_ = std::max(renewUntil_, leaseUntil + policy_.gracePeriod_);
+}
+
 void WorkerFleet::suspend()
 {
     const std::lock_guard<std::mutex> lock(modeMutex_);
     if (mode_ != Mode::Active)
         return;
     mode_ = Mode::Suspended;
-    renewUntil_ = monotonicNow() + policy_.gracePeriod_;
+    // After a pause this call comes late, while the successor counts from the end of the lease.
+    renewUntil_ = std::min(renewUntil_, monotonicNow() + policy_.gracePeriod_);
 }
 
 void WorkerFleet::end()
--- a/src/libfescuecleat/worker/workerfleet.h
+++ b/src/libfescuecleat/worker/workerfleet.h
@@ -65,9 +65,12 @@
      * declares workers lost. A worker of `expected` that is not listed is declared
      * lost too, once no permit of an earlier holder can be valid on it.
      */
-    void begin(std::uint64_t epoch, const std::set<WorkerId>& expected);
+    void begin(std::uint64_t epoch, Time leaseUntil, const std::set<WorkerId>& expected);
 
-    /** The lease expired: keeps renewing permits for the grace period. */
+    /** The lease was renewed. Permits are renewed until the grace period after its end has passed, even if nobody calls suspend(). */
+    void leaseExtended(Time leaseUntil);
+
+    /** The lease expired or was given up: keeps renewing permits for the grace period. */
     void suspend();
 
     /** Stops renewing permits. */
--- a/tests/worker/workerfleettest.cpp
+++ b/tests/worker/workerfleettest.cpp
@@ -1,5 +1,6 @@
 #include "worker/workerfleet.h"
 
+#include <algorithm>
 #include <condition_variable>
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -83,21 +84,23 @@
 class WorkerFleetTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(WorkerFleetTest);
     CPPUNIT_TEST(answerToAnEarlierTermIsIgnored);
+    CPPUNIT_TEST(gracePeriodRunsFromTheEndOfTheLease);
     CPPUNIT_TEST_SUITE_END();
 
     /** Guards against giving up a run because a report that was requested in an earlier term lacks it. */
     void answerToAnEarlierTermIsIgnored()
     {
+        const RunPermitPolicy policy;
         std::atomic<int> events { 0 };
         FakeWorkerClient client;
         client.holdGrants(true);
         WorkerFleet fleet(
-            client, {}, [&](const SchedulerEvent&) { ++events; }, [](const TaskKey&) { return false; });
+            client, policy, [&](const SchedulerEvent&) { ++events; }, [](const TaskKey&) { return false; });
         fleet.setWorkers(oneWorker());
-        fleet.begin(1, {});
+        fleet.begin(1, Time::max() - policy.gracePeriod_, {});
         CPPUNIT_ASSERT(client.waitUntilHeld());
         client.answerOnly(2);
-        fleet.begin(3, {});
+        fleet.begin(3, Time::max() - policy.gracePeriod_, {});
         const std::uint64_t unanswered = fleet.counts().unanswered_;
         client.holdGrants(false);
         // The next renewal follows the handling of the held answer.
@@ -106,6 +109,27 @@
         CPPUNIT_ASSERT_EQUAL(0, events.load());
         CPPUNIT_ASSERT(!fleet.toWorkerClock(WorkerId("w1"), monotonicNow()));
     }
+
+    /** Guards against permits of a holder that was paused, on a worker that its successor can't reach and takes for stopped. */
+    void gracePeriodRunsFromTheEndOfTheLease()
+    {
+        RunPermitPolicy policy;
+        policy.renewalInterval_ = std::chrono::milliseconds(20);
+        policy.gracePeriod_ = std::chrono::seconds(1);
+        FakeWorkerClient client;
+        WorkerFleet fleet(
+            client, policy, [](const SchedulerEvent&) {}, [](const TaskKey&) { return false; });
+        fleet.setWorkers(oneWorker());
+        const Time leaseUntil = monotonicNow() + std::chrono::milliseconds(100);
+        fleet.begin(1, leaseUntil, {});
+        std::this_thread::sleep_until(leaseUntil + policy.gracePeriod_ / 2);
+        fleet.suspend();
+        std::this_thread::sleep_until(leaseUntil + 2 * policy.gracePeriod_);
+        const std::vector<std::int64_t> granted = client.untilMicros();
+        const Time latest(Duration(*std::max_element(granted.begin(), granted.end())));
+        CPPUNIT_ASSERT(latest > leaseUntil + policy.permitDuration_);
+        CPPUNIT_ASSERT(latest <= leaseUntil + policy.gracePeriod_ + policy.permitDuration_);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(WorkerFleetTest);
