Renew the permit that has been due for the longest time first

Cause: a shard renewed the first due worker in the order of names. A worker that doesn't answer is due again when its renewal times out, so the workers after it in its shard got no renewals: their permits lapsed and their runs were given up, although they were reachable. Change: the worker that has been due for the longest time is renewed first. Several silent workers in one shard still delay the others by a second each.

--- a/src/libfescuecleat/worker/workerfleet.cpp
+++ b/src/libfescuecleat/worker/workerfleet.cpp
@@ -210,15 +210,22 @@
 std::optional<WorkerFleet::Renewal> WorkerFleet::nextDueRenewal(Shard& shard, Time now)
 {
     const std::lock_guard<std::mutex> lock(shard.mutex_);
-    for (auto& [id, entry] : shard.workers_) {
+    // The one that is due for the longest time: a worker that doesn't answer is due again when its renewal times out.
+    auto next = shard.workers_.end();
+    for (auto position = shard.workers_.begin(); position != shard.workers_.end(); ++position) {
+        Entry& entry = position->second;
         if (!entry.link_)
             entry.link_.emplace(policy_, now + localWaitCovering(policy_.gracePeriod_ + policy_.permitDuration_), now);
         const bool hasAddress = entry.address_.port_ != 0;
         if (!hasAddress || entry.link_->nextRenewal() > now)
             continue;
-        return Renewal { id, entry.address_, entry.term_, entry.link_->plan(now), entry.ended_, now };
+        if (next == shard.workers_.end() || entry.link_->nextRenewal() < next->second.link_->nextRenewal())
+            next = position;
     }
-    return std::nullopt;
+    if (next == shard.workers_.end())
+        return std::nullopt;
+    Entry& entry = next->second;
+    return Renewal { next->first, entry.address_, entry.term_, entry.link_->plan(now), entry.ended_, now };
 }
 
 void WorkerFleet::renew(Shard& shard, const Renewal& renewal)
