Count an unanswered start as in flight until its deadline

Cause: a start counted as ended when the wait for its answer was over, after one second, although the worker may carry it out until the deadline that it carries. So the lease was released, and a data centre acknowledged as out of service, while tasks could still start there. Change: endStart() takes the deadline of a start without an answer, which then counts as in flight until that time. Result: handingOverWaitsForUnansweredStarts failed before (the lease was released before the deadline of the start) and passes; test_daemon (6) and test_control (14) pass.

--- a/src/libfescuecleat/control/leaseservice.cpp
+++ b/src/libfescuecleat/control/leaseservice.cpp
@@ -111,7 +111,7 @@
     Transaction transaction;
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        const bool isDue = lease_.isHeldAt(now) && permit_.canAcknowledgeAt(now, startsInFlight_);
+        const bool isDue = lease_.isHeldAt(now) && permit_.canAcknowledgeAt(now, startsInFlight(now));
         if (!isDue || rows_.acknowledgement_.serviceVersion_ >= permit_.serviceVersion())
             return;
         const ServiceAcknowledgement acknowledgement { permit_.serviceVersion(), lease_.fence().epoch_ };
@@ -155,10 +155,11 @@
     return std::min(lease_.validUntil(), permit_.expiresAt());
 }
 
-void LeaseService::endStart()
+void LeaseService::endStart(Time mayTakeEffectUntil)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
     --startsInFlight_;
+    unansweredStartsUntil_ = std::max(unansweredStartsUntil_, mayTakeEffectUntil);
 }
 
 /**
@@ -172,7 +173,7 @@
         {
             const std::lock_guard<std::mutex> lock(mutex_);
             isHandedOver_ = true;
-            if (startsInFlight_ == 0 || now >= permit_.latestExpiry())
+            if (startsInFlight(now) == 0 || now >= permit_.latestExpiry())
                 return true;
         }
         std::this_thread::sleep_for(pause);
--- a/src/libfescuecleat/control/leaseservice.h
+++ b/src/libfescuecleat/control/leaseservice.h
@@ -57,10 +57,11 @@
     /**
      * Registers task starts as in flight. Returns the deadline that each of
      * them must carry, or nothing if tasks may not be started now. Each success
-     * needs one endStart() after the worker answered or the deadline passed.
+     * needs one endStart(), with the deadline of the start if the worker did not
+     * answer: until then the start counts as in flight.
      */
     std::optional<Time> beginStart(Time now);
-    void endStart();
+    void endStart(Time mayTakeEffectUntil = Time::min());
 
     /**
      * Releases the lease so that another instance can acquire it at once. It
@@ -76,6 +77,8 @@
     void renew(const RenewLease&, Time now);
     void acknowledge(Time now);
     bool waitForStarts(Time deadline);
+    /** Number of starts that may still take effect; requires the lock. */
+    int startsInFlight(Time now) const { return startsInFlight_ + (now < unansweredStartsUntil_ ? 1 : 0); }
     void recordOutcome(const Result<CommitOutcome>&, Time sentAt, bool isAcquisition);
 
     Table& table_;
@@ -89,6 +92,8 @@
     ControlRows rows_;
     Time lastReadSentAt_ = Time::min();
     int startsInFlight_ = 0;
+    /** Latest deadline of the starts that ended without an answer. */
+    Time unansweredStartsUntil_ = Time::min();
     bool isHandedOver_ = false;
     LeaseCounts counts_;
 };
--- a/src/libfescuecleat/daemon/datacentrescheduler.cpp
+++ b/src/libfescuecleat/daemon/datacentrescheduler.cpp
@@ -320,18 +320,19 @@
     const std::optional<Time> permit = lease_.beginStart(monotonicNow());
     if (!permit)
         return reportNotSent("there is no start permit");
-    const std::optional<std::int64_t> startBefore = fleet_.toWorkerClock(start.worker_, std::min(start.deadline_, *permit));
+    const Time deadline = std::min(start.deadline_, *permit);
+    const std::optional<std::int64_t> startBefore = fleet_.toWorkerClock(start.worker_, deadline);
     if (!target || !startBefore) {
         lease_.endStart();
         return reportNotSent("the worker is gone");
     }
     const WorkerAnswer answer = workers_.start(target->address_, target->epoch_, start.task_, *startBefore, monotonicNow() + commandTimeout);
-    lease_.endStart();
+    lease_.endStart(std::holds_alternative<WorkerOutcomeUnknown>(answer) ? deadline : Time::min());
     // The start may be sent again: it is idempotent and expires by the worker's clock.
     const auto repeat = [&] {
         StartTask repeated = start;
         repeated.mayHaveBeenSent_ = true;
-        if (monotonicNow() < std::min(start.deadline_, *permit))
+        if (monotonicNow() < deadline)
             commands_.post(monotonicNow() + retryInterval, [this, repeated] { issueStart(repeated); });
     };
     std::visit(Overloaded {
--- a/tests/daemon/datacentreschedulertest.cpp
+++ b/tests/daemon/datacentreschedulertest.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /**
- * Two workers. The first start takes effect, but its answer is lost, and the
+ * Two workers_. The first start takes effect, but its answer is lost, and the
  * worker is unreachable from then on; its task runs on until its permit ends.
  */
 class LostAnswerWorkers : public WorkerClient {
@@ -43,7 +43,7 @@
         return WorkerDone {};
     }
 
-    WorkerAnswer start(const Address& address, std::uint64_t, const TaskKey& task, std::int64_t, Time) override
+    WorkerAnswer start(const Address& address, std::uint64_t, const TaskKey& task, std::int64_t startBeforeMicros, Time) override
     {
         const std::lock_guard<std::mutex> lock(mutex_);
         if (address.port_ == unreachablePort_) {
@@ -54,6 +54,7 @@
         if (unreachablePort_ != 0)
             return WorkerDone {};
         unreachablePort_ = address.port_;
+        startBefore_ = Time(Duration(startBeforeMicros));
         return WorkerOutcomeUnknown { "no answer" };
     }
 
@@ -73,9 +74,17 @@
         return unreachedStarts_;
     }
 
+    /** Until when the unanswered start may take effect; the clock of the workers is that of the test. */
+    std::optional<Time> startBefore() const
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return startBefore_;
+    }
+
 private:
     mutable std::mutex mutex_;
     unsigned short unreachablePort_ = 0;
+    std::optional<Time> startBefore_;
     std::map<TaskKey, unsigned short> prepared_;
     std::vector<TaskKey> started_;
     int unreachedStarts_ = 0;
@@ -96,37 +105,55 @@
 class DataCentreSchedulerTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(DataCentreSchedulerTest);
     CPPUNIT_TEST(repeatedStartThatIsNotReachedKeepsTheRun);
+    CPPUNIT_TEST(handingOverWaitsForUnansweredStarts);
     CPPUNIT_TEST_SUITE_END();
 
-    /** Guards against a second run of a task whose first start took effect, because its repetition was not delivered. */
-    void repeatedStartThatIsNotReachedKeepsTheRun()
+    const DataCentreId dataCentre_ { "d" };
+    const JobId job_ { "j" };
+    FakeTable table_;
+    WriteIds writeIds_ { "i" };
+    LeaseService lease_ { table_, writeIds_, InstanceId("i"), dataCentre_ };
+    JobStore store_ { table_, writeIds_ };
+    LostAnswerWorkers workers_;
+    Metrics metrics_;
+    DataCentreScheduler scheduler_ { dataCentre_, lease_, store_, workers_, metrics_, [](const JobSpec&) { return std::nullopt; } };
+
+public:
+    void setUp() override
     {
-        const DataCentreId dataCentre("d");
-        FakeTable table;
-        WriteIds writeIds("i");
-        LeaseService lease(table, writeIds, InstanceId("i"), dataCentre);
-        JobStore store(table, writeIds);
-        LostAnswerWorkers workers;
-        Metrics metrics;
-        DataCentreScheduler scheduler(dataCentre, lease, store, workers, metrics, [](const JobSpec&) { return std::nullopt; });
-        scheduler.setWorkers({ listedWorker("w1", 1), listedWorker("w2", 2) });
-        scheduler.setConfiguration({});
+        scheduler_.setWorkers({ listedWorker("w1", 1), listedWorker("w2", 2) });
+        scheduler_.setConfiguration({});
         JobSpec spec;
-        spec.id_ = JobId("j");
+        spec.id_ = job_;
         spec.organisation_ = OrganisationId("studio");
-        CPPUNIT_ASSERT(store.submit(spec, dataCentre, 0, monotonicNow() + std::chrono::seconds(1)));
+        CPPUNIT_ASSERT(store_.submit(spec, dataCentre_, 0, monotonicNow() + std::chrono::seconds(1)));
+    }
 
+    /** Guards against a second run of a task whose first start took effect, because its repetition was not delivered. */
+    void repeatedStartThatIsNotReachedKeepsTheRun()
+    {
         const Time giveUp = monotonicNow() + std::chrono::seconds(20);
-        while (workers.unreachedStarts() == 0 && monotonicNow() < giveUp)
+        while (workers_.unreachedStarts() == 0 && monotonicNow() < giveUp)
             std::this_thread::sleep_for(std::chrono::milliseconds(10));
-        CPPUNIT_ASSERT(workers.unreachedStarts() > 0);
+        CPPUNIT_ASSERT(workers_.unreachedStarts() > 0);
         // Well below the duration of a run permit: the first run still holds.
         std::this_thread::sleep_for(std::chrono::seconds(5));
-        const auto job = store.find(spec.id_, { dataCentre }, monotonicNow() + std::chrono::seconds(1));
+        const auto job = store_.find(job_, { dataCentre_ }, monotonicNow() + std::chrono::seconds(1));
         CPPUNIT_ASSERT(job && *job);
         CPPUNIT_ASSERT_EQUAL_MESSAGE((*job)->record_.reason_, std::string(jobStateName(JobState::Prepared)), std::string(jobStateName((*job)->record_.state_)));
         CPPUNIT_ASSERT_EQUAL(1, (*job)->record_.attempt_);
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, workers.started().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, workers_.started().size());
+    }
+
+    /** Guards against a start that takes effect after the lease was released, since its request outlived the wait for its answer. */
+    void handingOverWaitsForUnansweredStarts()
+    {
+        const Time giveUp = monotonicNow() + std::chrono::seconds(20);
+        while (!workers_.startBefore() && monotonicNow() < giveUp)
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        CPPUNIT_ASSERT(workers_.startBefore());
+        CPPUNIT_ASSERT(lease_.handOver(monotonicNow() + std::chrono::seconds(10)));
+        CPPUNIT_ASSERT(monotonicNow() >= *workers_.startBefore());
     }
 };
 
