Count the memory of a task of an unknown job by its latest report

Cause: the room of a task whose job is not known was set by its first report. A running task shows its usage later, so its memory counted as free. Change: a later report of the same worker raises the memory that the task holds.

--- a/src/libfescuecleat/scheduler/orphantasks.cpp
+++ b/src/libfescuecleat/scheduler/orphantasks.cpp
@@ -17,6 +17,12 @@
     if (known != state_.orphans_.end()) {
         if (event.state_ == TaskState::Running)
             known->second.state_ = event.state_;
+        // The first report may be older than the task's usage.
+        Allocation allocation = state_.workers_.at(known->second.worker_).allocations().at(key);
+        if (known->second.worker_ == worker && event.memoryBytes_ > allocation.memoryBytes_) {
+            allocation.memoryBytes_ = event.memoryBytes_;
+            state_.workers_.allocate(worker, key, allocation);
+        }
         return;
     }
     // A new attempt starts only after the previous one has ended, so a live
--- a/tests/scheduler/gangtest.cpp
+++ b/tests/scheduler/gangtest.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(nonIdempotentIsStartedOnce);
     CPPUNIT_TEST(newLeaseHolderAdoptsRunningGang);
     CPPUNIT_TEST(newLeaseHolderStopsGangWithMissingTask);
+    CPPUNIT_TEST(unknownTaskHoldsTheMemoryOfItsLatestReport);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -170,6 +171,26 @@
         CPPUNIT_ASSERT_EQUAL(2, workers_.records().at(JobId("a")).attempt_);
     }
 
+    /** Guards against placing tasks into the memory of one whose job is not known yet and whose first report came before its usage. */
+    void unknownTaskHoldsTheMemoryOfItsLatestReport()
+    {
+        for (const std::int64_t gigabytes : { 0, 200 }) {
+            for (int index = 0; index < 4; ++index) {
+                TaskReported reported;
+                reported.task_ = TaskKey { JobId("unknown"), 1, index };
+                reported.worker_ = WorkerId("w" + std::to_string(100 + index));
+                reported.state_ = TaskState::Running;
+                reported.accelerators_ = { 0 };
+                reported.memoryBytes_ = gigabytes << 30;
+                workers_.handle(scheduler_, reported, now_);
+            }
+        }
+        JobSubmitted job = jobOf("a", 1, 1);
+        job.spec_.shape_.memoryBytes_ = 100LL << 30;
+        workers_.handle(scheduler_, job, now_);
+        CPPUNIT_ASSERT(workers_.messages().empty());
+    }
+
 private:
     void submitAndRun(const JobSubmitted& job)
     {
