Ignore refusals of a task that its worker has not confirmed yet

Cause: a command that is under way when a term ends can fail in the next term of the same instance. The refusal ended a task that the new term had adopted and that its worker had not reported yet, so the job was placed again while its run held. Change: a refusal of an unconfirmed task is ignored. This term sends it nothing before its worker's report, which decides.

--- a/src/libfescuecleat/scheduler/gangstatemachine.cpp
+++ b/src/libfescuecleat/scheduler/gangstatemachine.cpp
@@ -400,8 +400,8 @@
     GangTask& task = entry->tasks_[static_cast<std::size_t>(event.task_.index_)];
     if (task.worker_ != worker || hasEnded(task.state_))
         return;
-    // The refusal is of a repeated request: the task is on the worker, whose reports show its end.
-    if (task.state_ == GangTaskState::Prepared || task.state_ == GangTaskState::Running)
+    // The refusal is of a repeated request or of one of an earlier term: the worker's reports show whether the task is there.
+    if (task.state_ == GangTaskState::Unconfirmed || task.state_ == GangTaskState::Prepared || task.state_ == GangTaskState::Running)
         return;
     if (entry->phase_ != JobPhase::Stopping)
         entry->stopReason_ = "worker " + event.worker_.value() + " refused task " + std::to_string(event.task_.index_) + ": " + event.reason_;
--- a/tests/scheduler/gangtest.cpp
+++ b/tests/scheduler/gangtest.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(nonIdempotentIsStartedOnce);
     CPPUNIT_TEST(newLeaseHolderAdoptsRunningGang);
     CPPUNIT_TEST(newLeaseHolderStopsGangWithMissingTask);
+    CPPUNIT_TEST(refusalFromAnEarlierTermKeepsTheRun);
     CPPUNIT_TEST(unknownTaskHoldsTheMemoryOfItsLatestReport);
     CPPUNIT_TEST_SUITE_END();
 
@@ -171,6 +172,19 @@
         CPPUNIT_ASSERT_EQUAL(2, workers_.records().at(JobId("a")).attempt_);
     }
 
+    /** Guards against giving up a run that is not confirmed yet because a command of the term before ends without its worker. */
+    void refusalFromAnEarlierTermKeepsTheRun()
+    {
+        submitAndRun(jobOf("a", 2, 8));
+        SchedulerCore next = nextLeaseHolder(jobOf("a", 2, 8));
+        const TaskKey task = workers_.runningTasks().front();
+        workers_.handle(next, TaskRefused { task, workers_.tasks().at(task).first, "not reached" }, now_);
+        workers_.reportAll(next, now_);
+        workers_.deliverAll(next, now_);
+        CPPUNIT_ASSERT_EQUAL(2, workers_.count(TaskState::Running));
+        CPPUNIT_ASSERT_EQUAL(1, workers_.startsOf(JobId("a")));
+    }
+
     /** Guards against placing tasks into the memory of one whose job is not known yet and whose first report came before its usage. */
     void unknownTaskHoldsTheMemoryOfItsLatestReport()
     {
