Take over the accelerators of a run from its first report that names them

Cause: an answer to a command names no accelerators. One that belongs to the term before confirmed an adopted task, so the task held none and later reports did not change that: its accelerators counted as free. Change: a report that names accelerators sets them also for a confirmed task that holds none. Until that report, at most one renewal interval, the accelerators still count as free.

--- a/src/libfescuecleat/scheduler/gangstatemachine.cpp
+++ b/src/libfescuecleat/scheduler/gangstatemachine.cpp
@@ -379,7 +379,9 @@
     GangTask& task = entry.tasks_[static_cast<std::size_t>(index)];
     task.missedReports_ = 0;
     task.checkpointedShare_ = std::clamp(std::max(task.checkpointedShare_, event.checkpointedShare_), 0.0, 1.0);
-    if (task.state_ == GangTaskState::Unconfirmed && isLive(event.state_)) {
+    // An answer to a command of an earlier term confirms the task without naming its accelerators.
+    const bool namesAccelerators = task.accelerators_ == 0 && !event.accelerators_.empty();
+    if ((task.state_ == GangTaskState::Unconfirmed || namesAccelerators) && isLive(event.state_)) {
         task.accelerators_ = maskOf(event.accelerators_);
         allocate(entry, index);
     }
--- a/tests/scheduler/gangtest.cpp
+++ b/tests/scheduler/gangtest.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(newLeaseHolderAdoptsRunningGang);
     CPPUNIT_TEST(newLeaseHolderStopsGangWithMissingTask);
     CPPUNIT_TEST(refusalFromAnEarlierTermKeepsTheRun);
+    CPPUNIT_TEST(answerFromAnEarlierTermKeepsTheAccelerators);
     CPPUNIT_TEST(unknownTaskHoldsTheMemoryOfItsLatestReport);
     CPPUNIT_TEST_SUITE_END();
 
@@ -185,6 +186,23 @@
         CPPUNIT_ASSERT_EQUAL(1, workers_.startsOf(JobId("a")));
     }
 
+    /** Guards against placing tasks on the accelerators of a run that was confirmed by an answer to a command of the term before. */
+    void answerFromAnEarlierTermKeepsTheAccelerators()
+    {
+        submitAndRun(jobOf("a", 4, 8));
+        SchedulerCore next = nextLeaseHolder(jobOf("a", 4, 8));
+        for (const auto& [task, placed] : workers_.tasks()) {
+            TaskReported answer;
+            answer.task_ = task;
+            answer.worker_ = placed.first;
+            answer.state_ = TaskState::Running;
+            workers_.handle(next, answer, now_);
+        }
+        workers_.reportAll(next, now_);
+        workers_.handle(next, jobOf("b", 1, 8), now_);
+        CPPUNIT_ASSERT(workers_.messages().empty());
+    }
+
     /** Guards against placing tasks into the memory of one whose job is not known yet and whose first report came before its usage. */
     void unknownTaskHoldsTheMemoryOfItsLatestReport()
     {
