--- a/src/libfescuecleat/worker/workerfleet.cpp
+++ b/src/libfescuecleat/worker/workerfleet.cpp
@@ -56,7 +56,7 @@
     }
 }
 
-void WorkerFleet::begin(std::uint64_t epoch, const std::set<WorkerId>& expected)
+void WorkerFleet::begin(std::uint64_t epoch, Time leaseUntil, const std::set<WorkerId>& expected)
 {
     for (const WorkerId& worker : expected) {
         Shard& shard = shardOf(worker);
@@ -71,12 +71,13 @@
         const std::lock_guard<std::mutex> lock(modeMutex_);
         mode_ = Mode::Active;
         epoch_ = epoch;
-        renewUntil_ = Time::max();
+        renewUntil_ = leaseUntil + policy_.gracePeriod_;
     }
     for (Shard& shard : shards_) {
         const std::lock_guard<std::mutex> lock(shard.mutex_);
         for (auto& [id, entry] : shard.workers_) {
             entry.link_.emplace(policy_, earlierPermitsUntil, now);
+            ++entry.term_;
             entry.isJoined_ = false;
             entry.isLost_ = false;
             entry.ended_.clear();
@@ -85,13 +86,21 @@
     }
 }
 
+void WorkerFleet::leaseExtended(Time leaseUntil)
+{
+    const std::lock_guard<std::mutex> lock(modeMutex_);
+    if (mode_ == Mode::Active)
+        renewUntil_ = std::max(renewUntil_, leaseUntil + policy_.gracePeriod_);
+}
+
 void WorkerFleet::suspend()
 {
     const std::lock_guard<std::mutex> lock(modeMutex_);
     if (mode_ != Mode::Active)
         return;
     mode_ = Mode::Suspended;
-    renewUntil_ = monotonicNow() + policy_.gracePeriod_;
+    // After a pause this call comes late, while the successor counts from the end of the lease.
+    renewUntil_ = std::min(renewUntil_, monotonicNow() + policy_.gracePeriod_);
 }
 
 void WorkerFleet::end()
@@ -201,15 +210,22 @@
 std::optional<WorkerFleet::Renewal> WorkerFleet::nextDueRenewal(Shard& shard, Time now)
 {
     const std::lock_guard<std::mutex> lock(shard.mutex_);
-    for (auto& [id, entry] : shard.workers_) {
+    // The one that is due for the longest time: a worker that doesn't answer is due again when its renewal times out.
+    auto next = shard.workers_.end();
+    for (auto position = shard.workers_.begin(); position != shard.workers_.end(); ++position) {
+        Entry& entry = position->second;
         if (!entry.link_)
             entry.link_.emplace(policy_, now + localWaitCovering(policy_.gracePeriod_ + policy_.permitDuration_), now);
         const bool hasAddress = entry.address_.port_ != 0;
         if (!hasAddress || entry.link_->nextRenewal() > now)
             continue;
-        return Renewal { id, entry.address_, entry.link_->plan(now), entry.ended_, now };
+        if (next == shard.workers_.end() || entry.link_->nextRenewal() < next->second.link_->nextRenewal())
+            next = position;
     }
-    return std::nullopt;
+    if (next == shard.workers_.end())
+        return std::nullopt;
+    Entry& entry = next->second;
+    return Renewal { next->first, entry.address_, entry.term_, entry.link_->plan(now), entry.ended_, now };
 }
 
 void WorkerFleet::renew(Shard& shard, const Renewal& renewal)
@@ -242,7 +258,8 @@
     {
         const std::lock_guard<std::mutex> lock(shard.mutex_);
         Entry& entry = shard.workers_[worker];
-        if (!entry.link_)
+        // The worker may not have seen the present epoch yet, and the report may lack what was sent since.
+        if (!entry.link_ || entry.term_ != renewal.term_)
             return;
         entry.link_->onReport(report.clockMicros_, received);
         entry.ended_.clear();
--- a/src/libfescuecleat/worker/workerfleet.h
+++ b/src/libfescuecleat/worker/workerfleet.h
@@ -65,9 +65,12 @@
      * declares workers lost. A worker of `expected` that is not listed is declared
      * lost too, once no permit of an earlier holder can be valid on it.
      */
-    void begin(std::uint64_t epoch, const std::set<WorkerId>& expected);
+    void begin(std::uint64_t epoch, Time leaseUntil, const std::set<WorkerId>& expected);
 
-    /** The lease expired: keeps renewing permits for the grace period. */
+    /** The lease was renewed. Permits are renewed until the grace period after its end has passed, even if nobody calls suspend(). */
+    void leaseExtended(Time leaseUntil);
+
+    /** The lease expired or was given up: keeps renewing permits for the grace period. */
     void suspend();
 
     /** Stops renewing permits. */
@@ -92,6 +95,8 @@
         Address address_;
         RackId rack_;
         std::optional<WorkerLink> link_;
+        /** Number of calls of begin(); answers to renewals of an earlier one say nothing about the present link. */
+        std::uint64_t term_ = 0;
         bool isJoined_ = false;
         bool isLost_ = false;
         bool isListed_ = true;
@@ -109,6 +114,7 @@
     struct Renewal {
         WorkerId worker_;
         Address address_;
+        std::uint64_t term_ = 0;
         RenewalPlan plan_;
         std::vector<TaskKey> ended_;
         Time sentAt_;
