Count the room of runs that a worker reports and no record names

Cause: a run that the scheduler had no record of was stopped, but its resources counted as free until it had ended. In random histories a worker was given a task beyond its capacity in that time. Change: what the last report lists without a record occupies its resources; if its job is unknown, the whole worker. Result: unrecordedRunKeepsItsRoom fails without the change.

--- a/src/libfescuecleat/pool/placementview.cpp
+++ b/src/libfescuecleat/pool/placementview.cpp
@@ -28,7 +28,7 @@
         if (isNew)
             racks_.push_back({ info.rack_, {}, {}, {} });
         Rack& rack = racks_[known->second];
-        const Resources free = info.capacity_ - worker.used_;
+        const Resources free = info.capacity_ - worker.used_ - worker.unrecorded_;
         const Resources projected = free + worker.stopping_;
         rack.workers_.push_back(entries_.size());
         rack.free_ += nonNegative(free);
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -295,10 +295,12 @@
         if (worker == nullptr)
             return;
     }
+    worker->unrecorded_ = {};
     for (const ReportedRun& reported : report.running_) {
         listed.insert(reported.run_);
         const auto entry = state_.runs_.find(reported.run_);
         if (entry == state_.runs_.end() || entry->second.worker_ != key) {
+            worker->unrecorded_ += unrecordedAllocation(reported.run_, *worker);
             state_.decisions_.stops_.push_back({ reported.run_, key, "no record of this run" });
             continue;
         }
@@ -337,6 +339,15 @@
     }
 }
 
+Resources PoolScheduler::unrecordedAllocation(const RunId& run, const PoolWorkerState& worker) const
+{
+    const auto job = state_.jobs_.find(run.task_.job_);
+    const auto step = static_cast<std::size_t>(run.task_.step_);
+    if (job == state_.jobs_.end() || step >= job->second.spec_.steps_.size())
+        return worker.info_.capacity_;
+    return job->second.spec_.steps_[step].allocation();
+}
+
 void PoolScheduler::applyEnd(const RunId& run, EndReason reason, const std::string& checkpoint, Time now)
 {
     const auto entry = state_.runs_.find(run);
--- a/src/libfescuecleat/pool/poolscheduler.h
+++ b/src/libfescuecleat/pool/poolscheduler.h
@@ -79,6 +79,8 @@
     void unblockReadyUnits(Job&, Time now);
     void restore(Job&, const PoolJobRecord&, Time now);
     void applyEnd(const RunId&, EndReason, const std::string& checkpoint, Time now);
+    /** What a run without a record occupies; all of the worker if its job is unknown. */
+    Resources unrecordedAllocation(const RunId&, const PoolWorkerState&) const;
     void giveUp(const RunId&, const std::string& cause, Time now);
     void abortRun(Job&, std::size_t unit, const std::string& cause, Time now);
     void recordFailure(Job&, WorkUnit&, const TaskRun&, Time now);
--- a/src/libfescuecleat/pool/poolworkerstate.h
+++ b/src/libfescuecleat/pool/poolworkerstate.h
@@ -20,6 +20,8 @@
     Resources used_;
     /** The part of `used_` that is being stopped. */
     Resources stopping_;
+    /** Resources of runs that the last report listed and the scheduler has no record of. */
+    Resources unrecorded_;
     std::set<RunId> runs_;
     /** Sequence number of the last processed end. */
     std::int64_t lastProcessedEnd_ = 0;
--- a/tests/pool/ambiguousstarttest.cpp
+++ b/tests/pool/ambiguousstarttest.cpp
@@ -77,6 +77,7 @@
     CPPUNIT_TEST(stopIsRepeatedForNextIncarnation);
     CPPUNIT_TEST(refusalDoesNotResolveEarlierRequest);
     CPPUNIT_TEST(refusalOfOnlyRequestFreesTheRoom);
+    CPPUNIT_TEST(unrecordedRunKeepsItsRoom);
     CPPUNIT_TEST_SUITE_END();
 
     /** Guards against two runs of one task: a start repeated after the last report reached the next incarnation, and its run was given up. */
@@ -143,6 +144,20 @@
         job.scheduler_.startAnswered(firstRun, StartAnswer::Refused, start + 5ms);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), job.startsDecided(start + 300ms));
     }
+
+    /** Guards against starts beyond a worker's capacity: a run that the scheduler had no record of counted as free room. */
+    void unrecordedRunKeepsItsRoom()
+    {
+        StartedJob job;
+        PoolWorkerReport report;
+        report.running_ = { { { { "00000000000000bb", 0, 0, 0 }, 1 }, "", 10 } };
+        job.scheduler_.report({ "w2", 1 }, report, start + 10ms, start + 15ms);
+        job.scheduler_.startAnswered(firstRun, StartAnswer::Refused, start + 20ms);
+        job.scheduler_.setReachable({ "w1", 1 }, false);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), job.startsDecided(start + 400ms));
+        job.scheduler_.report({ "w2", 1 }, {}, start + 500ms, start + 505ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), job.startsDecided(start + 510ms));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AmbiguousStartTest);
