--- a/src/libfescuecleat/pool/poolscheduler.h
+++ b/src/libfescuecleat/pool/poolscheduler.h
@@ -34,7 +34,7 @@
     /** Adds a new job, or restores one from its record after a failover. Does nothing if the job is known. */
     void addJob(const std::string& id, PoolJobSpec, JobPolicy, Time submittedAt, const PoolJobRecord*, Time now);
     void cancelJob(const std::string& id, Time now);
-    /** Removes an ended job; returns false if the job is unknown or open, or any of its runs is still active. */
+    /** Removes an ended job; returns false if the job is unknown or open, any of its runs is still active, or a change of it is yet to be taken. */
     bool forgetJob(const std::string& id);
 
     void putWorker(const WorkerInfo&, Time now);
@@ -79,6 +79,8 @@
     void unblockReadyUnits(Job&, Time now);
     void restore(Job&, const PoolJobRecord&, Time now);
     void applyEnd(const RunId&, EndReason, const std::string& checkpoint, Time now);
+    /** What a run without a record occupies; all of the worker if its job is unknown. */
+    Resources unrecordedAllocation(const RunId&, const PoolWorkerState&) const;
     void giveUp(const RunId&, const std::string& cause, Time now);
     void abortRun(Job&, std::size_t unit, const std::string& cause, Time now);
     void recordFailure(Job&, WorkUnit&, const TaskRun&, Time now);
--- a/tests/scheduler/gangtest.cpp
+++ b/tests/scheduler/gangtest.cpp
@@ -27,11 +27,15 @@
     CPPUNIT_TEST(workerLostBetweenPrepareAndStart);
     CPPUNIT_TEST(lostStartIsSentAgain);
     CPPUNIT_TEST(lateStartConfirmationAfterStop);
+    CPPUNIT_TEST(lateRefusalOfARunningTask);
     CPPUNIT_TEST(noStartWithoutPermit);
     CPPUNIT_TEST(noStartAfterTakingOut);
     CPPUNIT_TEST(nonIdempotentIsStartedOnce);
     CPPUNIT_TEST(newLeaseHolderAdoptsRunningGang);
     CPPUNIT_TEST(newLeaseHolderStopsGangWithMissingTask);
+    CPPUNIT_TEST(refusalFromAnEarlierTermKeepsTheRun);
+    CPPUNIT_TEST(answerFromAnEarlierTermKeepsTheAccelerators);
+    CPPUNIT_TEST(unknownTaskHoldsTheMemoryOfItsLatestReport);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -97,6 +101,17 @@
         CPPUNIT_ASSERT(recorded("b") == JobState::Running);
     }
 
+    /** Guards against giving up a run because a repeated start was not delivered after the first had taken effect. */
+    void lateRefusalOfARunningTask()
+    {
+        submitAndRun(jobOf("a", 2, 8));
+        const TaskKey task = workers_.runningTasks().front();
+        workers_.handle(scheduler_, TaskRefused { task, workers_.tasks().at(task).first, "not reached" }, now_);
+        workers_.deliverAll(scheduler_, now_);
+        CPPUNIT_ASSERT_EQUAL(2, workers_.count(TaskState::Running));
+        CPPUNIT_ASSERT_EQUAL(1, workers_.startsOf(JobId("a")));
+    }
+
     void noStartWithoutPermit()
     {
         now_ += 95 * second;
@@ -158,6 +173,56 @@
         CPPUNIT_ASSERT_EQUAL(2, workers_.records().at(JobId("a")).attempt_);
     }
 
+    /** Guards against giving up a run that is not confirmed yet because a command of the term before ends without its worker. */
+    void refusalFromAnEarlierTermKeepsTheRun()
+    {
+        submitAndRun(jobOf("a", 2, 8));
+        SchedulerCore next = nextLeaseHolder(jobOf("a", 2, 8));
+        const TaskKey task = workers_.runningTasks().front();
+        workers_.handle(next, TaskRefused { task, workers_.tasks().at(task).first, "not reached" }, now_);
+        workers_.reportAll(next, now_);
+        workers_.deliverAll(next, now_);
+        CPPUNIT_ASSERT_EQUAL(2, workers_.count(TaskState::Running));
+        CPPUNIT_ASSERT_EQUAL(1, workers_.startsOf(JobId("a")));
+    }
+
+    /** Guards against placing tasks on the accelerators of a run that was confirmed by an answer to a command of the term before. */
+    void answerFromAnEarlierTermKeepsTheAccelerators()
+    {
+        submitAndRun(jobOf("a", 4, 8));
+        SchedulerCore next = nextLeaseHolder(jobOf("a", 4, 8));
+        for (const auto& [task, placed] : workers_.tasks()) {
+            TaskReported answer;
+            answer.task_ = task;
+            answer.worker_ = placed.first;
+            answer.state_ = TaskState::Running;
+            workers_.handle(next, answer, now_);
+        }
+        workers_.reportAll(next, now_);
+        workers_.handle(next, jobOf("b", 1, 8), now_);
+        CPPUNIT_ASSERT(workers_.messages().empty());
+    }
+
+    /** Guards against placing tasks into the memory of one whose job is not known yet and whose first report came before its usage. */
+    void unknownTaskHoldsTheMemoryOfItsLatestReport()
+    {
+        for (const std::int64_t gigabytes : { 0, 200 }) {
+            for (int index = 0; index < 4; ++index) {
+                TaskReported reported;
+                reported.task_ = TaskKey { JobId("unknown"), 1, index };
+                reported.worker_ = WorkerId("w" + std::to_string(100 + index));
+                reported.state_ = TaskState::Running;
+                reported.accelerators_ = { 0 };
+                reported.memoryBytes_ = gigabytes << 30;
+                workers_.handle(scheduler_, reported, now_);
+            }
+        }
+        JobSubmitted job = jobOf("a", 1, 1);
+        job.spec_.shape_.memoryBytes_ = 100LL << 30;
+        workers_.handle(scheduler_, job, now_);
+        CPPUNIT_ASSERT(workers_.messages().empty());
+    }
+
 private:
     void submitAndRun(const JobSubmitted& job)
     {
