Don't take a refused start for a received one

Cause: a refusal that came while the run was being stopped noted that the worker had received the start. If the worker then restarted, the run was given up although an earlier request without an answer could still reach the next incarnation. Found in review; no history has shown it. Change: refusals confirm nothing. Result: refusalDoesNotConfirmTheStart fails without the change.

--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -481,6 +481,9 @@
         // Only a confirmed stop keeps the worker from executing an earlier request after all.
         return abortRun(*job, taskRun.unit_, "the worker refused the start after an earlier request without an answer", now);
     }
+    // A refusal says nothing about earlier requests.
+    if (answer == StartAnswer::Refused)
+        return;
     if (!taskRun.startConfirmedAt_)
         taskRun.startConfirmedAt_ = now;
     // An answer to the start doesn't confirm a stop that was decided meanwhile.
--- a/tests/pool/ambiguousstarttest.cpp
+++ b/tests/pool/ambiguousstarttest.cpp
@@ -78,6 +78,7 @@
     CPPUNIT_TEST(refusalDoesNotResolveEarlierRequest);
     CPPUNIT_TEST(refusalOfOnlyRequestFreesTheRoom);
     CPPUNIT_TEST(unrecordedRunKeepsItsRoom);
+    CPPUNIT_TEST(refusalDoesNotConfirmTheStart);
     CPPUNIT_TEST_SUITE_END();
 
     /** Guards against two runs of one task: a start repeated after the last report reached the next incarnation, and its run was given up. */
@@ -158,6 +159,18 @@
         job.scheduler_.report({ "w2", 1 }, {}, start + 500ms, start + 505ms);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), job.startsDecided(start + 510ms));
     }
+
+    /** Guards against two runs of one task: a refusal while the run was being stopped counted as receipt of the start. */
+    void refusalDoesNotConfirmTheStart()
+    {
+        StartedJob job;
+        job.startsDecided(start + 1600ms);
+        job.scheduler_.startAnswered(firstRun, StartAnswer::Refused, start + 1610ms);
+        job.report(1, {}, start + 1700ms);
+        job.scheduler_.workerRestarted({ "w1", 1 }, { "w1", 2 }, start + 1800ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), job.startsDecided(start + 1810ms));
+        CPPUNIT_ASSERT(job.scheduler_.state().runs_.at(firstRun).worker_ == (WorkerKey { "w1", 2 }));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AmbiguousStartTest);
