Stop a moved run whose earlier start had no answer

Cause: a run whose second request was accepted counted as received by that incarnation, so it ended with it at once, although the first request had no answer and could still reach the next one. A run that had been moved kept the former confirmation, which would have counted at the next restart. Found in review; no history has shown it. Change: a run with a request without an answer moves with its worker's restart and ends there by a confirmed stop; a move forgets who confirmed the start. Result: unansweredRequestMayReachNextIncarnation fails without the change.

--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -264,9 +264,16 @@
         restarted.isListed_ = old->isListed_;
     }
     for (const RunId& run : std::set<RunId>(old->runs_)) {
-        TaskRun& taskRun = state_.runs_.at(run);
+        const auto entry = state_.runs_.find(run);
+        if (entry == state_.runs_.end())
+            continue; // ended with another run of its gang
+        TaskRun& taskRun = entry->second;
         if (taskRun.wasReceivedBefore(old->lastReportRequestedAt_) || taskRun.phase_ == RunPhase::Recording)
             continue;
+        // The run ended with the former incarnation, but only a stop keeps the next one from executing an earlier request.
+        Job* job = state_.findJob(run.task_.job_);
+        if (job != nullptr && taskRun.phase_ == RunPhase::Running && taskRun.mayStartLate_)
+            abortRun(*job, taskRun.unit_, "its worker restarted", now);
         state_.rebindRun(run, taskRun, current, now);
         state_.decisions_.movedRuns_.push_back({ run, former, current });
     }
--- a/src/libfescuecleat/pool/poolstate.cpp
+++ b/src/libfescuecleat/pool/poolstate.cpp
@@ -76,6 +76,7 @@
         former->runs_.erase(run);
     }
     taskRun.worker_ = key;
+    taskRun.startConfirmedAt_.reset();
     PoolWorkerState& current = workers_[key];
     move(current, true);
     current.runs_.insert(run);
--- a/src/libfescuecleat/pool/taskrun.cpp
+++ b/src/libfescuecleat/pool/taskrun.cpp
@@ -13,7 +13,7 @@
 
 bool TaskRun::wasReceivedBefore(Time upAt) const
 {
-    return startConfirmedAt_ && *startConfirmedAt_ <= upAt && startSentAt_ <= upAt;
+    return !mayStartLate_ && startConfirmedAt_ && *startConfirmedAt_ <= upAt && startSentAt_ <= upAt;
 }
 
 void TaskRun::observeProgress(int percent, Time now)
--- a/tests/pool/ambiguousstarttest.cpp
+++ b/tests/pool/ambiguousstarttest.cpp
@@ -79,6 +79,7 @@
     CPPUNIT_TEST(refusalOfOnlyRequestFreesTheRoom);
     CPPUNIT_TEST(unrecordedRunKeepsItsRoom);
     CPPUNIT_TEST(refusalDoesNotConfirmTheStart);
+    CPPUNIT_TEST(unansweredRequestMayReachNextIncarnation);
     CPPUNIT_TEST_SUITE_END();
 
     /** Guards against two runs of one task: a start repeated after the last report reached the next incarnation, and its run was given up. */
@@ -171,6 +172,25 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), job.startsDecided(start + 1810ms));
         CPPUNIT_ASSERT(job.scheduler_.state().runs_.at(firstRun).worker_ == (WorkerKey { "w1", 2 }));
     }
+
+    /** Guards against two runs of one task: the second request was accepted and the run listed, then the worker restarted and executed the first one. */
+    void unansweredRequestMayReachNextIncarnation()
+    {
+        for (const bool isListed : { true, false }) {
+            StartedJob job;
+            job.scheduler_.startUnanswered(firstRun);
+            job.scheduler_.startSent(firstRun, start + 650ms);
+            job.scheduler_.startAnswered(firstRun, StartAnswer::Accepted, start + 655ms);
+            if (isListed)
+                job.report(1, { { firstRun, "", 10 } }, start + 700ms);
+            job.scheduler_.workerRestarted({ "w1", 1 }, { "w1", 2 }, start + 800ms);
+            job.report(2, {}, start + 805ms);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), job.startsDecided(start + 811ms));
+            job.scheduler_.stopConfirmed(firstRun, start + 820ms);
+            job.report(2, {}, start + 900ms);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), job.startsDecided(start + 910ms));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AmbiguousStartTest);
