Expect the longest lease on a worker that was found restarted

Cause: a poll that found a new incarnation kept the lease expiry of the former one. A request with an expiry by that one's clock makes the next one grant its longest lease from the arrival, so the lease of its runs could outlast what the scheduler believed. Links that the registry opens count this way already. Found in review. Change: both count the longest lease from the time when the incarnation is learned. Result: restartedWorkerMayGrantTheLongestLease fails without the change.

--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -19,8 +19,6 @@
     constexpr Duration registryPollPause = std::chrono::milliseconds(400);
     constexpr Duration readTimeout = std::chrono::milliseconds(1500);
     constexpr Duration readRetryDelay = std::chrono::milliseconds(100);
-    /** Added to leases of former schedulers and links for requests still in flight. */
-    constexpr Duration earlierLeaseMargin = std::chrono::milliseconds(500);
     /** Minimum time between two writes of the summary. */
     constexpr Duration summaryInterval = std::chrono::milliseconds(1000);
     /**
@@ -239,8 +237,7 @@
     parameters.maxLease_ = context_.settings_.maxWorkerLease_;
     // A former holder may renew leases until its own lease ends, and former links of this term until now.
     const Time lastGrantAt = std::max(formerHolderActiveUntil_, bootTimeNow());
-    const auto longestLease = std::chrono::duration_cast<Duration>(context_.settings_.maxWorkerLease_ / (1 - maxWorkerClockDriftRatio));
-    parameters.earlierLeasesExpireAt_ = lastGrantAt + longestLease + earlierLeaseMargin;
+    parameters.earlierLeasesExpireAt_ = PoolWorkerLink::latestLeaseExpiry(context_.settings_.maxWorkerLease_, lastGrantAt);
     const auto wait = std::chrono::duration_cast<Duration>(pollWaitPerWorker * scheduler_.state().workers_.size());
     parameters.pollWait_ = std::clamp(wait, minPollWait, maxPollWait);
     auto link = std::make_unique<PoolWorkerLink>(context_.loop_, context_.workers_, info, parameters, makeLinkListener(info.key_.id_));
--- a/src/libfescuecleat/node/poolworkerlink.cpp
+++ b/src/libfescuecleat/node/poolworkerlink.cpp
@@ -17,6 +17,8 @@
     constexpr Duration requestTimeout = std::chrono::milliseconds(500);
     constexpr Duration requestRetryDelay = std::chrono::milliseconds(150);
     constexpr std::size_t maxRequestsInFlight = 4;
+    /** Added to the leases granted by requests of earlier schedulers, links or incarnations, which may still be in flight. */
+    constexpr Duration earlierLeaseMargin = std::chrono::milliseconds(500);
     /** Added to the end of a lease before it counts as expired. */
     constexpr Duration leaseExpiryMargin = std::chrono::milliseconds(200);
 
@@ -33,6 +35,11 @@
 {
 }
 
+Time PoolWorkerLink::latestLeaseExpiry(Duration maxLease, Time lastSentAt)
+{
+    return lastSentAt + std::chrono::duration_cast<Duration>(maxLease / (1 - maxWorkerClockDriftRatio)) + earlierLeaseMargin;
+}
+
 void PoolWorkerLink::update(const WorkerInfo& info)
 {
     const WorkerKey key = info_.key_;
@@ -94,6 +101,8 @@
         lastStoredEnd_ = 0;
         lastReportedEnd_ = 0;
         grantedUntilMs_ = 0;
+        // Expiries by the former incarnation's clock make the next one grant its longest lease.
+        leasesExpireAt_ = std::max(leasesExpireAt_, latestLeaseExpiry(parameters_.maxLease_, bootTimeNow()));
         listener_.restarted_(former, info_.key_);
     }
     const bool wasClockKnown = isClockKnown_;
--- a/src/libfescuecleat/node/poolworkerlink.h
+++ b/src/libfescuecleat/node/poolworkerlink.h
@@ -57,6 +57,9 @@
         Duration pollWait_ {};
     };
 
+    /** When every lease has certainly expired that a worker granted by requests sent until `lastSentAt`, by whatever clock they counted. */
+    static Time latestLeaseExpiry(Duration maxLease, Time lastSentAt);
+
     PoolWorkerLink(boost::asio::io_context&, PoolWorkerClient&, WorkerInfo, Parameters, Listener);
 
     void open() { poll(false); }
--- a/tests/node/poolcontrollertest.cpp
+++ b/tests/node/poolcontrollertest.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST(keepsStartThatNextIncarnationMayHave);
     CPPUNIT_TEST(pollsOfSilentWorkerSuitAnyIncarnation);
     CPPUNIT_TEST(renewsOnlyWhileLeaseIsHeld);
+    CPPUNIT_TEST(restartedWorkerMayGrantTheLongestLease);
     CPPUNIT_TEST_SUITE_END();
 
     void runsJobToCompletion()
@@ -166,6 +167,33 @@
         CPPUNIT_ASSERT(pool.runUntil([&] { return !worker.lastPoll_.leaseUntilMs_; }));
     }
 
+    /** Guards against two runs of one task: the lease of a restarted worker was believed to end by the clock of its former incarnation. */
+    void restartedWorkerMayGrantTheLongestLease()
+    {
+        PoolFixture pool;
+        FakeWorkers::Worker& worker = pool.workers_.worker("w1");
+        WorkerInfo info;
+        info.key_ = { "w1", 1 };
+        info.endpoint_ = { "127.0.0.1", 1 };
+        std::optional<Time> expiredAt;
+        std::optional<Time> restartedAt;
+        PoolWorkerLink::Listener listener;
+        listener.isLeaseHeld_ = [] { return false; };
+        listener.restarted_ = [&](const WorkerKey&, const WorkerKey&) {
+            restartedAt = bootTimeNow();
+            worker.isUnreachable_ = true;
+        };
+        listener.reported_ = [](const PoolWorkerReport&, Time) {};
+        listener.reachabilityChanged_ = [](bool, const char*) {};
+        listener.leasesExpired_ = [&](const PoolWorkerLink::LeaseExpiry&) { expiredAt = bootTimeNow(); };
+        PoolWorkerLink link(pool.loop_, pool.workers_, info, { 1, 1500ms, bootTimeNow(), 100ms }, listener);
+        link.open();
+        pool.runFor(150ms);
+        pool.workers_.restart("w1");
+        CPPUNIT_ASSERT(pool.runUntil([&] { return expiredAt.has_value(); }));
+        CPPUNIT_ASSERT(restartedAt && *expiredAt - *restartedAt >= 1500ms);
+    }
+
     /** The task of an unreachable worker starts elsewhere, but not before the worker's lease has expired. */
     void waitsForLeaseOfUnreachableWorker()
     {
