Count answers to starts and stops only for the incarnation they were sent to

Cause: when a poll found a worker restarted, its link kept waiting for answers to requests of the former incarnation, and took them as confirmed by the next one. Found in review; no history has shown it. Change: such an answer counts as none, and the request is sent again if still wanted. Result: answersOfFormerIncarnationConfirmNothing fails without the change.

--- a/src/libfescuecleat/node/poolworkerlink.cpp
+++ b/src/libfescuecleat/node/poolworkerlink.cpp
@@ -194,14 +194,16 @@
     request.leaseUntilMs_ = extendLease();
     listener_.startSent_(request.run_);
     ++requestsInFlight_;
-    client_.start(info_, request, requestTimeout, lifetime_.guard([this, request](const tl::expected<StartAnswer, WorkerFailure>& answer) {
+    client_.start(info_, request, requestTimeout, lifetime_.guard([this, request, key = info_.key_](const tl::expected<StartAnswer, WorkerFailure>& answer) {
         --requestsInFlight_;
-        if (answer)
+        // What a former incarnation answered says nothing about this one.
+        const bool isCurrent = key == info_.key_;
+        if (answer && isCurrent)
             listener_.startAnswered_(request.run_, *answer);
-        else if (answer.error() == WorkerFailure::StaleEpoch)
+        else if (!answer && answer.error() == WorkerFailure::StaleEpoch)
             return listener_.superseded_("worker " + info_.key_.id_ + " has accepted a newer scheduler");
         else {
-            if (answer.error() != WorkerFailure::NotSent)
+            if (answer || answer.error() != WorkerFailure::NotSent)
                 listener_.startUnanswered_(request.run_);
             retry(request);
         }
@@ -214,11 +216,11 @@
     if (!listener_.isStopWanted_(request.run_))
         return;
     ++requestsInFlight_;
-    client_.stop(info_, request, requestTimeout, lifetime_.guard([this, request](const tl::expected<void, WorkerFailure>& answer) {
+    client_.stop(info_, request, requestTimeout, lifetime_.guard([this, request, key = info_.key_](const tl::expected<void, WorkerFailure>& answer) {
         --requestsInFlight_;
-        if (answer)
+        if (answer && key == info_.key_)
             listener_.stopConfirmed_(request.run_);
-        else if (answer.error() == WorkerFailure::StaleEpoch)
+        else if (!answer && answer.error() == WorkerFailure::StaleEpoch)
             return listener_.superseded_("worker " + info_.key_.id_ + " has accepted a newer scheduler");
         else
             retry(request);
--- a/tests/node/poolcontrollertest.cpp
+++ b/tests/node/poolcontrollertest.cpp
@@ -17,6 +17,29 @@
 
 }
 
+namespace {
+
+/** Answers a poll at once, and keeps the answers to starts and stops until they are given. */
+class HeldBackWorkers : public PoolWorkerClient {
+public:
+    void poll(const WorkerInfo&, const PollRequest&, Duration, PollHandler handler) override { pollHandler_ = std::move(handler); }
+    void start(const WorkerInfo&, const StartRequest&, Duration, StartHandler handler) override { startHandler_ = std::move(handler); }
+    void stop(const WorkerInfo&, const StopRequest&, Duration, StopHandler handler) override { stopHandler_ = std::move(handler); }
+
+    void answerPoll(std::int64_t born)
+    {
+        PoolWorkerReport report;
+        report.startedUnixMs_ = born;
+        std::exchange(pollHandler_, nullptr)(report);
+    }
+
+    PollHandler pollHandler_;
+    StartHandler startHandler_;
+    StopHandler stopHandler_;
+};
+
+}
+
 /** Tests that jobs run once from submission to completion despite lost answers and lease takeovers. */
 class PoolControllerTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(PoolControllerTest);
@@ -46,6 +69,7 @@
     CPPUNIT_TEST(pollsOfSilentWorkerSuitAnyIncarnation);
     CPPUNIT_TEST(renewsOnlyWhileLeaseIsHeld);
     CPPUNIT_TEST(restartedWorkerMayGrantTheLongestLease);
+    CPPUNIT_TEST(answersOfFormerIncarnationConfirmNothing);
     CPPUNIT_TEST_SUITE_END();
 
     void runsJobToCompletion()
@@ -194,6 +218,45 @@
         CPPUNIT_ASSERT(restartedAt && *expiredAt - *restartedAt >= 1500ms);
     }
 
+    /** Guards against two runs of one task: an answer of the former incarnation counted as one of the next. */
+    void answersOfFormerIncarnationConfirmNothing()
+    {
+        PoolFixture pool;
+        HeldBackWorkers workers;
+        WorkerInfo info;
+        info.key_ = { "w1", 1 };
+        info.endpoint_ = { "127.0.0.1", 1 };
+        int confirmations = 0;
+        int unanswered = 0;
+        PoolWorkerLink::Listener listener;
+        listener.isLeaseHeld_ = [] { return true; };
+        listener.isStartWanted_ = [](const RunId&) { return true; };
+        listener.isStopWanted_ = [](const RunId&) { return true; };
+        listener.startSent_ = [](const RunId&) {};
+        listener.restarted_ = [](const WorkerKey&, const WorkerKey&) {};
+        listener.reported_ = [](const PoolWorkerReport&, Time) {};
+        listener.reachabilityChanged_ = [](bool, const char*) {};
+        listener.startUnanswered_ = [&](const RunId&) { ++unanswered; };
+        listener.startAnswered_ = [&](const RunId&, StartAnswer) { ++confirmations; };
+        listener.stopConfirmed_ = [&](const RunId&) { ++confirmations; };
+        PoolWorkerLink link(pool.loop_, workers, info, { 1, 1500ms, bootTimeNow(), 100ms }, listener);
+        link.open();
+        workers.answerPoll(1);
+        StartRequest start;
+        start.run_ = { task(), 1 };
+        link.start(start);
+        link.stop({ task(1), 1 });
+        workers.answerPoll(2);
+        std::exchange(workers.startHandler_, nullptr)(StartAnswer::Accepted);
+        std::exchange(workers.stopHandler_, nullptr)({});
+        CPPUNIT_ASSERT_EQUAL(0, confirmations);
+        CPPUNIT_ASSERT_EQUAL(1, unanswered);
+        // Both are sent again.
+        CPPUNIT_ASSERT(pool.runUntil([&] { return workers.startHandler_ && workers.stopHandler_; }));
+        workers.stopHandler_({});
+        CPPUNIT_ASSERT_EQUAL(1, confirmations);
+    }
+
     /** The task of an unreachable worker starts elsewhere, but not before the worker's lease has expired. */
     void waitsForLeaseOfUnreachableWorker()
     {
