Keep a run whose repeated start is refused, in the scheduler of the own interface

Change: only the refusal of the first request ends the task; otherwise the start is repeated until its deadline, and the gang is stopped if it is still not confirmed. Result: repeatedStartThatIsRefusedKeepsTheRun fails without the change.

--- a/src/libfescuecleat/daemon/datacentrescheduler.cpp
+++ b/src/libfescuecleat/daemon/datacentrescheduler.cpp
@@ -312,19 +312,19 @@
 void DataCentreScheduler::issueStart(const StartTask& start)
 {
     const std::optional<WorkerTarget> target = fleet_.target(start.worker_);
-    const auto reportNotSent = [&](const std::string& reason) {
+    const auto reportNotStarted = [&](const std::string& reason) {
         // An earlier request can outlive this one; only the worker knows whether the task runs.
         if (!start.mayHaveBeenSent_)
             reportRefused(start.task_, start.worker_, reason);
     };
     const std::optional<Time> permit = lease_.beginStart(monotonicNow());
     if (!permit)
-        return reportNotSent("there is no start permit");
+        return reportNotStarted("there is no start permit");
     const Time deadline = std::min(start.deadline_, *permit);
     const std::optional<std::int64_t> startBefore = fleet_.toWorkerClock(start.worker_, deadline);
     if (!target || !startBefore) {
         lease_.endStart();
-        return reportNotSent("the worker is gone");
+        return reportNotStarted("the worker is gone");
     }
     const WorkerAnswer answer = workers_.start(target->address_, target->epoch_, start.task_, *startBefore, monotonicNow() + commandTimeout);
     lease_.endStart(std::holds_alternative<WorkerOutcomeUnknown>(answer) ? deadline : Time::min());
@@ -337,9 +337,13 @@
     };
     std::visit(Overloaded {
                    [&](const WorkerDone&) { reportState(start.task_, start.worker_, TaskState::Running); },
-                   [&](const WorkerRefused& refused) { reportRefused(start.task_, start.worker_, refused.message_); },
+                   [&](const WorkerRefused& refused) {
+                       reportNotStarted(refused.message_);
+                       if (start.mayHaveBeenSent_)
+                           repeat();
+                   },
                    [&](const WorkerNotReached& unreached) {
-                       reportNotSent(unreached.message_);
+                       reportNotStarted(unreached.message_);
                        if (start.mayHaveBeenSent_)
                            repeat();
                    },
--- a/tests/daemon/datacentreschedulertest.cpp
+++ b/tests/daemon/datacentreschedulertest.cpp
@@ -48,6 +48,8 @@
         const std::lock_guard<std::mutex> lock(mutex_);
         if (address.port_ == unreachablePort_) {
             ++unreachedStarts_;
+            if (refusesRepeatedStarts_)
+                return WorkerRefused { "busy", "no room" };
             return WorkerNotReached { "connection refused" };
         }
         started_.push_back(task);
@@ -62,6 +64,13 @@
     WorkerAnswer stop(const Address&, std::uint64_t, const TaskKey&, Time) override { return WorkerNotReached {}; }
     WorkerAnswer throttle(const Address&, std::uint64_t, const TaskKey&, Time) override { return WorkerNotReached {}; }
 
+    /** Refuses repeated starts instead of not being reached by them. */
+    void refuseRepeatedStarts()
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        refusesRepeatedStarts_ = true;
+    }
+
     std::vector<TaskKey> started() const
     {
         const std::lock_guard<std::mutex> lock(mutex_);
@@ -88,6 +97,7 @@
     std::map<TaskKey, unsigned short> prepared_;
     std::vector<TaskKey> started_;
     int unreachedStarts_ = 0;
+    bool refusesRepeatedStarts_ = false;
 };
 
 ListedInstance listedWorker(const std::string& id, unsigned short port)
@@ -105,6 +115,7 @@
 class DataCentreSchedulerTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(DataCentreSchedulerTest);
     CPPUNIT_TEST(repeatedStartThatIsNotReachedKeepsTheRun);
+    CPPUNIT_TEST(repeatedStartThatIsRefusedKeepsTheRun);
     CPPUNIT_TEST(handingOverWaitsForUnansweredStarts);
     CPPUNIT_TEST_SUITE_END();
 
@@ -130,7 +141,16 @@
     }
 
     /** Guards against a second run of a task whose first start took effect, because its repetition was not delivered. */
-    void repeatedStartThatIsNotReachedKeepsTheRun()
+    void repeatedStartThatIsNotReachedKeepsTheRun() { checkThatRunIsKept(); }
+
+    /** Guards against a second run of a task whose first start took effect, because its repetition was refused. */
+    void repeatedStartThatIsRefusedKeepsTheRun()
+    {
+        workers_.refuseRepeatedStarts();
+        checkThatRunIsKept();
+    }
+
+    void checkThatRunIsKept()
     {
         const Time giveUp = monotonicNow() + std::chrono::seconds(20);
         while (workers_.unreachedStarts() == 0 && monotonicNow() < giveUp)
