--- a/src/libfescuecleat/node/poolworkerlink.cpp
+++ b/src/libfescuecleat/node/poolworkerlink.cpp
@@ -17,6 +17,8 @@
     constexpr Duration requestTimeout = std::chrono::milliseconds(500);
     constexpr Duration requestRetryDelay = std::chrono::milliseconds(150);
     constexpr std::size_t maxRequestsInFlight = 4;
+    /** Added to the leases granted by requests of earlier schedulers, links or incarnations, which may still be in flight. */
+    constexpr Duration earlierLeaseMargin = std::chrono::milliseconds(500);
     /** Added to the end of a lease before it counts as expired. */
     constexpr Duration leaseExpiryMargin = std::chrono::milliseconds(200);
 
@@ -33,6 +35,11 @@
 {
 }
 
+Time PoolWorkerLink::latestLeaseExpiry(Duration maxLease, Time lastSentAt)
+{
+    return lastSentAt + std::chrono::duration_cast<Duration>(maxLease / (1 - maxWorkerClockDriftRatio)) + earlierLeaseMargin;
+}
+
 void PoolWorkerLink::update(const WorkerInfo& info)
 {
     const WorkerKey key = info_.key_;
@@ -94,6 +101,8 @@
         lastStoredEnd_ = 0;
         lastReportedEnd_ = 0;
         grantedUntilMs_ = 0;
+        // Expiries by the former incarnation's clock make the next one grant its longest lease.
+        leasesExpireAt_ = std::max(leasesExpireAt_, latestLeaseExpiry(parameters_.maxLease_, bootTimeNow()));
         listener_.restarted_(former, info_.key_);
     }
     const bool wasClockKnown = isClockKnown_;
@@ -185,14 +194,16 @@
     request.leaseUntilMs_ = extendLease();
     listener_.startSent_(request.run_);
     ++requestsInFlight_;
-    client_.start(info_, request, requestTimeout, lifetime_.guard([this, request](const tl::expected<StartAnswer, WorkerFailure>& answer) {
+    client_.start(info_, request, requestTimeout, lifetime_.guard([this, request, key = info_.key_](const tl::expected<StartAnswer, WorkerFailure>& answer) {
         --requestsInFlight_;
-        if (answer)
+        // What a former incarnation answered says nothing about this one.
+        const bool isCurrent = key == info_.key_;
+        if (answer && isCurrent)
             listener_.startAnswered_(request.run_, *answer);
-        else if (answer.error() == WorkerFailure::StaleEpoch)
+        else if (!answer && answer.error() == WorkerFailure::StaleEpoch)
             return listener_.superseded_("worker " + info_.key_.id_ + " has accepted a newer scheduler");
         else {
-            if (answer.error() != WorkerFailure::NotSent)
+            if (answer || answer.error() != WorkerFailure::NotSent)
                 listener_.startUnanswered_(request.run_);
             retry(request);
         }
@@ -205,11 +216,11 @@
     if (!listener_.isStopWanted_(request.run_))
         return;
     ++requestsInFlight_;
-    client_.stop(info_, request, requestTimeout, lifetime_.guard([this, request](const tl::expected<void, WorkerFailure>& answer) {
+    client_.stop(info_, request, requestTimeout, lifetime_.guard([this, request, key = info_.key_](const tl::expected<void, WorkerFailure>& answer) {
         --requestsInFlight_;
-        if (answer)
+        if (answer && key == info_.key_)
             listener_.stopConfirmed_(request.run_);
-        else if (answer.error() == WorkerFailure::StaleEpoch)
+        else if (!answer && answer.error() == WorkerFailure::StaleEpoch)
             return listener_.superseded_("worker " + info_.key_.id_ + " has accepted a newer scheduler");
         else
             retry(request);
