Name the boot clock's types as the standard does, and pass tasks by reference

Cause: the linter refused both in the clock and in the model of the workers. Change: BootClock derives from the steady clock, whose types it shares.

--- a/src/libfescuecleat/base/bootclock.h
+++ b/src/libfescuecleat/base/bootclock.h
@@ -12,14 +12,8 @@
 std::int64_t unixMsNow();
 
 /** bootTimeNow() as a standard clock, for timers. */
-struct BootClock {
-    using duration = Duration;
-    using rep = duration::rep;
-    using period = duration::period;
-    using time_point = Time;
-    static constexpr bool is_steady = true;
-
-    static Time now() { return bootTimeNow(); }
+struct BootClock : std::chrono::steady_clock {
+    static time_point now() { return bootTimeNow(); }
 };
 
 }
--- a/tests/node/modelworkers.cpp
+++ b/tests/node/modelworkers.cpp
@@ -286,7 +286,7 @@
     answerLongPolls(worker, true);
 }
 
-void ModelWorkers::endRun(Worker& worker, TaskId task, EndReason reason)
+void ModelWorkers::endRun(Worker& worker, const TaskId& task, EndReason reason)
 {
     const auto running = worker.runs_.find(task);
     if (running == worker.runs_.end())
@@ -294,9 +294,10 @@
     const RunId run { task, running->second.number_ };
     worker.runs_.erase(running);
     worker.ends_.push_back({ worker.nextEnd_++, run, reason, "" });
-    worker.barredRuns_[task] = std::max(worker.barredRuns_[task], run.number_);
+    int& barred = worker.barredRuns_[run.task_];
+    barred = std::max(barred, run.number_);
     if (reason == EndReason::Done)
-        doneAt_[task] = bootTimeNow();
+        doneAt_[run.task_] = bootTimeNow();
     answerLongPolls(worker, false);
     breakGang(run, reason == EndReason::Done ? EndReason::Done : EndReason::GangBroken);
 }
--- a/tests/node/modelworkers.h
+++ b/tests/node/modelworkers.h
@@ -113,7 +113,7 @@
     PoolWorkerReport reportOf(const Worker&) const;
     void answerLongPolls(Worker&, bool onlyDue);
     void advanceWorker(Worker&);
-    void endRun(Worker&, TaskId, EndReason);
+    void endRun(Worker&, const TaskId&, EndReason);
     void breakGang(const RunId&, EndReason);
     void startGangIfComplete(const RunId&);
     void checkStart(const Worker&, const RunId&);
