Wait for a command's time by value

Cause: a thread waited with a reference to the time in the queue's entry, which another thread could erase meanwhile. The address sanitizer reports a use after free in test_daemon, whose new tests repeat starts; the fault is older. Change: the time is copied before the wait.

--- a/src/libfescuecleat/daemon/commandpool.cpp
+++ b/src/libfescuecleat/daemon/commandpool.cpp
@@ -52,7 +52,9 @@
         }
         const auto first = commands_.begin();
         if (first->first > monotonicNow()) {
-            changed_.wait_until(lock, first->first);
+            // A copy, since another thread may take the command during the wait.
+            const Time dueAt = first->first;
+            changed_.wait_until(lock, dueAt);
             continue;
         }
         const std::function<void()> command = std::move(first->second);
