--- a/tests/node/orderhistory.cpp
+++ b/tests/node/orderhistory.cpp
@@ -171,12 +171,12 @@
     const bool cutsRequests = draws(0.7);
     const bool cutsAnswers = !cutsRequests || draws(0.7);
     const bool cutsAll = draws(0.5);
-    const auto lucky = static_cast<std::size_t>(std::uniform_int_distribution<>(0, instanceCount - 1)(random_));
+    const auto connected = static_cast<std::size_t>(std::uniform_int_distribution<>(0, instanceCount - 1)(random_));
     for (const std::string& worker : workerIds_) {
         if (!draws(0.4))
             continue;
         for (std::size_t i = 0; i < instances_.size(); ++i) {
-            if (cutsAll || i != lucky)
+            if (cutsAll || i != connected)
                 workers_.cut(instances_[i]->index_, worker, cutsRequests, cutsAnswers, until);
         }
         if (restartsBehindCut) {
