--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -54,6 +54,20 @@
         return "unknown";
     }
 
+    /** The steps that not every worker of the service may run, or not any number of tasks at once. */
+    nlohmann::json placementRestrictions(const PoolJobSpec& spec)
+    {
+        nlohmann::json restrictions = nlohmann::json::object();
+        for (std::size_t i = 0; i < spec.steps_.size(); ++i) {
+            const StepSpec& step = spec.steps_[i];
+            if (!step.requiredLabel_.empty())
+                restrictions[std::to_string(i)]["label"] = step.requiredLabel_;
+            if (step.maxTasksPerWorker_ > 0)
+                restrictions[std::to_string(i)]["maxTasksPerWorker"] = step.maxTasksPerWorker_;
+        }
+        return restrictions;
+    }
+
 }
 
 PoolController::PoolController(const NodeContext& context, const AcquiredLease& lease, Listener listener)
@@ -170,7 +184,10 @@
     const auto record = records_.find(id);
     const PoolJobRecord* const stored = record == records_.end() ? nullptr : &record->second;
     const Time submittedAt = std::min(now, context_.clock_.localTime(intake->submittedMs_, now));
-    context_.log_.write("job.seen", { { "job", id }, { "version", row.version_ }, { "queue", intake->policy_.queue_ }, { "organisation", intake->policy_.organisation_ }, { "ageMs", wholeMilliseconds(now - submittedAt) }, { "state", stored == nullptr ? "new" : describeState(stored->state_) } });
+    nlohmann::json fields { { "job", id }, { "version", row.version_ }, { "queue", intake->policy_.queue_ }, { "organisation", intake->policy_.organisation_ }, { "ageMs", wholeMilliseconds(now - submittedAt) }, { "state", stored == nullptr ? "new" : describeState(stored->state_) }, { "service", intake->policy_.service_ } };
+    if (nlohmann::json restrictions = placementRestrictions(intake->spec_); !restrictions.empty())
+        fields["restrictions"] = std::move(restrictions);
+    context_.log_.write("job.seen", std::move(fields));
     storedStates_[id] = stored == nullptr ? PoolJobState::Queued : stored->state_;
     payloads_[id] = intake->spec_.payload_;
     intake->spec_.payload_.clear();
@@ -219,7 +236,7 @@
         known = &found->second;
     if (known != nullptr && known->isListed_ && known->info_ == current)
         return; // only a heartbeat
-    context_.log_.write("worker.seen", { { "worker", row.key_ }, { "version", row.version_ }, { "born", current.key_.startedUnixMs_ }, { "isDraining", current.isDraining_ }, { "dataCentre", current.dataCentre_ } });
+    context_.log_.write("worker.seen", { { "worker", row.key_ }, { "version", row.version_ }, { "born", current.key_.startedUnixMs_ }, { "isDraining", current.isDraining_ }, { "dataCentre", current.dataCentre_ }, { "service", current.service_ }, { "labels", current.labels_ }, { "accelerators", current.capacity_.accelerators_ } });
     scheduler_.putWorker(current, bootTimeNow());
     if (link == links_.end() || link->second->key() != current.key_) {
         links_.erase(row.key_);
