Check services, labels and limits per worker in the random histories

The model of the contract checked TWICE and LIMIT only, and no job of the histories required a label or limited its tasks per worker. Workers now have a service and a label, may come back under their id as another kind, and queues may change their service; each start is checked against the queue's services, the step's label and its limit of tasks per worker.

A start that was sent to a worker's former incarnation is not held against its sender if the next one is of another kind: nobody could know. It still counts for TWICE, LIMIT and the limit per worker.

--- a/tests/node/modelworkers.cpp
+++ b/tests/node/modelworkers.cpp
@@ -38,7 +38,7 @@
     {
         workers_.call<StartAnswer>(
             instance_, loop_, info.key_.id_, timeout,
-            [&workers = workers_, request](Worker& worker, const auto& respond) { respond(workers.executeStart(worker, request)); }, std::move(handler));
+            [&workers = workers_, request, sentTo = info.key_.startedUnixMs_](Worker& worker, const auto& respond) { respond(workers.executeStart(worker, request, sentTo)); }, std::move(handler));
     }
 
     void stop(const WorkerInfo& info, const StopRequest& request, Duration timeout, StopHandler handler) override
@@ -60,19 +60,19 @@
 {
 }
 
-void ModelWorkers::addWorker(const std::string& id, const Resources& capacity)
+void ModelWorkers::addWorker(const std::string& id, const WorkerKind& kind)
 {
     Worker worker;
     worker.id_ = id;
-    worker.capacity_ = capacity;
+    worker.kind_ = kind;
     worker.clockRate_ = 1 - maxWorkerClockDriftRatio * std::uniform_real_distribution<>(0, 1)(random_);
     worker.startedAt_ = bootTimeNow() - std::chrono::hours(1);
     workers_.emplace(id, std::move(worker));
 }
 
-void ModelWorkers::addJob(const std::string& id, const StepSpec& step, Duration runTime)
+void ModelWorkers::addJob(const std::string& id, const std::string& queue, const StepSpec& step, Duration runTime)
 {
-    jobs_[id] = { step, runTime };
+    jobs_[id] = { queue, step, runTime };
 }
 
 std::unique_ptr<PoolWorkerClient> ModelWorkers::makeClient(int instance, const std::shared_ptr<boost::asio::io_context>& loop)
@@ -203,7 +203,7 @@
     worker.acknowledgedEnds_ = std::max(worker.acknowledgedEnds_, std::min(upTo, worker.nextEnd_ - 1));
 }
 
-tl::expected<StartAnswer, WorkerFailure> ModelWorkers::executeStart(Worker& worker, const StartRequest& request)
+tl::expected<StartAnswer, WorkerFailure> ModelWorkers::executeStart(Worker& worker, const StartRequest& request, std::int64_t sentTo)
 {
     if (!acceptEpoch(worker, request.epoch_))
         return tl::unexpected<WorkerFailure>(WorkerFailure::StaleEpoch);
@@ -224,6 +224,9 @@
         return StartAnswer::Refused;
     extendLease(worker, request.leaseUntilMs_);
     checkStart(worker, request.run_);
+    // Who addressed the former incarnation couldn't know that the id now names a worker of another kind.
+    if (sentTo == worker.born_)
+        checkKind(worker, request.run_);
     ++startCount_;
     const Time now = bootTimeNow();
     lastStarts_[task] = now;
@@ -328,7 +331,7 @@
     }
 }
 
-void ModelWorkers::crash(const std::string& id, Duration downtime)
+void ModelWorkers::crash(const std::string& id, Duration downtime, const WorkerKind& kind)
 {
     Worker& worker = workers_.at(id);
     if (!worker.isUp_)
@@ -342,11 +345,11 @@
         breakGang(run, EndReason::GangBroken);
     for (const LongPoll& poll : std::exchange(worker.longPolls_, {}))
         poll.respond_(tl::unexpected<WorkerFailure>(WorkerFailure::NoAnswer));
-    schedule(bootTimeNow() + downtime, [this, id] {
+    schedule(bootTimeNow() + downtime, [this, id, kind] {
         Worker& former = workers_.at(id);
         Worker next;
         next.id_ = id;
-        next.capacity_ = former.capacity_;
+        next.kind_ = kind;
         next.clockRate_ = former.clockRate_;
         next.born_ = former.born_ + 1;
         next.startedAt_ = bootTimeNow();
@@ -375,8 +378,31 @@
     Resources used = jobOf(run.task_).step_.allocation();
     for (const auto& [task, other] : worker.runs_)
         used += jobOf(task).step_.allocation();
-    if (!worker.capacity_.contains(used))
+    if (!worker.kind_.capacity_.contains(used))
         report("LIMIT", worker, run, "over its capacity");
+    checkStepLimit(worker, run);
+}
+
+void ModelWorkers::checkKind(const Worker& worker, const RunId& run)
+{
+    const JobModel& job = jobOf(run.task_);
+    const auto services = routes_.find(job.queue_);
+    if (services == routes_.end() || services->second.count(worker.kind_.service_) == 0)
+        report("ROUTE", worker, run, "no configuration sends " + job.queue_ + " to " + worker.kind_.service_);
+    if (!job.step_.requiredLabel_.empty() && job.step_.requiredLabel_ != worker.kind_.label_)
+        report("ROUTE", worker, run, "its label is " + worker.kind_.label_ + " in place of " + job.step_.requiredLabel_);
+}
+
+void ModelWorkers::checkStepLimit(const Worker& worker, const RunId& run)
+{
+    const int limit = jobOf(run.task_).step_.maxTasksPerWorker_;
+    const auto isOfStep = [&run](const auto& entry) {
+        const TaskId& other = entry.first;
+        return other.job_ == run.task_.job_ && other.occurrence_ == run.task_.occurrence_ && other.step_ == run.task_.step_;
+    };
+    const auto others = std::count_if(worker.runs_.begin(), worker.runs_.end(), isOfStep);
+    if (limit > 0 && others >= limit)
+        report("ROUTE", worker, run, std::to_string(others) + " tasks of its step are active there");
 }
 
 void ModelWorkers::report(const std::string& rule, const Worker& worker, const RunId& run, const std::string& detail)
--- a/tests/node/modelworkers.h
+++ b/tests/node/modelworkers.h
@@ -27,32 +27,43 @@
     Duration maxDelay_ = std::chrono::milliseconds(3);
 };
 
+/** What an incarnation of a worker is registered with. */
+struct WorkerKind {
+    std::string service_ = "service";
+    std::string label_ = "a";
+    Resources capacity_;
+};
+
 /**
  * Workers in virtual time that keep the contract of real ones: leases by a clock that may
  * be slow, fencing, barred runs, gangs, and incarnations that share an id and know nothing
  * of each other. Requests and answers are delayed, reordered, lost or executed late.
  * Checks what must hold whatever arrives: one run of a task at a time, none after its
- * recorded end, and no more than fits on a worker.
+ * recorded end, no more than fits on a worker, and no start on a worker that the job's
+ * queue, the step's label or its limit of tasks per worker excludes.
  */
 class ModelWorkers {
 public:
     ModelWorkers(std::uint32_t seed, Duration maxLease);
 
-    void addWorker(const std::string& id, const Resources& capacity);
+    void addWorker(const std::string& id, const WorkerKind&);
     /** Declares the step that all tasks of a job belong to, and how long a run takes. */
-    void addJob(const std::string& id, const StepSpec&, Duration runTime);
+    void addJob(const std::string& id, const std::string& queue, const StepSpec&, Duration runTime);
+    /** Declares that a version of the configuration sends the queue to the service. */
+    void addRoute(const std::string& queue, const std::string& service) { routes_[queue].insert(service); }
     std::unique_ptr<PoolWorkerClient> makeClient(int instance, const std::shared_ptr<boost::asio::io_context>& loop);
 
     /** Executes what is due; call it after each step of the clock. */
     void runDue();
     /** Runs a callback at a time, in order with the workers' own events. */
     void schedule(Time, std::function<void()>);
-    /** Ends the incarnation; the next one starts under the same id after `downtime`. */
-    void crash(const std::string& id, Duration downtime);
+    /** Ends the incarnation; the next one starts under the same id after `downtime` and may be of another kind. */
+    void crash(const std::string& id, Duration downtime, const WorkerKind& next);
     /** Cuts the way of requests or answers between an instance and a worker until `until`. */
     void cut(int instance, const std::string& id, bool cutsRequests, bool cutsAnswers, Time until);
     void setFaults(const DeliveryFaults& faults) { faults_ = faults; }
     std::int64_t born(const std::string& id) const { return workers_.at(id).born_; }
+    const WorkerKind& kind(const std::string& id) const { return workers_.at(id).kind_; }
     bool isUp(const std::string& id) const { return workers_.at(id).isUp_; }
 
     const std::vector<std::string>& violations() const { return violations_; }
@@ -73,7 +84,7 @@
     };
     struct Worker {
         std::string id_;
-        Resources capacity_;
+        WorkerKind kind_;
         double clockRate_ = 1;
         bool isUp_ = true;
         std::int64_t born_ = 1;
@@ -91,6 +102,7 @@
         std::vector<LongPoll> longPolls_;
     };
     struct JobModel {
+        std::string queue_;
         StepSpec step_;
         Duration runTime_ {};
     };
@@ -105,7 +117,8 @@
         std::function<void(tl::expected<Answer, WorkerFailure>)> handler);
 
     void executePoll(Worker&, const PollRequest&, std::function<void(tl::expected<PoolWorkerReport, WorkerFailure>)> respond);
-    tl::expected<StartAnswer, WorkerFailure> executeStart(Worker&, const StartRequest&);
+    /** `sentTo` is the incarnation that the sender knew when it sent the request. */
+    tl::expected<StartAnswer, WorkerFailure> executeStart(Worker&, const StartRequest&, std::int64_t sentTo);
     tl::expected<void, WorkerFailure> executeStop(Worker&, const StopRequest&);
     static bool acceptEpoch(Worker&, std::int64_t epoch);
     void extendLease(Worker&, std::int64_t untilMs) const;
@@ -117,6 +130,8 @@
     void breakGang(const RunId&, EndReason);
     void startGangIfComplete(const RunId&);
     void checkStart(const Worker&, const RunId&);
+    void checkKind(const Worker&, const RunId&);
+    void checkStepLimit(const Worker&, const RunId&);
     void noteEnds(Worker&, std::int64_t upTo);
     void report(const std::string& rule, const Worker&, const RunId&, const std::string& detail);
     const JobModel& jobOf(const TaskId& task) const { return jobs_.at(task.job_); }
@@ -128,6 +143,8 @@
     DeliveryFaults faults_;
     std::map<std::string, Worker> workers_;
     std::map<std::string, JobModel> jobs_;
+    /** Services that any version of the configuration has sent a queue to. */
+    std::map<std::string, std::set<std::string>> routes_;
     std::map<std::pair<int, std::string>, Cut> cuts_;
     std::multimap<Time, std::function<void()>> events_;
     std::map<TaskId, Time> lastStarts_;
--- a/tests/node/orderhistory.cpp
+++ b/tests/node/orderhistory.cpp
@@ -10,12 +10,17 @@
 
     constexpr int instanceCount = 3;
     constexpr int rackSize = 4;
+    constexpr int maxPriority = 2;
     constexpr Duration tick = 2ms;
     constexpr Duration historyLength = 30s;
     /** Time for the jobs to end once nothing is disrupted. */
     constexpr Duration settlingTime = 45s;
     constexpr Duration heartbeatInterval = 1500ms;
     constexpr Resources workerCapacity { 64000, 256000, 8 };
+    constexpr const char* mainService = "service";
+    constexpr const char* otherService = "other";
+    /** Queue whose service changes; its jobs fit on any worker of either service. */
+    constexpr const char* movingQueue = "moving";
 
     Duration drawLease(std::uint32_t seed)
     {
@@ -36,7 +41,7 @@
     {
         settings_.instance_ = name;
         settings_.maxWorkerLease_ = history.maxLease_;
-        scheduler_ = std::make_unique<SchedulerUnderTest>(context_, std::move(name));
+        scheduler_ = std::make_unique<SchedulerUnderTest>(context_, std::move(name), [&history](PoolController& controller) { controller.setConfiguration(history.configuration_); });
     }
 
     std::shared_ptr<boost::asio::io_context> loop_ = std::make_shared<boost::asio::io_context>();
@@ -58,11 +63,19 @@
     , maxLease_(drawLease(seed))
 {
     const int workerCount = std::uniform_int_distribution<>(4, 10)(random_);
-    for (int i = 0; i < workerCount; ++i) {
+    for (int i = 0; i < workerCount; ++i)
         workerIds_.push_back("w" + std::to_string(i));
-        workers_.addWorker(workerIds_.back(), workerCapacity);
-        writeRegistryRow(workerIds_.back());
+    for (const std::string& worker : workerIds_) {
+        workers_.addWorker(worker, drawKind(worker));
+        writeRegistryRow(worker);
     }
+    for (int priority = 0; priority <= maxPriority; ++priority)
+        workers_.addRoute("queue" + std::to_string(priority), mainService);
+    QueueConfiguration queue;
+    queue.name_ = movingQueue;
+    queue.service_ = otherService;
+    configuration_.queues_.push_back(queue);
+    changeConfiguration();
     for (int i = 0; i < instanceCount; ++i) {
         instances_.push_back(nullptr);
         startInstance(i);
@@ -90,6 +103,33 @@
     return std::uniform_real_distribution<>(0, 1)(random_) < probability;
 }
 
+WorkerKind OrderHistory::drawKind(const std::string& worker)
+{
+    WorkerKind kind { mainService, "a", workerCapacity };
+    // The first worker keeps its kind, so that each label has a worker, and the last one serves the other service.
+    if (worker == "w0")
+        return kind;
+    kind.label_ = draws(0.5) ? "a" : "b";
+    if (worker == workerIds_.back())
+        kind.service_ = otherService;
+    // Few enough change their service to leave room for the widest gang.
+    if (worker == "w1" && draws(0.5))
+        kind.service_ = otherService;
+    return kind;
+}
+
+void OrderHistory::changeConfiguration()
+{
+    QueueConfiguration& queue = configuration_.queues_.front();
+    queue.service_ = queue.service_ == mainService ? otherService : mainService;
+    ++configuration_.version_;
+    workers_.addRoute(movingQueue, queue.service_);
+    for (const auto& instance : instances_) {
+        if (PoolController* controller = instance->scheduler_->controller())
+            controller->setConfiguration(configuration_);
+    }
+}
+
 std::string OrderHistory::drawWorker()
 {
     return workerIds_[std::uniform_int_distribution<std::size_t>(0, workerIds_.size() - 1)(random_)];
@@ -98,7 +138,9 @@
 void OrderHistory::writeRegistryRow(const std::string& worker)
 {
     const int index = std::stoi(worker.substr(1));
-    store_.put("registry", worker, "r" + std::to_string(index / rackSize) + " " + std::to_string(workers_.born(worker)) + " ready");
+    const WorkerKind& kind = workers_.kind(worker);
+    store_.put("registry", worker,
+        "r" + std::to_string(index / rackSize) + " " + std::to_string(workers_.born(worker)) + " ready " + kind.service_ + " " + kind.label_);
 }
 
 void OrderHistory::repeatRegistryRows()
@@ -112,17 +154,22 @@
 void OrderHistory::submitJob()
 {
     StepSpec step;
-    // At most half of the pool, so that a job fits although some workers are away.
-    const int maxWidth = static_cast<int>(workerIds_.size()) / 2;
+    // At most half of the pool, so that a job fits although some workers are away or of another kind.
+    const int maxWidth = std::max(2, static_cast<int>(workerIds_.size()) / 2 - 1);
     step.taskCount_ = draws(0.6) ? 1 : std::uniform_int_distribution<>(2, maxWidth)(random_);
-    step.isGang_ = step.taskCount_ > 1 && draws(0.6);
-    step.resources_ = { 7000, 20000, draws(0.2) ? 8 : std::uniform_int_distribution<>(1, 4)(random_) };
+    const bool mayMove = draws(0.15);
+    step.isGang_ = step.taskCount_ > 1 && !mayMove && draws(0.6);
+    step.resources_ = { 7000, 20000, draws(0.2) && !mayMove ? 8 : std::uniform_int_distribution<>(1, 4)(random_) };
+    if (!step.isGang_ && !mayMove && draws(0.3))
+        step.requiredLabel_ = "a";
+    if (step.taskCount_ > 1 && draws(0.4))
+        step.maxTasksPerWorker_ = std::uniform_int_distribution<>(1, 2)(random_);
     const Duration runTime = drawDuration(500ms, 4s);
     step.estimate_ = runTime;
     JobIntake intake;
-    intake.policy_.priority_ = std::uniform_int_distribution<>(0, 2)(random_);
-    intake.policy_.queue_ = "queue" + std::to_string(intake.policy_.priority_);
-    intake.policy_.service_ = "service";
+    intake.policy_.priority_ = std::uniform_int_distribution<>(0, maxPriority)(random_);
+    intake.policy_.queue_ = mayMove ? movingQueue : "queue" + std::to_string(intake.policy_.priority_);
+    intake.policy_.service_ = mayMove ? configuration_.queues_.front().service_ : mainService;
     intake.policy_.maxAttempts_ = 3;
     intake.policy_.stretch_ = 2;
     intake.spec_.steps_.push_back(step);
@@ -130,7 +177,7 @@
     char id[17];
     std::snprintf(id, sizeof id, "%016zx", jobs_.size() + 1);
     jobs_.emplace_back(id);
-    workers_.addJob(id, step, runTime);
+    workers_.addJob(id, intake.policy_.queue_, step, runTime);
     store_.put(intakeTable, id, encodeJobIntake(intake), intakePartOf(id));
 }
 
@@ -159,8 +206,10 @@
 {
     // Several workers at once, each down for less than a poll or longer.
     const int count = std::uniform_int_distribution<>(1, 3)(random_);
-    for (int i = 0; i < count; ++i)
-        workers_.crash(drawWorker(), draws(0.6) ? drawDuration(20ms, 500ms) : drawDuration(500ms, 4s));
+    for (int i = 0; i < count; ++i) {
+        const std::string worker = drawWorker();
+        workers_.crash(worker, draws(0.6) ? drawDuration(20ms, 500ms) : drawDuration(500ms, 4s), drawKind(worker));
+    }
 }
 
 void OrderHistory::cutWorkers()
@@ -180,7 +229,7 @@
                 workers_.cut(instances_[i]->index_, worker, cutsRequests, cutsAnswers, until);
         }
         if (restartsBehindCut) {
-            workers_.schedule(now + drawDuration(0ms, until - now), [this, worker] { workers_.crash(worker, drawDuration(50ms, 1500ms)); });
+            workers_.schedule(now + drawDuration(0ms, until - now), [this, worker] { workers_.crash(worker, drawDuration(50ms, 1500ms), drawKind(worker)); });
         }
     }
 }
@@ -220,6 +269,8 @@
         kinds.push_back(&OrderHistory::hideWorker);
     if (faults_.instances_)
         kinds.push_back(&OrderHistory::disruptInstance);
+    if (faults_.configurations_)
+        kinds.push_back(&OrderHistory::changeConfiguration);
     if (!kinds.empty())
         (this->*kinds[std::uniform_int_distribution<std::size_t>(0, kinds.size() - 1)(random_)])();
 }
--- a/tests/node/orderhistory.h
+++ b/tests/node/orderhistory.h
@@ -24,6 +24,8 @@
     bool registry_ = false;
     /** Instances are killed, paused and cut off from the store. */
     bool instances_ = false;
+    /** A configuration sends a queue to another service. */
+    bool configurations_ = false;
 };
 
 /**
@@ -54,6 +56,9 @@
     void cutWorkers();
     void hideWorker();
     void disruptInstance();
+    /** Sends the queue that changes its service to the other one. */
+    void changeConfiguration();
+    WorkerKind drawKind(const std::string& worker);
     void writeRegistryRow(const std::string& worker);
     void repeatRegistryRows();
     ModelInstance* holder();
@@ -70,6 +75,7 @@
     ModelWorkers workers_;
     Duration maxLease_;
     std::vector<std::string> workerIds_;
+    PoolConfiguration configuration_;
     std::map<std::string, Time> hiddenUntil_;
     std::vector<std::string> jobs_;
     std::vector<std::unique_ptr<ModelInstance>> instances_;
--- a/tests/node/orderhistorytest.cpp
+++ b/tests/node/orderhistorytest.cpp
@@ -25,7 +25,8 @@
 
 /**
  * Random histories of late, lost and reordered requests, reports and ends: no task runs
- * twice, no worker gets more than fits, and all jobs end once the disruptions are over.
+ * twice, no worker gets more than fits or what its service, label or a step's limit
+ * excludes, and all jobs end once the disruptions are over.
  */
 class OrderHistoryTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(OrderHistoryTest);
@@ -34,6 +35,7 @@
     CPPUNIT_TEST(restartsUnderTheSameId);
     CPPUNIT_TEST(cutsWithRestartsBehindThem);
     CPPUNIT_TEST(failoversWithUnreachableWorkers);
+    CPPUNIT_TEST(queuesThatChangeTheirService);
     CPPUNIT_TEST(allTogether);
     CPPUNIT_TEST_SUITE_END();
 
@@ -89,6 +91,15 @@
         play(faults);
     }
 
+    void queuesThatChangeTheirService()
+    {
+        HistoryFaults faults;
+        faults.delivery_ = true;
+        faults.restarts_ = true;
+        faults.configurations_ = true;
+        play(faults);
+    }
+
     void allTogether()
     {
         HistoryFaults faults;
@@ -97,6 +108,7 @@
         faults.cuts_ = true;
         faults.registry_ = true;
         faults.instances_ = true;
+        faults.configurations_ = true;
         play(faults);
     }
 };
--- a/tests/node/poolfixture.cpp
+++ b/tests/node/poolfixture.cpp
@@ -18,6 +18,9 @@
     info.dataCentre_ = "dc";
     info.endpoint_ = { "127.0.0.1", 1 };
     info.capacity_ = { 64000, 256000, 8 };
+    std::string label;
+    if (text >> info.service_ >> label)
+        info.labels_ = { label, info.rack_ };
     info.isDraining_ = state == "draining";
     return info;
 }
@@ -31,12 +34,15 @@
     return spec;
 }
 
-SchedulerUnderTest::SchedulerUnderTest(const NodeContext& context, std::string instance)
+SchedulerUnderTest::SchedulerUnderTest(const NodeContext& context, std::string instance, std::function<void(PoolController&)> prepare)
     : context_(context)
+    , prepare_(std::move(prepare))
     , lease_(context.loop_, context.store_, context.clock_, context.log_, std::move(instance), 1.0,
           { [this](const AcquiredLease& lease) {
                controller_ = std::make_unique<PoolController>(context_, lease,
                    PoolController::Listener { [this] { return lease_.isHeld(bootTimeNow()); }, [this](const std::string& cause) { lease_.abandon(cause); } });
+               if (prepare_)
+                   prepare_(*controller_);
                controller_->start();
            },
               [this](const std::string&) {
--- a/tests/node/poolfixture.h
+++ b/tests/node/poolfixture.h
@@ -15,7 +15,7 @@
 
 namespace fescuecleat {
 
-/** Decodes registry rows of the form "RACK BORN ready|draining". */
+/** Decodes registry rows of the form "RACK BORN ready|draining [SERVICE LABEL]". */
 class FakeRegistryFormat : public RegistryFormat {
 public:
     std::string table() const override { return "registry"; }
@@ -42,13 +42,15 @@
 /** A scheduler that acquires the lease as soon as it is vacant. */
 class SchedulerUnderTest {
 public:
-    SchedulerUnderTest(const NodeContext&, std::string instance);
+    /** Calls `prepare` with each controller before it starts. */
+    SchedulerUnderTest(const NodeContext&, std::string instance, std::function<void(PoolController&)> prepare = nullptr);
 
     PoolController* controller() { return controller_.get(); }
     PoolSchedulerLease& lease() { return lease_; }
 
 private:
     NodeContext context_;
+    std::function<void(PoolController&)> prepare_;
     PoolSchedulerLease lease_;
     std::unique_ptr<PoolController> controller_;
 };
