Place nothing on a restarted worker until the registry describes it

Callers saw tasks started on workers that no configuration or label allows. A worker that came back under its id was taken for what its former incarnation had been: workerRestarted() copied the entry, and heartbeats that the former incarnation had written were applied to the next one.

Now the next incarnation takes no new work until its own entry arrives, and an entry of a former one says nothing. Where the registry doesn't tell incarnations apart, entries count for the current one as before.

rerunsTaskAfterWorkerRestart now writes the registry entry that a restarted worker writes; without it there is nothing that says what the worker is. Failed before: restartedWorkerTakesNoWorkUntilDescribed, registryRowOfFormerIncarnationSaysNothingOfTheNext.

--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -228,13 +228,17 @@
     }
     const auto link = links_.find(row.key_);
     WorkerInfo current = *info;
-    if (link != links_.end() && link->second->key().startedUnixMs_ > current.key_.startedUnixMs_)
-        current.key_ = link->second->key(); // the worker itself reported a newer incarnation
+    if (link != links_.end() && link->second->key().startedUnixMs_ > current.key_.startedUnixMs_) {
+        // The worker itself reported a newer incarnation, which may be of another kind.
+        if (current.key_.startedUnixMs_ != 0)
+            return;
+        current.key_ = link->second->key(); // the registry doesn't tell incarnations apart
+    }
     const PoolWorkerState* known = nullptr;
     const auto found = scheduler_.state().workers_.find(current.key_);
     if (found != scheduler_.state().workers_.end())
         known = &found->second;
-    if (known != nullptr && known->isListed_ && known->info_ == current)
+    if (known != nullptr && known->isListed_ && known->isDescribed_ && known->info_ == current)
         return; // only a heartbeat
     context_.log_.write("worker.seen", { { "worker", row.key_ }, { "version", row.version_ }, { "born", current.key_.startedUnixMs_ }, { "isDraining", current.isDraining_ }, { "dataCentre", current.dataCentre_ }, { "service", current.service_ }, { "labels", current.labels_ }, { "accelerators", current.capacity_.accelerators_ } });
     scheduler_.putWorker(current, bootTimeNow());
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -211,6 +211,7 @@
         worker.leavesAt_ = now + info.leavesIn_;
     worker.info_ = info;
     worker.isListed_ = true;
+    worker.isDescribed_ = true;
 }
 
 void PoolScheduler::delistWorker(const std::string& id)
@@ -262,6 +263,7 @@
         restarted.info_ = old->info_;
         restarted.info_.key_ = current;
         restarted.isListed_ = old->isListed_;
+        restarted.isDescribed_ = false;
     }
     for (const RunId& run : std::set<RunId>(old->runs_)) {
         const auto entry = state_.runs_.find(run);
--- a/src/libfescuecleat/pool/poolworkerstate.h
+++ b/src/libfescuecleat/pool/poolworkerstate.h
@@ -14,6 +14,8 @@
     WorkerInfo info_;
     /** Listed in the registry. */
     bool isListed_ = true;
+    /** The registry has described this incarnation; until then, `info_` is what the former one was. */
+    bool isDescribed_ = true;
     /** The last request to the worker was answered. */
     bool isReachable_ = false;
     /** Resources of all runs that may be on the worker, including those being stopped. */
--- a/tests/node/poolcontrollertest.cpp
+++ b/tests/node/poolcontrollertest.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(stopsDespiteLostStops);
     CPPUNIT_TEST(sendsStartsOnceLeaseIsHeldAgain);
     CPPUNIT_TEST(drainingWorkerGetsShortLeases);
+    CPPUNIT_TEST(registryRowOfFormerIncarnationSaysNothingOfTheNext);
     CPPUNIT_TEST(keepsStartThatNextIncarnationMayHave);
     CPPUNIT_TEST(pollsOfSilentWorkerSuitAnyIncarnation);
     CPPUNIT_TEST(renewsOnlyWhileLeaseIsHeld);
@@ -125,11 +126,29 @@
         CPPUNIT_ASSERT(pool.runUntil([&] { return pool.workers_.startCount(task()) == 1; }));
         pool.runFor(1200ms);
         pool.workers_.restart("w1");
+        pool.store_.put("registry", "w1", "r0 2 ready");
         CPPUNIT_ASSERT(pool.runUntil([&] { return pool.workers_.startCount(task()) == 2; }));
         pool.workers_.finish("w1", task(), EndReason::Done);
         CPPUNIT_ASSERT(pool.runUntil([&] { return pool.recordedState(jobId) == PoolJobState::Completed; }));
     }
 
+    /** Guards against starts that no configuration allows: a heartbeat that the former incarnation had written described the next one. */
+    void registryRowOfFormerIncarnationSaysNothingOfTheNext()
+    {
+        PoolFixture pool;
+        pool.addWorker("w1");
+        const auto scheduler = pool.scheduler("a");
+        CPPUNIT_ASSERT(pool.runUntil([&] { return scheduler->controller() != nullptr && scheduler->controller()->state().workers_.size() == 1; }));
+        pool.workers_.restart("w1");
+        CPPUNIT_ASSERT(pool.runUntil([&] { return scheduler->controller()->state().workers_.count({ "w1", 2 }) == 1; }));
+        pool.store_.put("registry", "w1", "r0 1 ready");
+        pool.submit(jobId, oneTask());
+        pool.runFor(1200ms);
+        CPPUNIT_ASSERT_EQUAL(0, pool.workers_.startCount(task()));
+        pool.store_.put("registry", "w1", "r0 2 ready");
+        CPPUNIT_ASSERT(pool.runUntil([&] { return pool.workers_.startCount(task()) == 1; }));
+    }
+
     /** Guards against two runs of one task: a link opened in mid-term gave up a start that the worker's next incarnation had accepted. */
     void keepsStartThatNextIncarnationMayHave()
     {
--- /dev/null
+++ b/tests/pool/eligibilitytest.cpp
@@ -0,0 +1,129 @@
+#include "pool/poolscheduler.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace fescuecleat;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char* jobId = "00000000000000aa";
+constexpr Time start { 1000s };
+
+WorkerInfo worker(const std::string& id, std::int64_t born, const std::string& label = "a", const std::string& service = "service")
+{
+    WorkerInfo info;
+    info.key_ = { id, born };
+    info.service_ = service;
+    info.rack_ = "r0";
+    info.labels_ = { label, info.rack_ };
+    info.capacity_ = { 64000, 64000, 8 };
+    return info;
+}
+
+/** A scheduler with one job of single tasks that need one accelerator each. */
+class EligibilityPool {
+public:
+    void add(const WorkerInfo& info)
+    {
+        scheduler_.putWorker(info, start);
+        scheduler_.setReachable(info.key_, true);
+    }
+
+    void submit(int tasks, const std::string& label = {}, int maxTasksPerWorker = 0, const std::string& id = jobId)
+    {
+        StepSpec step;
+        step.taskCount_ = tasks;
+        step.resources_ = { 1000, 1000, 1 };
+        step.estimate_ = 5s;
+        step.requiredLabel_ = label;
+        step.maxTasksPerWorker_ = maxTasksPerWorker;
+        PoolJobSpec spec;
+        spec.steps_.push_back(step);
+        JobPolicy policy;
+        policy.queue_ = "queue";
+        policy.service_ = "service";
+        policy.maxAttempts_ = 3;
+        scheduler_.addJob(id, spec, policy, start, nullptr, start);
+    }
+
+    /** The workers of the starts that a pass decides. */
+    std::vector<std::string> place(Time now)
+    {
+        scheduler_.schedule(now, 0);
+        std::vector<std::string> workers;
+        for (const StartDecision& decision : scheduler_.takeDecisions().starts_)
+            workers.push_back(decision.worker_.id_);
+        return workers;
+    }
+
+    PoolScheduler scheduler_;
+};
+
+using Workers = std::vector<std::string>;
+
+}
+
+/** Which workers a task may start on, and how many of a step on one. */
+class EligibilityTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(EligibilityTest);
+    CPPUNIT_TEST(placesOnlyOnWorkersOfTheService);
+    CPPUNIT_TEST(placesOnlyOnWorkersWithTheLabel);
+    CPPUNIT_TEST(keepsLimitOfTasksPerWorker);
+    CPPUNIT_TEST(restartedWorkerTakesNoWorkUntilDescribed);
+    CPPUNIT_TEST_SUITE_END();
+
+    void placesOnlyOnWorkersOfTheService()
+    {
+        EligibilityPool pool;
+        pool.add(worker("w1", 1, "a", "other"));
+        pool.submit(1);
+        CPPUNIT_ASSERT(pool.place(start).empty());
+        pool.add(worker("w2", 1));
+        CPPUNIT_ASSERT(pool.place(start) == Workers { "w2" });
+    }
+
+    void placesOnlyOnWorkersWithTheLabel()
+    {
+        EligibilityPool pool;
+        pool.add(worker("w1", 1, "b"));
+        pool.submit(1, "a");
+        CPPUNIT_ASSERT(pool.place(start).empty());
+        pool.add(worker("w2", 1, "a"));
+        CPPUNIT_ASSERT(pool.place(start) == Workers { "w2" });
+    }
+
+    /** Tasks that are being stopped count until they have ended. */
+    void keepsLimitOfTasksPerWorker()
+    {
+        EligibilityPool pool;
+        pool.add(worker("w1", 1));
+        pool.submit(5, {}, 2);
+        CPPUNIT_ASSERT((pool.place(start) == Workers { "w1", "w1" }));
+        CPPUNIT_ASSERT(pool.place(start).empty());
+        const RunId run { { jobId, 0, 0, 0 }, 1 };
+        pool.scheduler_.beginStart(run, start);
+        CPPUNIT_ASSERT(pool.place(start + 1600ms).empty());
+        CPPUNIT_ASSERT(pool.scheduler_.state().runs_.at(run).phase_ == RunPhase::Stopping);
+        pool.scheduler_.stopConfirmed(run, start + 1610ms);
+        pool.scheduler_.report({ "w1", 1 }, {}, start + 1620ms, start + 1625ms);
+        CPPUNIT_ASSERT(pool.place(start + 1630ms) == Workers { "w1" });
+    }
+
+    /** Guards against starts that no configuration allows: a worker that had come back as another kind was taken for what it had been. */
+    void restartedWorkerTakesNoWorkUntilDescribed()
+    {
+        EligibilityPool pool;
+        pool.add(worker("w1", 1));
+        pool.scheduler_.workerRestarted({ "w1", 1 }, { "w1", 2 }, start);
+        pool.scheduler_.report({ "w1", 2 }, {}, start, start + 5ms);
+        pool.submit(1, "a");
+        CPPUNIT_ASSERT(pool.place(start + 10ms).empty());
+        pool.add(worker("w1", 2, "b"));
+        CPPUNIT_ASSERT(pool.place(start + 20ms).empty());
+        pool.submit(1, "b", 0, "00000000000000bb");
+        CPPUNIT_ASSERT(pool.place(start + 30ms) == Workers { "w1" });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EligibilityTest);
