Check a start again that moved to another incarnation of its worker

Callers saw tasks started on workers that no configuration or label allows. A start without an answer moves with its worker to the next incarnation, since that one may have received it, and its repetition was sent there whatever the worker had become.

A start is sent only to an incarnation that the registry has described and that may run the task with all that it holds; one that can't be is aborted as soon as that is known, with a stop that bars the earlier request. Requirements are checked by one function for placements and starts.

--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -329,10 +329,7 @@
         requestPass();
     };
     listener.isLeaseHeld_ = [this] { return listener_.isLeaseHeld_(); };
-    listener.isStartWanted_ = [this](const RunId& run) {
-        const auto entry = scheduler_.state().runs_.find(run);
-        return listener_.isLeaseHeld_() && entry != scheduler_.state().runs_.end() && entry->second.phase_ == RunPhase::Starting;
-    };
+    listener.isStartWanted_ = [this](const RunId& run) { return listener_.isLeaseHeld_() && scheduler_.isStartWanted(run); };
     listener.startSent_ = [this](const RunId& run) { scheduler_.startSent(run, bootTimeNow()); };
     listener.startUnanswered_ = [this](const RunId& run) { scheduler_.startUnanswered(run); };
     listener.startAnswered_ = [this, id](const RunId& run, StartAnswer answer) {
--- a/src/libfescuecleat/pool/placementrequest.h
+++ b/src/libfescuecleat/pool/placementrequest.h
@@ -9,6 +9,12 @@
 
 namespace fescuecleat {
 
+/** Whether a worker is of the service and has the label that a step requires. */
+inline bool isEligible(const WorkerInfo& worker, const StepSpec& step, const std::string& service)
+{
+    return worker.service_ == service && (step.requiredLabel_.empty() || worker.hasLabel(step.requiredLabel_));
+}
+
 /** Requirements of a unit that is to be placed. */
 struct PlacementRequest {
     const StepSpec* step_ = nullptr;
--- a/src/libfescuecleat/pool/placementview.cpp
+++ b/src/libfescuecleat/pool/placementview.cpp
@@ -39,14 +39,6 @@
     }
 }
 
-bool PlacementView::isEligible(const WorkerEntry& entry, const PlacementRequest& request) const
-{
-    const WorkerInfo& info = entry.worker_->info_;
-    if (info.service_ != *request.service_)
-        return false;
-    return request.step_->requiredLabel_.empty() || info.hasLabel(request.step_->requiredLabel_);
-}
-
 bool PlacementView::isAvoided(const WorkerEntry& entry, const PlacementRequest& request) const
 {
     if (entry.isAvoided_)
@@ -57,7 +49,7 @@
 std::int64_t PlacementView::countFittingTasks(const WorkerEntry& entry, const PlacementRequest& request, const Resources& available, std::int64_t limit) const
 {
     const Resources task = request.step_->allocation();
-    if (!available.contains(task) || (entry.isHeadroom_ && !request.mayUseHeadroom_) || !isEligible(entry, request))
+    if (!available.contains(task) || (entry.isHeadroom_ && !request.mayUseHeadroom_) || !isEligible(entry.worker_->info_, *request.step_, *request.service_))
         return 0;
     if (request.step_->maxTasksPerWorker_ > 0) {
         const auto found = request.placedTasks_.find(entry.worker_->info_.key_);
@@ -278,7 +270,7 @@
             std::int64_t total = 0;
             for (const std::size_t index : rack.workers_) {
                 const WorkerEntry& entry = entries_[index];
-                if (isEligible(entry, request))
+                if (isEligible(entry.worker_->info_, *request.step_, *request.service_))
                     total += entry.worker_->info_.capacity_.countFitting(request.step_->allocation(), std::max(request.taskCount_, 1000));
             }
             known->second = std::max(known->second, total);
--- a/src/libfescuecleat/pool/placementview.h
+++ b/src/libfescuecleat/pool/placementview.h
@@ -76,7 +76,6 @@
     /** Requirements that decide whether a request fits, apart from the number of its tasks. */
     using Shape = std::tuple<std::int64_t, std::int64_t, std::int64_t, bool, bool, std::string, std::string>;
 
-    bool isEligible(const WorkerEntry&, const PlacementRequest&) const;
     bool isAvoided(const WorkerEntry&, const PlacementRequest&) const;
     static Shape shapeOf(const PlacementRequest&);
     std::optional<Placement> findSingle(const PlacementRequest&, CapacityKind) const;
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -207,11 +207,37 @@
         }
     }
     PoolWorkerState& worker = state_.workers_[info.key_];
+    const bool wasDescribed = worker.isDescribed_ && worker.info_.key_ == info.key_;
     if (info.isDraining_ && !worker.info_.isDraining_)
         worker.leavesAt_ = now + info.leavesIn_;
     worker.info_ = info;
     worker.isListed_ = true;
     worker.isDescribed_ = true;
+    if (!wasDescribed)
+        stopUnsuitableRuns(info.key_, now);
+}
+
+bool PoolScheduler::isSuitable(const PoolWorkerState& worker, const RunId& run, const TaskRun& taskRun) const
+{
+    const auto job = state_.jobs_.find(run.task_.job_);
+    if (!worker.isDescribed_ || job == state_.jobs_.end())
+        return false;
+    const StepSpec& step = job->second.step(job->second.units_[taskRun.unit_]);
+    return isEligible(worker.info_, step, job->second.policy_.service_) && worker.info_.capacity_.contains(worker.used_ + worker.unrecorded_);
+}
+
+void PoolScheduler::stopUnsuitableRuns(const WorkerKey& key, Time now)
+{
+    const PoolWorkerState& worker = state_.workers_.at(key);
+    for (const RunId& run : std::set<RunId>(worker.runs_)) {
+        const auto entry = state_.runs_.find(run);
+        if (entry == state_.runs_.end())
+            continue;
+        const TaskRun& taskRun = entry->second;
+        Job* job = state_.findJob(run.task_.job_);
+        if (job != nullptr && taskRun.phase_ != RunPhase::Stopping && !isSuitable(worker, run, taskRun))
+            abortRun(*job, taskRun.unit_, "its worker came back as another kind", now);
+    }
 }
 
 void PoolScheduler::delistWorker(const std::string& id)
@@ -448,6 +474,15 @@
     state_.decisions_.changedJobs_.insert(job.id_);
 }
 
+bool PoolScheduler::isStartWanted(const RunId& run) const
+{
+    const auto entry = state_.runs_.find(run);
+    if (entry == state_.runs_.end() || entry->second.phase_ != RunPhase::Starting)
+        return false;
+    const auto worker = state_.workers_.find(entry->second.worker_);
+    return worker != state_.workers_.end() && isSuitable(worker->second, run, entry->second);
+}
+
 bool PoolScheduler::beginStart(const RunId& run, Time now)
 {
     const auto entry = state_.runs_.find(run);
--- a/src/libfescuecleat/pool/poolscheduler.h
+++ b/src/libfescuecleat/pool/poolscheduler.h
@@ -52,6 +52,8 @@
 
     /** Applies a worker's report; `requestedAt` is when the report was requested. */
     void report(const WorkerKey&, const PoolWorkerReport&, Time requestedAt, Time now);
+    /** Whether a request for the start may be sent, for the first time or again: its worker may have become another incarnation meanwhile. */
+    bool isStartWanted(const RunId&) const;
     /** Returns whether a decided start is still wanted. If so, the worker is assumed to know the run from then on. */
     bool beginStart(const RunId&, Time now);
     /** A request for the start is about to be sent, for the first time or again. */
@@ -79,6 +81,10 @@
     void unblockReadyUnits(Job&, Time now);
     void restore(Job&, const PoolJobRecord&, Time now);
     void applyEnd(const RunId&, EndReason, const std::string& checkpoint, Time now);
+    /** Whether the worker, with all that it may run, is one that the run may start on. */
+    bool isSuitable(const PoolWorkerState&, const RunId&, const TaskRun&) const;
+    /** Stops what a restarted worker may run by requests to its former incarnation, if it is of a kind that excludes it. */
+    void stopUnsuitableRuns(const WorkerKey&, Time now);
     /** What a run without a record occupies; all of the worker if its job is unknown. */
     Resources unrecordedAllocation(const RunId&, const PoolWorkerState&) const;
     void giveUp(const RunId&, const std::string& cause, Time now);
--- a/tests/pool/eligibilitytest.cpp
+++ b/tests/pool/eligibilitytest.cpp
@@ -57,6 +57,18 @@
         return workers;
     }
 
+    /** Decides and begins the start of a task that requires label "a", on the only worker, w1. */
+    RunId startOne()
+    {
+        add(worker("w1", 1));
+        submit(1, "a");
+        place(start);
+        const RunId run { { jobId, 0, 0, 0 }, 1 };
+        scheduler_.beginStart(run, start);
+        scheduler_.startSent(run, start);
+        return run;
+    }
+
     PoolScheduler scheduler_;
 };
 
@@ -71,6 +83,8 @@
     CPPUNIT_TEST(placesOnlyOnWorkersWithTheLabel);
     CPPUNIT_TEST(keepsLimitOfTasksPerWorker);
     CPPUNIT_TEST(restartedWorkerTakesNoWorkUntilDescribed);
+    CPPUNIT_TEST(startIsNotRepeatedToAnotherKind);
+    CPPUNIT_TEST(startMayMoveToTheSameKind);
     CPPUNIT_TEST_SUITE_END();
 
     void placesOnlyOnWorkersOfTheService()
@@ -124,6 +138,34 @@
         pool.submit(1, "b", 0, "00000000000000bb");
         CPPUNIT_ASSERT(pool.place(start + 30ms) == Workers { "w1" });
     }
+
+    /** Guards against starts that no configuration allows: an unanswered start moved to its worker's next incarnation, which was of another kind. */
+    void startIsNotRepeatedToAnotherKind()
+    {
+        for (const WorkerInfo& next : { worker("w1", 2, "b"), worker("w1", 2, "a", "other") }) {
+            EligibilityPool pool;
+            const RunId run = pool.startOne();
+            pool.scheduler_.workerRestarted({ "w1", 1 }, { "w1", 2 }, start + 100ms);
+            CPPUNIT_ASSERT(pool.scheduler_.state().runs_.at(run).worker_ == (WorkerKey { "w1", 2 }));
+            CPPUNIT_ASSERT(!pool.scheduler_.isStartWanted(run));
+            pool.add(next);
+            CPPUNIT_ASSERT(!pool.scheduler_.isStartWanted(run));
+            const Decisions decisions = pool.scheduler_.takeDecisions();
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), decisions.stops_.size());
+            CPPUNIT_ASSERT(decisions.stops_.front().worker_ == (WorkerKey { "w1", 2 }));
+        }
+    }
+
+    void startMayMoveToTheSameKind()
+    {
+        EligibilityPool pool;
+        const RunId run = pool.startOne();
+        pool.scheduler_.workerRestarted({ "w1", 1 }, { "w1", 2 }, start + 100ms);
+        CPPUNIT_ASSERT(!pool.scheduler_.isStartWanted(run));
+        pool.add(worker("w1", 2));
+        CPPUNIT_ASSERT(pool.scheduler_.isStartWanted(run));
+        CPPUNIT_ASSERT(pool.scheduler_.takeDecisions().stops_.empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EligibilityTest);
