Count runs without a record for a step's limit of tasks per worker

A run that a worker reports and the scheduler has no record of is stopped, and keeps its room until it has ended, but it didn't count for the limit of tasks of its step on that worker, so another task of the step could start beside it.

Found by reading, as the same cause as the fix of the room: a belief about a worker that leaves out what the worker reports.

--- a/src/libfescuecleat/pool/placementrequest.h
+++ b/src/libfescuecleat/pool/placementrequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "pool/pooljobspec.h"
+#include "pool/taskid.h"
 #include "pool/workerinfo.h"
 
 #include <map>
@@ -19,6 +20,8 @@
 struct PlacementRequest {
     const StepSpec* step_ = nullptr;
     const std::string* service_ = nullptr;
+    /** A task of the unit. */
+    TaskId task_;
     int taskCount_ = 1;
     /** Tasks of the step that are already placed, per worker; filled only if the step limits tasks per worker. */
     std::map<WorkerKey, int> placedTasks_;
--- a/src/libfescuecleat/pool/placementview.cpp
+++ b/src/libfescuecleat/pool/placementview.cpp
@@ -53,7 +53,9 @@
         return 0;
     if (request.step_->maxTasksPerWorker_ > 0) {
         const auto found = request.placedTasks_.find(entry.worker_->info_.key_);
-        const int placed = found == request.placedTasks_.end() ? 0 : found->second;
+        std::int64_t placed = found == request.placedTasks_.end() ? 0 : found->second;
+        const std::vector<RunId>& unrecorded = entry.worker_->unrecordedRuns_;
+        placed += std::count_if(unrecorded.begin(), unrecorded.end(), [&request](const RunId& run) { return areOfOneStep(run.task_, request.task_); });
         limit = std::min<std::int64_t>(limit, request.step_->maxTasksPerWorker_ - placed);
     }
     // A single task probes the worker.
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -331,11 +331,13 @@
             return;
     }
     worker->unrecorded_ = {};
+    worker->unrecordedRuns_.clear();
     for (const ReportedRun& reported : report.running_) {
         listed.insert(reported.run_);
         const auto entry = state_.runs_.find(reported.run_);
         if (entry == state_.runs_.end() || entry->second.worker_ != key) {
             worker->unrecorded_ += unrecordedAllocation(reported.run_, *worker);
+            worker->unrecordedRuns_.push_back(reported.run_);
             state_.decisions_.stops_.push_back({ reported.run_, key, "no record of this run" });
             continue;
         }
--- a/src/libfescuecleat/pool/poolworkerstate.h
+++ b/src/libfescuecleat/pool/poolworkerstate.h
@@ -6,6 +6,7 @@
 #include "pool/workerinfo.h"
 
 #include <set>
+#include <vector>
 
 namespace fescuecleat {
 
@@ -22,7 +23,9 @@
     Resources used_;
     /** The part of `used_` that is being stopped. */
     Resources stopping_;
-    /** Resources of runs that the last report listed and the scheduler has no record of. */
+    /** Runs that the last report listed and the scheduler has no record of. */
+    std::vector<RunId> unrecordedRuns_;
+    /** Resources of these runs. */
     Resources unrecorded_;
     std::set<RunId> runs_;
     /** Sequence number of the last processed end. */
--- a/src/libfescuecleat/pool/schedulingpass.cpp
+++ b/src/libfescuecleat/pool/schedulingpass.cpp
@@ -137,6 +137,7 @@
     PlacementRequest request;
     request.step_ = &candidate.job_->step(unit);
     request.service_ = &candidate.job_->policy_.service_;
+    request.task_ = { candidate.job_->id_, unit.occurrence_, unit.step_, unit.index_ };
     request.taskCount_ = unit.taskCount_;
     request.avoidedWorkers_ = &unit.failedOn_;
     if (request.step_->maxTasksPerWorker_ > 0) {
--- a/src/libfescuecleat/pool/taskid.h
+++ b/src/libfescuecleat/pool/taskid.h
@@ -22,6 +22,12 @@
     }
 };
 
+/** Whether two tasks belong to the same step of the same occurrence. */
+inline bool areOfOneStep(const TaskId& left, const TaskId& right)
+{
+    return std::tie(left.job_, left.occurrence_, left.step_) == std::tie(right.job_, right.occurrence_, right.step_);
+}
+
 /** Identifies one run of a task. Numbers increase with each start. */
 struct RunId {
     TaskId task_;
--- a/tests/pool/eligibilitytest.cpp
+++ b/tests/pool/eligibilitytest.cpp
@@ -82,6 +82,7 @@
     CPPUNIT_TEST(placesOnlyOnWorkersOfTheService);
     CPPUNIT_TEST(placesOnlyOnWorkersWithTheLabel);
     CPPUNIT_TEST(keepsLimitOfTasksPerWorker);
+    CPPUNIT_TEST(unrecordedRunsCountForLimitOfTasksPerWorker);
     CPPUNIT_TEST(restartedWorkerTakesNoWorkUntilDescribed);
     CPPUNIT_TEST(startIsNotRepeatedToAnotherKind);
     CPPUNIT_TEST(startMayMoveToTheSameKind);
@@ -124,6 +125,20 @@
         CPPUNIT_ASSERT(pool.place(start + 1630ms) == Workers { "w1" });
     }
 
+    /** Guards against starts beyond a step's limit per worker: runs that the scheduler had no record of didn't count for it. */
+    void unrecordedRunsCountForLimitOfTasksPerWorker()
+    {
+        EligibilityPool pool;
+        pool.add(worker("w1", 1));
+        pool.submit(2, {}, 1);
+        PoolWorkerReport report;
+        report.running_ = { { { { jobId, 0, 0, 1 }, 1 }, "", 10 } };
+        pool.scheduler_.report({ "w1", 1 }, report, start, start + 5ms);
+        CPPUNIT_ASSERT(pool.place(start + 10ms).empty());
+        pool.scheduler_.report({ "w1", 1 }, {}, start + 300ms, start + 305ms);
+        CPPUNIT_ASSERT(pool.place(start + 310ms) == Workers { "w1" });
+    }
+
     /** Guards against starts that no configuration allows: a worker that had come back as another kind was taken for what it had been. */
     void restartedWorkerTakesNoWorkUntilDescribed()
     {
