Let waiting tasks follow their queue to another service

A job took its service from the configuration that its instance knew at intake and kept it. When a configuration sent the queue elsewhere, tasks that still waited were placed on the former service, or waited for workers that it no longer had; a service that has been emptied kept them for good.

Now open jobs take the service of their queue from each newer configuration, also after a failover; the job's row names the version that it was accepted under, so that a scheduler with an older configuration moves nothing. queue.moved is logged once a queue and configuration.

Failed before: waitingTasksFollowTheirQueue.

--- a/src/libfescuecleat/node/jobapi.cpp
+++ b/src/libfescuecleat/node/jobapi.cpp
@@ -123,7 +123,7 @@
         return answer(call, 400, errorBody(spec.error().message_), "malformed job");
     JobIntake intake;
     const QueueConfiguration& queue = *call->queue_;
-    intake.policy_ = { queue.name_, queue.service_, call->organisation_, queue.priority_, queue.maxAttempts_, queue.stretch_, queue.latencyTarget_, queue.needsAdvice_ };
+    intake.policy_ = { queue.name_, queue.service_, call->organisation_, queue.priority_, queue.maxAttempts_, queue.stretch_, queue.latencyTarget_, queue.needsAdvice_, call->configuration_->version_ };
     intake.spec_ = std::move(*spec);
     intake.submittedMs_ = context_.clock_.earliestMs(call->startedAt_);
     call->row_ = encodeJobIntake(intake);
--- a/src/libfescuecleat/node/jobintake.cpp
+++ b/src/libfescuecleat/node/jobintake.cpp
@@ -101,6 +101,8 @@
         { "payload", intake.spec_.payload_ }, { "steps", std::move(steps) } };
     if (policy.needsAdvice_)
         json["advice"] = true;
+    if (policy.configurationVersion_ > 0)
+        json["configuration"] = policy.configurationVersion_;
     if (intake.spec_.isTimed())
         json["times"] = { intake.spec_.occurrences_, intake.spec_.firstDueUnixMs_, intake.spec_.periodMs_ };
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
@@ -120,6 +122,7 @@
         policy.stretch_ = json.at("stretch");
         policy.latencyTarget_ = Duration(json.at("latencyUs").get<std::int64_t>());
         policy.needsAdvice_ = json.value("advice", false);
+        policy.configurationVersion_ = json.value("configuration", std::uint64_t(0));
         intake.submittedMs_ = json.at("submittedMs");
         intake.spec_.payload_ = json.at("payload");
         for (const Json& step : json.at("steps"))
--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -140,6 +140,11 @@
     for (const PoolOrganisationConfiguration& organisation : configuration.organisations_)
         guarantees[organisation.name_] = organisation.guaranteedAccelerators_;
     scheduler_.setGuarantees(std::move(guarantees));
+    std::map<std::string, std::string> services;
+    for (const QueueConfiguration& queue : configuration.queues_)
+        services[queue.name_] = queue.service_;
+    for (const std::string& queue : scheduler_.setQueueServices(configuration.version_, services))
+        context_.log_.write("queue.moved", { { "queue", queue }, { "service", services.at(queue) }, { "configuration", configuration.version_ } });
     requestPass();
 }
 
--- a/src/libfescuecleat/pool/jobpolicy.h
+++ b/src/libfescuecleat/pool/jobpolicy.h
@@ -2,6 +2,7 @@
 
 #include "base/time.h"
 
+#include <cstdint>
 #include <string>
 
 namespace fescuecleat {
@@ -19,6 +20,8 @@
     double stretch_ = 1;
     Duration latencyTarget_ {};
     bool needsAdvice_ = false;
+    /** Version of the configuration that the settings come from. */
+    std::uint64_t configurationVersion_ = 0;
 };
 
 }
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -4,6 +4,7 @@
 #include "pool/schedulingpass.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace fescuecleat {
 
@@ -36,6 +37,7 @@
     job.policy_ = std::move(policy);
     job.submittedAt_ = submittedAt;
     job.computeTargets();
+    followQueue(job);
     Job& added = state_.jobs_.emplace(id, std::move(job)).first->second;
     if (added.spec_.isTimed())
         timedJobs_.insert(id);
@@ -45,6 +47,27 @@
         openOccurrence(added, 0, now);
 }
 
+std::set<std::string> PoolScheduler::setQueueServices(std::uint64_t version, std::map<std::string, std::string> services)
+{
+    configurationVersion_ = version;
+    queueServices_ = std::move(services);
+    std::set<std::string> moved;
+    for (auto& [id, job] : state_.jobs_) {
+        if (job.isOpen() && followQueue(job))
+            moved.insert(job.policy_.queue_);
+    }
+    return moved;
+}
+
+bool PoolScheduler::followQueue(Job& job) const
+{
+    const auto queue = queueServices_.find(job.policy_.queue_);
+    if (queue == queueServices_.end() || configurationVersion_ <= job.policy_.configurationVersion_)
+        return false;
+    job.policy_.configurationVersion_ = configurationVersion_;
+    return std::exchange(job.policy_.service_, queue->second) != queue->second;
+}
+
 void PoolScheduler::restore(Job& job, const PoolJobRecord& record, Time now)
 {
     job.state_ = record.state_;
--- a/src/libfescuecleat/pool/poolscheduler.h
+++ b/src/libfescuecleat/pool/poolscheduler.h
@@ -29,6 +29,8 @@
 public:
     void setGuarantees(std::map<std::string, std::int64_t> accelerators) { state_.guarantees_ = std::move(accelerators); }
     void setGuaranteeLimit(Duration limit) { state_.guaranteeLimit_ = limit; }
+    /** Sends tasks that still wait to the services of their queues by this version of the configuration. Returns the queues whose jobs moved. */
+    std::set<std::string> setQueueServices(std::uint64_t version, std::map<std::string, std::string> services);
     void setClosedDataCentres(std::set<std::string> dataCentres) { state_.closedDataCentres_ = std::move(dataCentres); }
 
     /** Adds a new job, or restores one from its record after a failover. Does nothing if the job is known. */
@@ -76,6 +78,8 @@
     std::map<std::string, int> waitingJobs() const;
 
 private:
+    /** Takes the service of the job's queue if the configuration is newer than the one that the job has it from; returns whether it has changed. */
+    bool followQueue(Job&) const;
     void openDueOccurrences(Job&, std::int64_t unixMs, Time now);
     void openOccurrence(Job&, int occurrence, Time now);
     void unblockReadyUnits(Job&, Time now);
@@ -101,6 +105,8 @@
     void endJob(Job&, PoolJobState, const std::string& cause, Time now);
 
     PoolState state_;
+    std::uint64_t configurationVersion_ = 0;
+    std::map<std::string, std::string> queueServices_;
     Time nextReviewAt_ {};
     /** Jobs with scheduled occurrences. */
     std::set<std::string> timedJobs_;
--- a/tests/node/orderhistory.cpp
+++ b/tests/node/orderhistory.cpp
@@ -170,6 +170,7 @@
     intake.policy_.priority_ = std::uniform_int_distribution<>(0, maxPriority)(random_);
     intake.policy_.queue_ = mayMove ? movingQueue : "queue" + std::to_string(intake.policy_.priority_);
     intake.policy_.service_ = mayMove ? configuration_.queues_.front().service_ : mainService;
+    intake.policy_.configurationVersion_ = configuration_.version_;
     intake.policy_.maxAttempts_ = 3;
     intake.policy_.stretch_ = 2;
     intake.spec_.steps_.push_back(step);
--- a/tests/pool/eligibilitytest.cpp
+++ b/tests/pool/eligibilitytest.cpp
@@ -30,7 +30,7 @@
         scheduler_.setReachable(info.key_, true);
     }
 
-    void submit(int tasks, const std::string& label = {}, int maxTasksPerWorker = 0, const std::string& id = jobId)
+    void submit(int tasks, const std::string& label = {}, int maxTasksPerWorker = 0, const std::string& id = jobId, std::uint64_t configuration = 0)
     {
         StepSpec step;
         step.taskCount_ = tasks;
@@ -44,6 +44,7 @@
         policy.queue_ = "queue";
         policy.service_ = "service";
         policy.maxAttempts_ = 3;
+        policy.configurationVersion_ = configuration;
         scheduler_.addJob(id, spec, policy, start, nullptr, start);
     }
 
@@ -86,6 +87,8 @@
     CPPUNIT_TEST(restartedWorkerTakesNoWorkUntilDescribed);
     CPPUNIT_TEST(startIsNotRepeatedToAnotherKind);
     CPPUNIT_TEST(startMayMoveToTheSameKind);
+    CPPUNIT_TEST(waitingTasksFollowTheirQueue);
+    CPPUNIT_TEST(olderConfigurationMovesNothing);
     CPPUNIT_TEST_SUITE_END();
 
     void placesOnlyOnWorkersOfTheService()
@@ -181,6 +184,32 @@
         CPPUNIT_ASSERT(pool.scheduler_.isStartWanted(run));
         CPPUNIT_ASSERT(pool.scheduler_.takeDecisions().stops_.empty());
     }
+
+    /** Guards against tasks that wait for a service to which their queue is no longer sent; also for a job that a later scheduler restores. */
+    void waitingTasksFollowTheirQueue()
+    {
+        for (const bool isRestored : { false, true }) {
+            EligibilityPool pool;
+            pool.add(worker("w1", 1, "a", "other"));
+            if (!isRestored)
+                pool.submit(1);
+            const auto moved = pool.scheduler_.setQueueServices(7, { { "queue", "other" } });
+            CPPUNIT_ASSERT_EQUAL(std::size_t(isRestored ? 0 : 1), moved.size());
+            if (isRestored)
+                pool.submit(1);
+            CPPUNIT_ASSERT(pool.place(start) == Workers { "w1" });
+        }
+    }
+
+    /** The instance that accepted the job knew a newer configuration than the scheduler does. */
+    void olderConfigurationMovesNothing()
+    {
+        EligibilityPool pool;
+        pool.add(worker("w1", 1));
+        pool.submit(1, {}, 0, jobId, 8);
+        CPPUNIT_ASSERT(pool.scheduler_.setQueueServices(7, { { "queue", "other" } }).empty());
+        CPPUNIT_ASSERT(pool.place(start) == Workers { "w1" });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EligibilityTest);
