--- a/tests/node/fakerowstore.cpp
+++ b/src/standins/poolmodel/fakerowstore.cpp
@@ -1,4 +1,4 @@
-#include "node/fakerowstore.h"
+#include "poolmodel/fakerowstore.h"
 
 #include "base/bootclock.h"
 
--- a/tests/node/modelworkers.cpp
+++ b/src/standins/poolmodel/modelworkers.cpp
@@ -1,4 +1,4 @@
-#include "node/modelworkers.h"
+#include "poolmodel/modelworkers.h"
 
 #include "base/bootclock.h"
 
--- a/tests/node/orderhistory.h
+++ b/tests/node/orderhistory.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "node/modelworkers.h"
 #include "node/poolfixture.h"
 #include "node/relayrowstore.h"
 #include "node/virtualclock.h"
+#include "poolmodel/modelworkers.h"
 
 #include <memory>
 #include <random>
--- a/tests/node/poolfixture.h
+++ b/tests/node/poolfixture.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "net/asynchttpclient.h"
-#include "node/fakerowstore.h"
 #include "node/fakeworkers.h"
 #include "node/jobapi.h"
 #include "node/jobintake.h"
 #include "node/nodecontext.h"
 #include "node/poolcontroller.h"
 #include "node/poolschedulerlease.h"
+#include "poolmodel/fakerowstore.h"
 
 #include <functional>
 #include <memory>
--- a/tests/node/relayrowstore.h
+++ b/tests/node/relayrowstore.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "node/fakerowstore.h"
+#include "poolmodel/fakerowstore.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
