Repeat unanswered requests to a worker despite further failures

The timer now runs from the first request that waits for it. Failed before: repeatsRequestsDespiteFurtherFailures.

--- a/src/libfescuecleat/node/poolworkerlink.cpp
+++ b/src/libfescuecleat/node/poolworkerlink.cpp
@@ -231,6 +231,8 @@
 void PoolWorkerLink::retry(Request request)
 {
     requestsToRetry_.push_back(std::move(request));
+    if (requestsToRetry_.size() > 1)
+        return; // the timer runs
     retryTimer_.start(requestRetryDelay, [this] {
         for (Request& pending : std::exchange(requestsToRetry_, {}))
             requests_.push_back(std::move(pending));
--- a/tests/node/poolworkerlinktest.cpp
+++ b/tests/node/poolworkerlinktest.cpp
@@ -36,6 +36,25 @@
 
 }
 
+namespace {
+
+/** Answers nothing; all requests fail at once. */
+class FailingWorkers : public PoolWorkerClient {
+public:
+    void poll(const WorkerInfo&, const PollRequest&, Duration, PollHandler) override { }
+    void start(const WorkerInfo&, const StartRequest&, Duration, StartHandler) override { }
+    void stop(const WorkerInfo&, const StopRequest& request, Duration, StopHandler handler) override
+    {
+        ++stopsSeen_[request.run_.number_];
+        handler(tl::unexpected<WorkerFailure>(WorkerFailure::NoAnswer));
+    }
+
+    /** Requests by the number of the run. */
+    std::map<int, int> stopsSeen_;
+};
+
+}
+
 /** The link to one worker: leases that it grants, answers of former incarnations, and requests that are sent again. */
 class PoolWorkerLinkTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(PoolWorkerLinkTest);
@@ -43,6 +62,7 @@
     CPPUNIT_TEST(restartedWorkerMayGrantTheLongestLease);
     CPPUNIT_TEST(answersOfFormerIncarnationConfirmNothing);
     CPPUNIT_TEST(drainingWorkerGetsShortLeases);
+    CPPUNIT_TEST(repeatsRequestsDespiteFurtherFailures);
     CPPUNIT_TEST_SUITE_END();
 
     /** Guards against two runs of one task: after a pause beyond its lease, a holder renewed runs on a worker that its successor could not reach. */
@@ -155,6 +175,24 @@
             CPPUNIT_ASSERT_EQUAL(isDraining, hasExpired);
         }
     }
+
+    /** Guards against stops that are never repeated: each further failure put the repetition of the earlier ones off. */
+    void repeatsRequestsDespiteFurtherFailures()
+    {
+        PoolFixture pool;
+        FailingWorkers workers;
+        WorkerInfo info;
+        info.key_ = { "w1", 1 };
+        info.endpoint_ = { "127.0.0.1", 1 };
+        PoolWorkerLink::Listener listener;
+        listener.isStopWanted_ = [](const RunId&) { return true; };
+        PoolWorkerLink link(pool.loop_, workers, info, { 1, 1500ms, bootTimeNow(), 100ms }, listener);
+        for (int run = 1; run <= 10; ++run) {
+            link.stop({ task(), run });
+            pool.runFor(50ms);
+        }
+        CPPUNIT_ASSERT(workers.stopsSeen_[1] > 1);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PoolWorkerLinkTest);
