Count runs without a record for a step's limit before each start

Callers could see more tasks of a step on a worker than it allows. A run without a record counts for the limit when tasks are placed, but a start that had been placed before the worker reported it was sent, or repeated to the worker's next incarnation, without another look at the limit.

Failed before: unrecordedRunHoldsStartBackBeyondLimitOfTasksPerWorker.

The check before each start now counts all tasks of the step that the worker may run, as placements do. Its own run is one of them, so a start that fits alone is sent as before.

--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -246,7 +246,13 @@
     if (!worker.isDescribed_ || job == state_.jobs_.end())
         return false;
     const StepSpec& step = job->second.step(job->second.units_[taskRun.unit_]);
-    return isEligible(worker.info_, step, job->second.policy_.service_) && worker.info_.capacity_.contains(worker.used_ + worker.unrecorded_);
+    if (!isEligible(worker.info_, step, job->second.policy_.service_) || !worker.info_.capacity_.contains(worker.used_ + worker.unrecorded_))
+        return false;
+    if (step.maxTasksPerWorker_ == 0)
+        return true;
+    const auto isOfStep = [&run](const RunId& other) { return areOfOneStep(other.task_, run.task_); };
+    const auto tasks = std::count_if(worker.runs_.begin(), worker.runs_.end(), isOfStep) + std::count_if(worker.unrecordedRuns_.begin(), worker.unrecordedRuns_.end(), isOfStep);
+    return tasks <= step.maxTasksPerWorker_;
 }
 
 void PoolScheduler::stopUnsuitableRuns(const WorkerKey& key, Time now)
--- a/tests/pool/eligibilitytest.cpp
+++ b/tests/pool/eligibilitytest.cpp
@@ -84,6 +84,7 @@
     CPPUNIT_TEST(placesOnlyOnWorkersWithTheLabel);
     CPPUNIT_TEST(keepsLimitOfTasksPerWorker);
     CPPUNIT_TEST(unrecordedRunsCountForLimitOfTasksPerWorker);
+    CPPUNIT_TEST(unrecordedRunHoldsStartBackBeyondLimitOfTasksPerWorker);
     CPPUNIT_TEST(restartedWorkerTakesNoWorkUntilDescribed);
     CPPUNIT_TEST(startIsNotRepeatedToAnotherKind);
     CPPUNIT_TEST(startMayMoveToTheSameKind);
@@ -142,6 +143,26 @@
         CPPUNIT_ASSERT(pool.place(start + 310ms) == Workers { "w1" });
     }
 
+    /** Guards against starts beyond a step's limit per worker: a run without a record that was reported after the placement didn't count for it. */
+    void unrecordedRunHoldsStartBackBeyondLimitOfTasksPerWorker()
+    {
+        EligibilityPool pool;
+        pool.add(worker("w1", 1));
+        pool.submit(1, {}, 2);
+        pool.place(start);
+        const RunId run { { jobId, 0, 0, 0 }, 1 };
+        pool.scheduler_.beginStart(run, start);
+        PoolWorkerReport report;
+        report.running_ = { { { { jobId, 0, 0, 1 }, 1 }, "", 10 } };
+        pool.scheduler_.report({ "w1", 1 }, report, start, start + 5ms);
+        CPPUNIT_ASSERT(pool.scheduler_.isStartWanted(run));
+        report.running_.push_back({ { { jobId, 0, 0, 2 }, 1 }, "", 10 });
+        pool.scheduler_.report({ "w1", 1 }, report, start + 10ms, start + 15ms);
+        CPPUNIT_ASSERT(!pool.scheduler_.isStartWanted(run));
+        pool.scheduler_.report({ "w1", 1 }, {}, start + 20ms, start + 25ms);
+        CPPUNIT_ASSERT(pool.scheduler_.isStartWanted(run));
+    }
+
     /** Guards against starts that no configuration allows: a worker that had come back as another kind was taken for what it had been. */
     void restartedWorkerTakesNoWorkUntilDescribed()
     {
