Let expired jobs use the headroom where nothing else suits them

Callers saw jobs that never end. An ordinary job past its last credit takes none of the workers that are kept free for urgent jobs. They are chosen whatever they are, so the only worker with the label that a step requires could be one of them at each pass, and the job waited for good beside an idle worker.

Failed before: expiredJobMayUseTheOnlyWorkerThatSuits.

Such a job now uses the headroom if it wouldn't fit on empty workers without it.

--- a/src/libfescuecleat/pool/placementview.cpp
+++ b/src/libfescuecleat/pool/placementview.cpp
@@ -281,4 +281,19 @@
     return known->second >= request.taskCount_;
 }
 
+bool PlacementView::fitsOutsideHeadroom(const PlacementRequest& request) const
+{
+    const StepSpec& step = *request.step_;
+    std::int64_t missing = request.taskCount_;
+    for (const WorkerEntry& entry : entries_) {
+        if (entry.isHeadroom_ || !isEligible(entry.worker_->info_, step, *request.service_))
+            continue;
+        const std::int64_t limit = step.maxTasksPerWorker_ > 0 ? std::min<std::int64_t>(missing, step.maxTasksPerWorker_) : missing;
+        missing -= entry.worker_->info_.capacity_.countFitting(step.allocation(), limit);
+        if (missing <= 0)
+            return true;
+    }
+    return false;
+}
+
 }
--- a/src/libfescuecleat/pool/placementview.h
+++ b/src/libfescuecleat/pool/placementview.h
@@ -64,6 +64,8 @@
     std::int64_t countFittingTasks(const WorkerEntry&, const PlacementRequest&, const Resources& available, std::int64_t limit) const;
     /** Whether the request would fit into an empty rack. */
     bool fitsEmptyRack(const PlacementRequest&) const;
+    /** Whether the request would fit on empty workers without the headroom. */
+    bool fitsOutsideHeadroom(const PlacementRequest&) const;
 
     const std::vector<WorkerEntry>& entries() const { return entries_; }
     const std::vector<Rack>& racks() const { return racks_; }
--- a/src/libfescuecleat/pool/schedulingpass.cpp
+++ b/src/libfescuecleat/pool/schedulingpass.cpp
@@ -151,6 +151,9 @@
     request.maySpanRacks_ = !shouldWaitForRack(candidate, unit, request);
     // Tasks that save their progress leave the headroom at almost no cost.
     request.mayUseHeadroom_ = candidate.rank_ <= Urgent || request.step_->savesProgress_ || (!candidate.isExpired_ && candidate.latestStart_ - headroomStartMargin < now_);
+    // The headroom is chosen whatever the workers are, and an expired unit has no time at which it takes it anyway.
+    if (!request.mayUseHeadroom_ && candidate.isExpired_)
+        request.mayUseHeadroom_ = !view_.fitsOutsideHeadroom(request);
     return request;
 }
 
--- a/tests/pool/eligibilitytest.cpp
+++ b/tests/pool/eligibilitytest.cpp
@@ -30,7 +30,7 @@
         scheduler_.setReachable(info.key_, true);
     }
 
-    void submit(int tasks, const std::string& label = {}, int maxTasksPerWorker = 0, const std::string& id = jobId, std::uint64_t configuration = 0)
+    void submit(int tasks, const std::string& label = {}, int maxTasksPerWorker = 0, const std::string& id = jobId, std::uint64_t configuration = 0, int priority = 0)
     {
         StepSpec step;
         step.taskCount_ = tasks;
@@ -45,6 +45,7 @@
         policy.service_ = "service";
         policy.maxAttempts_ = 3;
         policy.configurationVersion_ = configuration;
+        policy.priority_ = priority;
         scheduler_.addJob(id, spec, policy, start, nullptr, start);
     }
 
@@ -88,6 +89,7 @@
     CPPUNIT_TEST(restartedWorkerTakesNoWorkUntilDescribed);
     CPPUNIT_TEST(startIsNotRepeatedToAnotherKind);
     CPPUNIT_TEST(startMayMoveToTheSameKind);
+    CPPUNIT_TEST(expiredJobMayUseTheOnlyWorkerThatSuits);
     CPPUNIT_TEST(waitingTasksFollowTheirQueue);
     CPPUNIT_TEST(olderConfigurationMovesNothing);
     CPPUNIT_TEST_SUITE_END();
@@ -206,6 +208,20 @@
         CPPUNIT_ASSERT(pool.scheduler_.takeDecisions().stops_.empty());
     }
 
+    /** Guards against jobs that never end: the only worker with the label was kept as headroom for urgent jobs, and the job was past its last credit. */
+    void expiredJobMayUseTheOnlyWorkerThatSuits()
+    {
+        for (const bool isOnly : { true, false }) {
+            EligibilityPool pool;
+            for (int i = 1; i <= 5; ++i)
+                pool.add(worker("w" + std::to_string(i), 1, i == 1 || !isOnly ? "a" : "b"));
+            pool.submit(1, "a", 0, jobId, 0, 2);
+            const Workers workers = pool.place(start + 1h);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), workers.size());
+            CPPUNIT_ASSERT_EQUAL(isOnly, workers.front() == "w1");
+        }
+    }
+
     /** Guards against tasks that wait for a service to which their queue is no longer sent; also for a job that a later scheduler restores. */
     void waitingTasksFollowTheirQueue()
     {
