Check a placement again before its first start is sent

Callers could see tasks started on workers that drain or in data centres that are closed. Both were checked when a task was placed; its start is sent once its record is stored, which takes as long as the store is slow, or as long as the lease isn't certain. A start that its worker's kind or its queue's service excluded meanwhile was dropped and held the task back for the start timeout.

Failed before: placementIsCheckedAgainBeforeItsFirstStart.

Until the first request nothing has been sent, so the run is released and its task placed again in the next pass. Repetitions go on for the start timeout at most.

--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -451,6 +451,8 @@
         if (scheduler_.beginStart(decision.run_, bootTimeNow()))
             begun.push_back(decision);
     }
+    if (begun.size() < decisions.size())
+        requestPass(); // some may be placed elsewhere now
     runLog_.started(begun);
     for (const StartDecision& decision : begun) {
         PoolWorkerLink* link = findLink(decision.worker_);
--- a/src/libfescuecleat/pool/placementview.cpp
+++ b/src/libfescuecleat/pool/placementview.cpp
@@ -22,7 +22,7 @@
     for (auto& [key, worker] : workers) {
         const WorkerInfo& info = worker.info_;
         maxWorkerAccelerators_ = std::max(maxWorkerAccelerators_, info.capacity_.accelerators_);
-        if (!worker.isListed_ || !worker.isDescribed_ || !worker.isReachable_ || info.isDraining_ || worker.health_.isQuarantined(now) || closedDataCentres.count(info.dataCentre_) > 0)
+        if (!worker.takesNewWork(closedDataCentres) || !worker.isReachable_ || worker.health_.isQuarantined(now))
             continue;
         const auto [known, isNew] = rackIndexes.emplace(info.rack_, racks_.size());
         if (isNew)
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -519,6 +519,13 @@
     const auto entry = state_.runs_.find(run);
     if (entry == state_.runs_.end() || entry->second.phase_ != RunPhase::Recording)
         return false;
+    const PoolWorkerState* worker = state_.findWorker(entry->second.worker_);
+    Job* job = state_.findJob(run.task_.job_);
+    if (job != nullptr && (worker == nullptr || !worker->takesNewWork(state_.closedDataCentres_) || !isSuitable(*worker, run, entry->second))) {
+        // The record was stored late; nothing has been sent, so the task can be placed again at once.
+        abortRun(*job, entry->second.unit_, "its worker takes no new work", now);
+        return false;
+    }
     entry->second.phase_ = RunPhase::Starting;
     entry->second.startedAt_ = now;
     unansweredStarts_.emplace_back(now, run);
--- a/src/libfescuecleat/pool/poolscheduler.h
+++ b/src/libfescuecleat/pool/poolscheduler.h
@@ -56,7 +56,7 @@
     void report(const WorkerKey&, const PoolWorkerReport&, Time requestedAt, Time now);
     /** Whether a request for the start may be sent, for the first time or again: its worker may have become another incarnation meanwhile. */
     bool isStartWanted(const RunId&) const;
-    /** Returns whether a decided start is still wanted. If so, the worker is assumed to know the run from then on. */
+    /** Returns whether a decided start is still wanted and allowed. If so, the worker is assumed to know the run from then on. */
     bool beginStart(const RunId&, Time now);
     /** A request for the start is about to be sent, for the first time or again. */
     void startSent(const RunId&, Time now);
--- a/src/libfescuecleat/pool/poolworkerstate.h
+++ b/src/libfescuecleat/pool/poolworkerstate.h
@@ -6,6 +6,7 @@
 #include "pool/workerinfo.h"
 
 #include <set>
+#include <string>
 #include <vector>
 
 namespace fescuecleat {
@@ -35,6 +36,12 @@
     WorkerHealth health_;
     /** Earliest time at which a draining worker may be gone. */
     Time leavesAt_ {};
+
+    /** Whether the worker is known, stays, and is in a data centre that takes new work. */
+    bool takesNewWork(const std::set<std::string>& closedDataCentres) const
+    {
+        return isListed_ && isDescribed_ && !info_.isDraining_ && closedDataCentres.count(info_.dataCentre_) == 0;
+    }
 };
 
 }
--- a/tests/pool/eligibilitytest.cpp
+++ b/tests/pool/eligibilitytest.cpp
@@ -1,6 +1,7 @@
 #include "pool/poolscheduler.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <functional>
 
 using namespace fescuecleat;
 using namespace std::chrono_literals;
@@ -89,6 +90,7 @@
     CPPUNIT_TEST(restartedWorkerTakesNoWorkUntilDescribed);
     CPPUNIT_TEST(startIsNotRepeatedToAnotherKind);
     CPPUNIT_TEST(startMayMoveToTheSameKind);
+    CPPUNIT_TEST(placementIsCheckedAgainBeforeItsFirstStart);
     CPPUNIT_TEST(expiredJobMayUseTheOnlyWorkerThatSuits);
     CPPUNIT_TEST(waitingTasksFollowTheirQueue);
     CPPUNIT_TEST(olderConfigurationMovesNothing);
@@ -208,6 +210,35 @@
         CPPUNIT_ASSERT(pool.scheduler_.takeDecisions().stops_.empty());
     }
 
+    /** Guards against starts on workers that drain, in closed data centres or of a former service: these were checked only when a task was placed, but its record may be stored late. */
+    void placementIsCheckedAgainBeforeItsFirstStart()
+    {
+        const std::vector<std::function<void(PoolScheduler&)>> changes = {
+            [](PoolScheduler& scheduler) {
+                WorkerInfo info = worker("w1", 1);
+                info.isDraining_ = true;
+                scheduler.putWorker(info, start + 10ms);
+            },
+            [](PoolScheduler& scheduler) { scheduler.setClosedDataCentres({ "dc" }); },
+            [](PoolScheduler& scheduler) { scheduler.delistWorker("w1"); },
+            [](PoolScheduler& scheduler) { scheduler.setQueueServices(7, { { "queue", "other" } }); },
+        };
+        for (const auto& change : changes) {
+            EligibilityPool pool;
+            WorkerInfo first = worker("w1", 1);
+            first.dataCentre_ = "dc";
+            pool.add(first);
+            pool.submit(1);
+            CPPUNIT_ASSERT(pool.place(start) == Workers { "w1" });
+            change(pool.scheduler_);
+            CPPUNIT_ASSERT(!pool.scheduler_.beginStart({ { jobId, 0, 0, 0 }, 1 }, start + 20ms));
+            CPPUNIT_ASSERT(pool.scheduler_.takeDecisions().stops_.empty());
+            pool.add(worker("w2", 1, "a", "service"));
+            pool.add(worker("w3", 1, "a", "other"));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), pool.place(start + 30ms).size());
+        }
+    }
+
     /** Guards against jobs that never end: the only worker with the label was kept as headroom for urgent jobs, and the job was past its last credit. */
     void expiredJobMayUseTheOnlyWorkerThatSuits()
     {
