--- a/tests/pool/eligibilitytest.cpp
+++ b/tests/pool/eligibilitytest.cpp
@@ -1,6 +1,7 @@
 #include "pool/poolscheduler.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <functional>
 
 using namespace fescuecleat;
 using namespace std::chrono_literals;
@@ -30,7 +31,7 @@
         scheduler_.setReachable(info.key_, true);
     }
 
-    void submit(int tasks, const std::string& label = {}, int maxTasksPerWorker = 0, const std::string& id = jobId, std::uint64_t configuration = 0)
+    void submit(int tasks, const std::string& label = {}, int maxTasksPerWorker = 0, const std::string& id = jobId, std::uint64_t configuration = 0, int priority = 0)
     {
         StepSpec step;
         step.taskCount_ = tasks;
@@ -45,6 +46,7 @@
         policy.service_ = "service";
         policy.maxAttempts_ = 3;
         policy.configurationVersion_ = configuration;
+        policy.priority_ = priority;
         scheduler_.addJob(id, spec, policy, start, nullptr, start);
     }
 
@@ -84,9 +86,12 @@
     CPPUNIT_TEST(placesOnlyOnWorkersWithTheLabel);
     CPPUNIT_TEST(keepsLimitOfTasksPerWorker);
     CPPUNIT_TEST(unrecordedRunsCountForLimitOfTasksPerWorker);
+    CPPUNIT_TEST(unrecordedRunHoldsStartBackBeyondLimitOfTasksPerWorker);
     CPPUNIT_TEST(restartedWorkerTakesNoWorkUntilDescribed);
     CPPUNIT_TEST(startIsNotRepeatedToAnotherKind);
     CPPUNIT_TEST(startMayMoveToTheSameKind);
+    CPPUNIT_TEST(placementIsCheckedAgainBeforeItsFirstStart);
+    CPPUNIT_TEST(expiredJobMayUseTheOnlyWorkerThatSuits);
     CPPUNIT_TEST(waitingTasksFollowTheirQueue);
     CPPUNIT_TEST(olderConfigurationMovesNothing);
     CPPUNIT_TEST_SUITE_END();
@@ -142,6 +147,26 @@
         CPPUNIT_ASSERT(pool.place(start + 310ms) == Workers { "w1" });
     }
 
+    /** Guards against starts beyond a step's limit per worker: a run without a record that was reported after the placement didn't count for it. */
+    void unrecordedRunHoldsStartBackBeyondLimitOfTasksPerWorker()
+    {
+        EligibilityPool pool;
+        pool.add(worker("w1", 1));
+        pool.submit(1, {}, 2);
+        pool.place(start);
+        const RunId run { { jobId, 0, 0, 0 }, 1 };
+        pool.scheduler_.beginStart(run, start);
+        PoolWorkerReport report;
+        report.running_ = { { { { jobId, 0, 0, 1 }, 1 }, "", 10 } };
+        pool.scheduler_.report({ "w1", 1 }, report, start, start + 5ms);
+        CPPUNIT_ASSERT(pool.scheduler_.isStartWanted(run));
+        report.running_.push_back({ { { jobId, 0, 0, 2 }, 1 }, "", 10 });
+        pool.scheduler_.report({ "w1", 1 }, report, start + 10ms, start + 15ms);
+        CPPUNIT_ASSERT(!pool.scheduler_.isStartWanted(run));
+        pool.scheduler_.report({ "w1", 1 }, {}, start + 20ms, start + 25ms);
+        CPPUNIT_ASSERT(pool.scheduler_.isStartWanted(run));
+    }
+
     /** Guards against starts that no configuration allows: a worker that had come back as another kind was taken for what it had been. */
     void restartedWorkerTakesNoWorkUntilDescribed()
     {
@@ -185,6 +210,49 @@
         CPPUNIT_ASSERT(pool.scheduler_.takeDecisions().stops_.empty());
     }
 
+    /** Guards against starts on workers that drain, in closed data centres or of a former service: these were checked only when a task was placed, but its record may be stored late. */
+    void placementIsCheckedAgainBeforeItsFirstStart()
+    {
+        const std::vector<std::function<void(PoolScheduler&)>> changes = {
+            [](PoolScheduler& scheduler) {
+                WorkerInfo info = worker("w1", 1);
+                info.isDraining_ = true;
+                scheduler.putWorker(info, start + 10ms);
+            },
+            [](PoolScheduler& scheduler) { scheduler.setClosedDataCentres({ "dc" }); },
+            [](PoolScheduler& scheduler) { scheduler.delistWorker("w1"); },
+            [](PoolScheduler& scheduler) { scheduler.setQueueServices(7, { { "queue", "other" } }); },
+        };
+        for (const auto& change : changes) {
+            EligibilityPool pool;
+            WorkerInfo first = worker("w1", 1);
+            first.dataCentre_ = "dc";
+            pool.add(first);
+            pool.submit(1);
+            CPPUNIT_ASSERT(pool.place(start) == Workers { "w1" });
+            change(pool.scheduler_);
+            CPPUNIT_ASSERT(!pool.scheduler_.beginStart({ { jobId, 0, 0, 0 }, 1 }, start + 20ms));
+            CPPUNIT_ASSERT(pool.scheduler_.takeDecisions().stops_.empty());
+            pool.add(worker("w2", 1, "a", "service"));
+            pool.add(worker("w3", 1, "a", "other"));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), pool.place(start + 30ms).size());
+        }
+    }
+
+    /** Guards against jobs that never end: the only worker with the label was kept as headroom for urgent jobs, and the job was past its last credit. */
+    void expiredJobMayUseTheOnlyWorkerThatSuits()
+    {
+        for (const bool isOnly : { true, false }) {
+            EligibilityPool pool;
+            for (int i = 1; i <= 5; ++i)
+                pool.add(worker("w" + std::to_string(i), 1, i == 1 || !isOnly ? "a" : "b"));
+            pool.submit(1, "a", 0, jobId, 0, 2);
+            const Workers workers = pool.place(start + 1h);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), workers.size());
+            CPPUNIT_ASSERT_EQUAL(isOnly, workers.front() == "w1");
+        }
+    }
+
     /** Guards against tasks that wait for a service to which their queue is no longer sent; also for a job that a later scheduler restores. */
     void waitingTasksFollowTheirQueue()
     {
