--- a/src/libfescuecleat/net/asynchttpmessage.h
+++ b/src/libfescuecleat/net/asynchttpmessage.h
@@ -47,6 +47,7 @@
 
 /** The answer to a received request. */
 struct ServerResponse {
+    /** 0 closes the connection without an answer. */
     int status_ = 200;
     std::string body_;
     HeaderList headers_;
--- a/src/libfescuecleat/net/asynchttpserver.cpp
+++ b/src/libfescuecleat/net/asynchttpserver.cpp
@@ -107,6 +107,8 @@
             if (!*self->alive_)
                 return;
             --self->server_->requestsInProgress_;
+            if (response.status_ == 0)
+                return self->close();
             self->write(std::move(response));
         });
     }
--- a/src/standins/poolmodel/fakerowstore.cpp
+++ b/src/standins/poolmodel/fakerowstore.cpp
@@ -2,6 +2,7 @@
 
 #include "base/bootclock.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 
 namespace fescuecleat {
@@ -50,11 +51,14 @@
         const StoredRow row { write.key_, write.value_, version_, false };
         tables_[write.table_][write.key_] = row;
         parts_[{ write.table_, write.key_ }] = transaction.part_;
-        history_.push_back({ write.table_, row });
+        addChange(write.table_, row);
+        if (observer_)
+            observer_(write.table_, row);
     }
     for (const RowDeletion& deletion : transaction.deletions_) {
         tables_[deletion.table_].erase(deletion.key_);
-        history_.push_back({ deletion.table_, { deletion.key_, {}, version_, true } });
+        parts_.erase({ deletion.table_, deletion.key_ });
+        addChange(deletion.table_, { deletion.key_, {}, version_, true });
     }
     notify();
     return timestamp();
@@ -88,7 +92,10 @@
     if (commitDelay_ == Duration::zero())
         return postToLoop(std::move(execute));
     delays_.emplace_back(loop_);
-    delays_.back().start(commitDelay_, std::move(execute));
+    delays_.back().start(commitDelay_, [this, delay = std::prev(delays_.end()), execute = std::move(execute)]() mutable {
+        delays_.erase(delay);
+        execute();
+    });
 }
 
 int FakeRowStore::applyHeldBack()
@@ -108,22 +115,39 @@
             return handler(failed(isSilent_ ? StoreFailureKind::OutcomeUnknown : StoreFailureKind::Refused));
         RowPage page;
         page.timestamp_ = timestamp();
-        for (const auto& [key, row] : tables_[range.table_]) {
-            if (parts_[{ range.table_, key }] == range.part_ && key >= range.from_ && (range.to_.empty() || key < range.to_))
-                page.rows_.push_back(row);
+        const auto& rows = tables_[range.table_];
+        for (auto row = rows.lower_bound(range.from_); row != rows.end() && (range.to_.empty() || row->first < range.to_); ++row) {
+            if (parts_[{ range.table_, row->first }] == range.part_)
+                page.rows_.push_back(row->second);
         }
         handler(std::move(page));
     });
 }
 
+void FakeRowStore::addChange(const std::string& table, const StoredRow& row)
+{
+    History& history = histories_[table];
+    history.changes_.push_back(row);
+    if (history.changes_.size() <= historyLimit_)
+        return;
+    history.goneUpTo_ = history.changes_.front().version_;
+    history.changes_.pop_front();
+}
+
+bool FakeRowStore::isHistoryGone(const std::string& table, std::uint64_t after) const
+{
+    const auto history = histories_.find(table);
+    return after < oldestVersion_ || (history != histories_.end() && after < history->second.goneUpTo_);
+}
+
 std::vector<StoredRow> FakeRowStore::changesAfter(const std::string& table, std::uint64_t after) const
 {
-    std::vector<StoredRow> rows;
-    for (const Change& change : history_) {
-        if (change.table_ == table && change.row_.version_ > after)
-            rows.push_back(change.row_);
-    }
-    return rows;
+    const auto history = histories_.find(table);
+    if (history == histories_.end())
+        return {};
+    const auto& changes = history->second.changes_;
+    const auto first = std::upper_bound(changes.begin(), changes.end(), after, [](std::uint64_t version, const StoredRow& row) { return version < row.version_; });
+    return { first, changes.end() };
 }
 
 void FakeRowStore::follow(const std::string& table, std::uint64_t after, Duration wait, Duration, PageHandler handler)
@@ -131,7 +155,7 @@
     postToLoop([this, table, after, wait, handler = std::move(handler)] {
         if (isRefusing_ || isSilent_)
             return handler(failed(isSilent_ ? StoreFailureKind::OutcomeUnknown : StoreFailureKind::Refused));
-        if (after < oldestVersion_)
+        if (isHistoryGone(table, after))
             return handler(failed(StoreFailureKind::HistoryGone));
         longPolls_.push_back({ table, after, handler, std::make_unique<Timer>(loop_) });
         const auto longPoll = std::prev(longPolls_.end());
@@ -159,7 +183,7 @@
     for (auto longPoll = longPolls_.begin(); longPoll != longPolls_.end();) {
         RowPage page;
         page.rows_ = changesAfter(longPoll->table_, longPoll->after_);
-        const bool isGone = longPoll->after_ < oldestVersion_;
+        const bool isGone = isHistoryGone(longPoll->table_, longPoll->after_);
         if (page.rows_.empty() && !isGone) {
             ++longPoll;
             continue;
@@ -177,7 +201,7 @@
 
 void FakeRowStore::dropHistory()
 {
-    history_.clear();
+    histories_.clear();
     oldestVersion_ = ++version_;
     notify();
 }
--- a/src/standins/poolmodel/fakerowstore.h
+++ b/src/standins/poolmodel/fakerowstore.h
@@ -4,6 +4,9 @@
 #include "node/rowstore.h"
 
 #include <boost/asio/io_context.hpp>
+#include <deque>
+#include <functional>
+#include <limits>
 #include <list>
 #include <map>
 #include <memory>
@@ -40,6 +43,11 @@
     /** Feeds deliver no changes while set. */
     void setFeedsSilent(bool areSilent);
     int commitsSeen() const { return commitsSeen_; }
+    /** Is told each row that is written, before the writer is answered. */
+    using WriteObserver = std::function<void(const std::string& table, const StoredRow&)>;
+    void setWriteObserver(WriteObserver observer) { observer_ = std::move(observer); }
+    /** Drops the oldest changes of a table that has more of them. */
+    void setHistoryLimit(std::size_t changes) { historyLimit_ = changes; }
     /** Drops the change history, so that followers must reload. */
     void dropHistory();
 
@@ -57,14 +65,18 @@
         PageHandler handler_;
         std::unique_ptr<Timer> timer_;
     };
-    struct Change {
-        std::string table_;
-        StoredRow row_;
+    /** The changes of a table in the order of their versions. */
+    struct History {
+        std::deque<StoredRow> changes_;
+        /** Changes up to this version are no longer available. */
+        std::uint64_t goneUpTo_ = 0;
     };
 
     tl::expected<StoreTimestamp, StoreFailure> apply(const RowTransaction&);
     StoreTimestamp timestamp() const;
     std::vector<StoredRow> changesAfter(const std::string& table, std::uint64_t after) const;
+    bool isHistoryGone(const std::string& table, std::uint64_t after) const;
+    void addChange(const std::string& table, const StoredRow&);
     void notify();
     template <typename Function>
     void postToLoop(Function);
@@ -73,7 +85,9 @@
     std::map<std::string, std::map<std::string, StoredRow>> tables_;
     /** Part of each row, by table and key. */
     std::map<std::pair<std::string, std::string>, std::string> parts_;
-    std::vector<Change> history_;
+    std::map<std::string, History> histories_;
+    std::size_t historyLimit_ = std::numeric_limits<std::size_t>::max();
+    WriteObserver observer_;
     std::uint64_t oldestVersion_ = 0;
     std::uint64_t version_ = 0;
     std::list<LongPoll> longPolls_;
--- a/src/standins/poolmodel/modelworkers.cpp
+++ b/src/standins/poolmodel/modelworkers.cpp
@@ -72,7 +72,32 @@
 
 void ModelWorkers::addJob(const std::string& id, const std::string& queue, const StepSpec& step, Duration runTime)
 {
-    jobs_[id] = { queue, step, runTime };
+    addJob(id, queue, { { step, runTime } });
+}
+
+void ModelWorkers::addJob(const std::string& id, const std::string& queue, std::vector<ModelStep> steps)
+{
+    jobs_[id] = { queue, std::move(steps), {} };
+}
+
+int ModelWorkers::runningCount() const
+{
+    std::size_t count = 0;
+    for (const auto& [id, worker] : workers_)
+        count += worker.runs_.size();
+    return static_cast<int>(count);
+}
+
+JobProgress ModelWorkers::progress(const std::string& job) const
+{
+    const auto known = jobs_.find(job);
+    return known == jobs_.end() ? JobProgress {} : known->second.progress_;
+}
+
+bool ModelWorkers::isKnown(const TaskId& task) const
+{
+    const auto job = jobs_.find(task.job_);
+    return job != jobs_.end() && task.step_ >= 0 && static_cast<std::size_t>(task.step_) < job->second.steps_.size();
 }
 
 std::unique_ptr<PoolWorkerClient> ModelWorkers::makeClient(int instance, const std::shared_ptr<boost::asio::io_context>& loop)
@@ -201,6 +226,9 @@
         recordedDone_.insert(task);
     }
     worker.acknowledgedEnds_ = std::max(worker.acknowledgedEnds_, std::min(upTo, worker.nextEnd_ - 1));
+    // Ends are in the order of their numbers; those acknowledged are neither reported nor checked again.
+    const auto firstOpen = std::find_if(worker.ends_.begin(), worker.ends_.end(), [&worker](const ReportedEnd& end) { return end.sequence_ > worker.acknowledgedEnds_; });
+    worker.ends_.erase(worker.ends_.begin(), firstOpen);
 }
 
 tl::expected<StartAnswer, WorkerFailure> ModelWorkers::executeStart(Worker& worker, const StartRequest& request, std::int64_t sentTo)
@@ -222,12 +250,17 @@
     }
     if (request.leaseUntilMs_ <= clockMs(worker))
         return StartAnswer::Refused;
+    if (!isKnown(task)) {
+        report("UNASKED", worker, request.run_, "no job has such a task");
+        return StartAnswer::Refused;
+    }
     extendLease(worker, request.leaseUntilMs_);
     checkStart(worker, request.run_);
     // Who addressed the former incarnation couldn't know that the id now names a worker of another kind.
     if (sentTo == worker.born_)
         checkKind(worker, request.run_);
     ++startCount_;
+    jobOf(task).progress_.isEverStarted_ = true;
     const Time now = bootTimeNow();
     lastStarts_[task] = now;
     Run& run = worker.runs_[task];
@@ -250,19 +283,19 @@
 
 void ModelWorkers::startGangIfComplete(const RunId& run)
 {
-    const JobModel& job = jobOf(run.task_);
+    const ModelStep& step = stepOf(run.task_);
     std::vector<Run*> members;
     for (auto& [id, worker] : workers_) {
         for (auto& [task, other] : worker.runs_) {
-            const bool isMember = job.step_.isGang_ ? task.job_ == run.task_.job_ && other.number_ == run.number_ : task == run.task_ && other.number_ == run.number_;
+            const bool isMember = step.spec_.isGang_ ? areOfOneStep(task, run.task_) && other.number_ == run.number_ : task == run.task_ && other.number_ == run.number_;
             if (isMember)
                 members.push_back(&other);
         }
     }
-    if (job.step_.isGang_ && static_cast<int>(members.size()) < job.step_.taskCount_)
+    if (step.spec_.isGang_ && static_cast<int>(members.size()) < step.spec_.taskCount_)
         return;
     for (Run* member : members)
-        member->endsAt_ = bootTimeNow() + job.runTime_;
+        member->endsAt_ = bootTimeNow() + step.runTime_;
 }
 
 void ModelWorkers::advanceWorker(Worker& worker)
@@ -299,20 +332,22 @@
     worker.ends_.push_back({ worker.nextEnd_++, run, reason, "" });
     int& barred = worker.barredRuns_[run.task_];
     barred = std::max(barred, run.number_);
-    if (reason == EndReason::Done)
-        doneAt_[run.task_] = bootTimeNow();
+    if (reason == EndReason::Done) {
+        const bool isFirst = doneAt_.insert_or_assign(run.task_, bootTimeNow()).second;
+        jobOf(run.task_).progress_.doneTasks_ += isFirst ? 1 : 0;
+    }
     answerLongPolls(worker, false);
     breakGang(run, reason == EndReason::Done ? EndReason::Done : EndReason::GangBroken);
 }
 
 void ModelWorkers::breakGang(const RunId& run, EndReason reason)
 {
-    if (!jobOf(run.task_).step_.isGang_)
+    if (!stepOf(run.task_).spec_.isGang_)
         return;
     for (auto& [id, worker] : workers_) {
         std::vector<TaskId> members;
         for (const auto& [task, other] : worker.runs_) {
-            if (task.job_ == run.task_.job_ && other.number_ == run.number_)
+            if (areOfOneStep(task, run.task_) && other.number_ == run.number_)
                 members.push_back(task);
         }
         for (const TaskId& member : members)
@@ -375,9 +410,9 @@
     }
     if (recordedDone_.count(run.task_) > 0)
         report("TWICE", worker, run, "its end is recorded");
-    Resources used = jobOf(run.task_).step_.allocation();
+    Resources used = stepOf(run.task_).spec_.allocation();
     for (const auto& [task, other] : worker.runs_)
-        used += jobOf(task).step_.allocation();
+        used += stepOf(task).spec_.allocation();
     if (!worker.kind_.capacity_.contains(used))
         report("LIMIT", worker, run, "over its capacity");
     checkStepLimit(worker, run);
@@ -386,20 +421,18 @@
 void ModelWorkers::checkKind(const Worker& worker, const RunId& run)
 {
     const JobModel& job = jobOf(run.task_);
+    const std::string& label = stepOf(run.task_).spec_.requiredLabel_;
     const auto services = routes_.find(job.queue_);
     if (services == routes_.end() || services->second.count(worker.kind_.service_) == 0)
         report("ROUTE", worker, run, "no configuration sends " + job.queue_ + " to " + worker.kind_.service_);
-    if (!job.step_.requiredLabel_.empty() && job.step_.requiredLabel_ != worker.kind_.label_)
-        report("ROUTE", worker, run, "its label is " + worker.kind_.label_ + " in place of " + job.step_.requiredLabel_);
+    if (!label.empty() && label != worker.kind_.label_)
+        report("ROUTE", worker, run, "its label is " + worker.kind_.label_ + " in place of " + label);
 }
 
 void ModelWorkers::checkStepLimit(const Worker& worker, const RunId& run)
 {
-    const int limit = jobOf(run.task_).step_.maxTasksPerWorker_;
-    const auto isOfStep = [&run](const auto& entry) {
-        const TaskId& other = entry.first;
-        return other.job_ == run.task_.job_ && other.occurrence_ == run.task_.occurrence_ && other.step_ == run.task_.step_;
-    };
+    const int limit = stepOf(run.task_).spec_.maxTasksPerWorker_;
+    const auto isOfStep = [&run](const auto& entry) { return areOfOneStep(entry.first, run.task_); };
     const auto others = std::count_if(worker.runs_.begin(), worker.runs_.end(), isOfStep);
     if (limit > 0 && others >= limit)
         report("ROUTE", worker, run, std::to_string(others) + " tasks of its step are active there");
--- a/src/standins/poolmodel/modelworkers.h
+++ b/src/standins/poolmodel/modelworkers.h
@@ -34,13 +34,27 @@
     Resources capacity_;
 };
 
+/** A step of a job, and how long a run of its tasks takes. */
+struct ModelStep {
+    StepSpec spec_;
+    Duration runTime_ {};
+};
+
+/** What the workers did for a job. */
+struct JobProgress {
+    /** Tasks of which a run ended as done; each counts once. */
+    int doneTasks_ = 0;
+    bool isEverStarted_ = false;
+};
+
 /**
  * Workers in virtual time that keep the contract of real ones: leases by a clock that may
  * be slow, fencing, barred runs, gangs, and incarnations that share an id and know nothing
  * of each other. Requests and answers are delayed, reordered, lost or executed late.
  * Checks what must hold whatever arrives: one run of a task at a time, none after its
- * recorded end, no more than fits on a worker, and no start on a worker that the job's
- * queue, the step's label or its limit of tasks per worker excludes.
+ * recorded end, no more than fits on a worker, no start on a worker that the job's
+ * queue, the step's label or its limit of tasks per worker excludes, and none of a task
+ * that nobody declared.
  */
 class ModelWorkers {
 public:
@@ -49,6 +63,8 @@
     void addWorker(const std::string& id, const WorkerKind&);
     /** Declares the step that all tasks of a job belong to, and how long a run takes. */
     void addJob(const std::string& id, const std::string& queue, const StepSpec&, Duration runTime);
+    /** Declares a job by its steps in the order of their indexes. */
+    void addJob(const std::string& id, const std::string& queue, std::vector<ModelStep> steps);
     /** Declares that a version of the configuration sends the queue to the service. */
     void addRoute(const std::string& queue, const std::string& service) { routes_[queue].insert(service); }
     std::unique_ptr<PoolWorkerClient> makeClient(int instance, const std::shared_ptr<boost::asio::io_context>& loop);
@@ -68,6 +84,8 @@
 
     const std::vector<std::string>& violations() const { return violations_; }
     int startCount() const { return startCount_; }
+    int runningCount() const;
+    JobProgress progress(const std::string& job) const;
 
 private:
     class Client;
@@ -103,8 +121,8 @@
     };
     struct JobModel {
         std::string queue_;
-        StepSpec step_;
-        Duration runTime_ {};
+        std::vector<ModelStep> steps_;
+        JobProgress progress_;
     };
     struct Cut {
         Time requestsUntil_ {};
@@ -134,7 +152,9 @@
     void checkStepLimit(const Worker&, const RunId&);
     void noteEnds(Worker&, std::int64_t upTo);
     void report(const std::string& rule, const Worker&, const RunId&, const std::string& detail);
-    const JobModel& jobOf(const TaskId& task) const { return jobs_.at(task.job_); }
+    bool isKnown(const TaskId&) const;
+    JobModel& jobOf(const TaskId& task) { return jobs_.at(task.job_); }
+    const ModelStep& stepOf(const TaskId& task) const { return jobs_.at(task.job_).steps_.at(static_cast<std::size_t>(task.step_)); }
     bool draws(double probability);
     Duration drawDuration(Duration from, Duration to);
 
