--- a/src/fescuecleat-soak/calleranswer.cpp
+++ b/src/fescuecleat-soak/calleranswer.cpp
@@ -15,6 +15,13 @@
         content_);
 }
 
+std::string CallerAnswer::outcomeName() const
+{
+    if (std::holds_alternative<CallNotSent>(content_))
+        return "not sent";
+    return status() == 0 ? "no answer" : std::to_string(status());
+}
+
 bool CallerAnswer::isOutcomeUnknown() const
 {
     return std::holds_alternative<CallUnanswered>(content_) || status() == 502 || status() == 504;
--- a/src/fescuecleat-soak/calleranswer.h
+++ b/src/fescuecleat-soak/calleranswer.h
@@ -52,6 +52,8 @@
 
     /** The HTTP status; 0 without an answer. */
     int status() const;
+    /** The status as text, or why there is none. */
+    std::string outcomeName() const;
     bool isSuccess() const { return status() / 100 == 2; }
     /** The call may have been executed although nothing confirms it. */
     bool isOutcomeUnknown() const;
--- a/src/fescuecleat-soak/callerload.cpp
+++ b/src/fescuecleat-soak/callerload.cpp
@@ -168,9 +168,6 @@
 
 nlohmann::json CallerLoad::summary() const
 {
-    nlohmann::json byStatus = nlohmann::json::object();
-    for (const auto& [status, count] : answersByStatus_)
-        byStatus[status == 0 ? "none" : std::to_string(status)] = count;
     std::uint64_t accepted = 0;
     std::uint64_t refused = 0;
     std::uint64_t cancelled = 0;
@@ -186,7 +183,7 @@
             completionTimes.push_back(*time);
     }
     std::sort(completionTimes.begin(), completionTimes.end());
-    return { { "answers", byStatus }, { "submitted", submissions_.size() }, { "accepted", accepted },
+    return { { "calls", callsByOutcome_ }, { "submitted", submissions_.size() }, { "accepted", accepted },
         { "completed", completionTimes.size() }, { "refused", refused }, { "cancelled", cancelled }, { "unanswered", unanswered },
         { "completionMs", { { "p50", percentile(completionTimes, 50) }, { "p99", percentile(completionTimes, 99) } } } };
 }
@@ -306,7 +303,7 @@
     client_.call(instances_[instance], connectionGroup, makeCall(kind, queue, job, body), callTimeout,
         lifetime_.guard([this, kind, queue, sentAt, handle = std::move(handle)](const tl::expected<HttpAnswer, HttpFailure>& outcome) {
             const CallerAnswer answer { kind, queue, sentAt, bootTimeNow(), decodeContent(kind, outcome) };
-            ++answersByStatus_[answer.status()];
+            ++callsByOutcome_[answer.outcomeName()];
             handle(answer);
         }));
 }
--- a/src/fescuecleat-soak/callerload.h
+++ b/src/fescuecleat-soak/callerload.h
@@ -79,7 +79,8 @@
     CallerDraw callDraw_;
     CallerAudit audit_;
     std::map<std::string, std::unique_ptr<Submission>> submissions_;
-    std::map<int, std::uint64_t> answersByStatus_;
+    /** Number of calls by status, or by why they have none. */
+    std::map<std::string, std::uint64_t> callsByOutcome_;
     bool isSubmitting_ = false;
     Timer submitTimer_;
     Timer waitingTimer_;
