--- a/src/libfescuecleat/pool/placementview.cpp
+++ b/src/libfescuecleat/pool/placementview.cpp
@@ -22,7 +22,7 @@
     for (auto& [key, worker] : workers) {
         const WorkerInfo& info = worker.info_;
         maxWorkerAccelerators_ = std::max(maxWorkerAccelerators_, info.capacity_.accelerators_);
-        if (!worker.isListed_ || !worker.isDescribed_ || !worker.isReachable_ || info.isDraining_ || worker.health_.isQuarantined(now) || closedDataCentres.count(info.dataCentre_) > 0)
+        if (!worker.takesNewWork(closedDataCentres) || !worker.isReachable_ || worker.health_.isQuarantined(now))
             continue;
         const auto [known, isNew] = rackIndexes.emplace(info.rack_, racks_.size());
         if (isNew)
@@ -281,4 +281,19 @@
     return known->second >= request.taskCount_;
 }
 
+bool PlacementView::fitsOutsideHeadroom(const PlacementRequest& request) const
+{
+    const StepSpec& step = *request.step_;
+    std::int64_t missing = request.taskCount_;
+    for (const WorkerEntry& entry : entries_) {
+        if (entry.isHeadroom_ || !isEligible(entry.worker_->info_, step, *request.service_))
+            continue;
+        const std::int64_t limit = step.maxTasksPerWorker_ > 0 ? std::min<std::int64_t>(missing, step.maxTasksPerWorker_) : missing;
+        missing -= entry.worker_->info_.capacity_.countFitting(step.allocation(), limit);
+        if (missing <= 0)
+            return true;
+    }
+    return false;
+}
+
 }
