Start no task of which a worker reports a run without a record

Callers could see two runs of one task: a worker reports a run that the scheduler has no record of, the run is stopped, and its task is started elsewhere before it has ended. Since such runs keep their room, but not their task.

Passes skip such a task, and its decided start is neither sent nor repeated, until a report no longer lists the run or the worker's lease has certainly expired. For that, the expiry counts also on a worker that has no other runs, so that a silent one doesn't hold the task for good.

--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -323,7 +323,7 @@
     listener.leasesExpired_ = [this, id](const PoolWorkerLink::LeaseExpiry& expiry) {
         const WorkerKey key = links_.at(id)->key();
         const auto worker = scheduler_.state().workers_.find(key);
-        if (worker == scheduler_.state().workers_.end() || worker->second.runs_.empty())
+        if (worker == scheduler_.state().workers_.end() || (worker->second.runs_.empty() && worker->second.unrecordedRuns_.empty()))
             return;
         const Time now = bootTimeNow();
         nlohmann::json fields { { "worker", id }, { "born", key.startedUnixMs_ }, { "runs", worker->second.runs_.size() }, { "expiredMsAgo", wholeMilliseconds(now - expiry.expiredAt_) }, { "isOwnGrant", expiry.isOwnGrant_ } };
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -255,6 +255,14 @@
     return tasks <= step.maxTasksPerWorker_;
 }
 
+bool PoolScheduler::isActiveWithoutRecord(const TaskId& task) const
+{
+    return std::any_of(state_.workers_.begin(), state_.workers_.end(), [&task](const auto& entry) {
+        const std::vector<RunId>& runs = entry.second.unrecordedRuns_;
+        return std::any_of(runs.begin(), runs.end(), [&task](const RunId& run) { return run.task_ == task; });
+    });
+}
+
 void PoolScheduler::stopUnsuitableRuns(const WorkerKey& key, Time now)
 {
     const PoolWorkerState& worker = state_.workers_.at(key);
@@ -303,8 +311,13 @@
         return;
     for (const RunId& run : std::set<RunId>(worker->runs_))
         giveUp(run, cause, now);
-    const PoolWorkerState* current = state_.findWorker(key);
-    if (current != nullptr && !current->isListed_ && current->runs_.empty())
+    PoolWorkerState* current = state_.findWorker(key);
+    if (current == nullptr)
+        return;
+    // What it may run without a record has ended as well.
+    current->unrecorded_ = {};
+    current->unrecordedRuns_.clear();
+    if (!current->isListed_ && current->runs_.empty())
         state_.workers_.erase(key);
 }
 
@@ -511,7 +524,7 @@
     if (entry == state_.runs_.end() || entry->second.phase_ != RunPhase::Starting)
         return false;
     const auto worker = state_.workers_.find(entry->second.worker_);
-    return worker != state_.workers_.end() && isSuitable(worker->second, run, entry->second);
+    return worker != state_.workers_.end() && isSuitable(worker->second, run, entry->second) && !isActiveWithoutRecord(run.task_);
 }
 
 bool PoolScheduler::beginStart(const RunId& run, Time now)
@@ -521,7 +534,7 @@
         return false;
     const PoolWorkerState* worker = state_.findWorker(entry->second.worker_);
     Job* job = state_.findJob(run.task_.job_);
-    if (job != nullptr && (worker == nullptr || !worker->takesNewWork(state_.closedDataCentres_) || !isSuitable(*worker, run, entry->second))) {
+    if (job != nullptr && (worker == nullptr || !worker->takesNewWork(state_.closedDataCentres_) || !isSuitable(*worker, run, entry->second) || isActiveWithoutRecord(run.task_))) {
         // The record was stored late; nothing has been sent, so the task can be placed again at once.
         abortRun(*job, entry->second.unit_, "its worker takes no new work", now);
         return false;
--- a/src/libfescuecleat/pool/poolscheduler.h
+++ b/src/libfescuecleat/pool/poolscheduler.h
@@ -87,6 +87,8 @@
     void applyEnd(const RunId&, EndReason, const std::string& checkpoint, Time now);
     /** Whether the worker, with all that it may run, is one that the run may start on. */
     bool isSuitable(const PoolWorkerState&, const RunId&, const TaskRun&) const;
+    /** Whether a worker reports a run of the task that there is no record of. */
+    bool isActiveWithoutRecord(const TaskId&) const;
     /** Stops what a restarted worker may run by requests to its former incarnation, if it is of a kind that excludes it. */
     void stopUnsuitableRuns(const WorkerKey&, Time now);
     /** What a run without a record occupies; all of the worker if its job is unknown. */
--- a/src/libfescuecleat/pool/schedulingpass.cpp
+++ b/src/libfescuecleat/pool/schedulingpass.cpp
@@ -35,6 +35,10 @@
     , now_(now)
     , view_(state.workers_, state.closedDataCentres_, now)
 {
+    for (const auto& [key, worker] : state.workers_) {
+        for (const RunId& run : worker.unrecordedRuns_)
+            unrecordedTasks_.insert(run.task_);
+    }
 }
 
 void SchedulingPass::run()
@@ -57,7 +61,7 @@
 {
     for (std::size_t i = candidate.firstUnit_; i < candidate.endUnit_; ++i) {
         const WorkUnit& unit = candidate.job_->units_[i];
-        if (!isWaiting(unit))
+        if (!isWaiting(*candidate.job_, unit))
             continue;
         PlacementRequest request = placementRequest(candidate, unit);
         // The step's tasks have the same requirements: if one doesn't fit, the others don't either.
@@ -117,7 +121,7 @@
         const bool isExpired = now_ > job.creditExpiry_;
         for (std::size_t first = 0, end = 0; first < job.units_.size(); first = end) {
             end = job.stepEnd(first);
-            const auto waiting = std::find_if(job.units_.begin() + static_cast<std::ptrdiff_t>(first), job.units_.begin() + static_cast<std::ptrdiff_t>(end), [this](const WorkUnit& unit) { return isWaiting(unit); });
+            const auto waiting = std::find_if(job.units_.begin() + static_cast<std::ptrdiff_t>(first), job.units_.begin() + static_cast<std::ptrdiff_t>(end), [this, &job = job](const WorkUnit& unit) { return isWaiting(job, unit); });
             const auto index = static_cast<std::size_t>(waiting - job.units_.begin());
             if (index < end)
                 result.push_back({ &job, index, end, rank, isExpired, job.targetCompletion_ - job.step(*waiting).estimate_ });
@@ -132,6 +136,16 @@
     return result;
 }
 
+bool SchedulingPass::isActiveWithoutRecord(const Job& job, const WorkUnit& unit) const
+{
+    if (unrecordedTasks_.empty())
+        return false;
+    // The index of a gang's unit is below those of its tasks.
+    const TaskId first { job.id_, unit.occurrence_, unit.step_, unit.index_ };
+    const auto found = unrecordedTasks_.lower_bound(first);
+    return found != unrecordedTasks_.end() && (unit.isGang() ? areOfOneStep(*found, first) : *found == first);
+}
+
 PlacementRequest SchedulingPass::placementRequest(const Candidate& candidate, const WorkUnit& unit) const
 {
     PlacementRequest request;
--- a/src/libfescuecleat/pool/schedulingpass.h
+++ b/src/libfescuecleat/pool/schedulingpass.h
@@ -42,7 +42,8 @@
     void reserveHeadroom();
     int rankOf(const Job&) const;
     std::vector<Candidate> candidates() const;
-    bool isWaiting(const WorkUnit& unit) const { return unit.state_ == UnitState::Waiting && unit.retryAt_ <= now_; }
+    bool isWaiting(const Job& job, const WorkUnit& unit) const { return unit.state_ == UnitState::Waiting && unit.retryAt_ <= now_ && !isActiveWithoutRecord(job, unit); }
+    bool isActiveWithoutRecord(const Job&, const WorkUnit&) const;
     PlacementRequest placementRequest(const Candidate&, const WorkUnit&) const;
     bool shouldWaitForRack(const Candidate&, const WorkUnit&, const PlacementRequest&) const;
     /** Places the candidate's units until one doesn't fit; returns the request of that one. */
@@ -56,6 +57,8 @@
     /** Built when first needed. */
     std::optional<Preemption> preemption_;
     std::set<std::string> guaranteedJobs_;
+    /** Tasks of runs that workers report and the scheduler has no record of; they are being stopped. */
+    std::set<TaskId> unrecordedTasks_;
 };
 
 }
--- a/tests/pool/ambiguousstarttest.cpp
+++ b/tests/pool/ambiguousstarttest.cpp
@@ -78,6 +78,8 @@
     CPPUNIT_TEST(refusalDoesNotResolveEarlierRequest);
     CPPUNIT_TEST(refusalOfOnlyRequestFreesTheRoom);
     CPPUNIT_TEST(unrecordedRunKeepsItsRoom);
+    CPPUNIT_TEST(unrecordedRunHoldsItsTaskBack);
+    CPPUNIT_TEST(unrecordedRunHoldsDecidedStartBack);
     CPPUNIT_TEST(refusalDoesNotConfirmTheStart);
     CPPUNIT_TEST(unansweredRequestMayReachNextIncarnation);
     CPPUNIT_TEST_SUITE_END();
@@ -161,6 +163,42 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), job.startsDecided(start + 510ms));
     }
 
+    /** Guards against two runs of one task: a start that had been decided was sent although a run without a record had been reported meanwhile. */
+    void unrecordedRunHoldsDecidedStartBack()
+    {
+        const RunId secondRun { firstRun.task_, 2 };
+        for (const bool isSent : { false, true }) {
+            StartedJob job;
+            job.scheduler_.startAnswered(firstRun, StartAnswer::Refused, start + 5ms);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), job.startsDecided(start + 300ms));
+            if (isSent)
+                CPPUNIT_ASSERT(job.scheduler_.beginStart(secondRun, start + 310ms));
+            PoolWorkerReport report;
+            report.running_ = { { firstRun, "", 10 } };
+            const std::string other = job.scheduler_.state().runs_.at(secondRun).worker_.id_ == "w1" ? "w2" : "w1";
+            job.scheduler_.report({ other, 1 }, report, start + 320ms, start + 325ms);
+            if (!isSent)
+                CPPUNIT_ASSERT(!job.scheduler_.beginStart(secondRun, start + 330ms));
+            CPPUNIT_ASSERT(!job.scheduler_.isStartWanted(secondRun));
+        }
+    }
+
+    /** Guards against two runs of one task: a task was started although a worker reported a run of it that the scheduler had no record of. */
+    void unrecordedRunHoldsItsTaskBack()
+    {
+        for (const bool isGone : { true, false }) {
+            StartedJob job;
+            job.scheduler_.startAnswered(firstRun, StartAnswer::Refused, start + 5ms);
+            job.report(1, { { firstRun, "", 10 } }, start + 100ms);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), job.startsDecided(start + 400ms));
+            if (isGone)
+                job.scheduler_.workerLost({ "w1", 1 }, "its lease has expired", start + 500ms);
+            else
+                job.report(1, {}, start + 500ms);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), job.startsDecided(start + 510ms));
+        }
+    }
+
     /** Guards against two runs of one task: a refusal while the run was being stopped counted as receipt of the start. */
     void refusalDoesNotConfirmTheStart()
     {
