Describe faults of the stand-in as its control interface does

One action for its store and its workers, one function that probes all instances, library macros for the names of modes.

--- a/src/fescuecleat-soak/main.cpp
+++ b/src/fescuecleat-soak/main.cpp
@@ -32,10 +32,10 @@
     int seconds_ = 20;
     int instances_ = 12;
     int workers_ = 24;
-    std::string bin_ = ".";
-    std::string output_ = "soak";
-    std::string replay_;
-    bool shrinks_ = false;
+    const char* bin_ = ".";
+    const char* output_ = "soak";
+    const char* replay_ = nullptr;
+    int shrinks_ = 0;
     int firstPort_ = 19500;
 };
 
@@ -49,31 +49,19 @@
     int signal_ = 0;
 };
 
-/** Moves a string that popt allocated. */
-std::string take(char* text, const std::string& fallback)
-{
-    const std::string taken = text != nullptr ? text : fallback;
-    std::free(text);
-    return taken;
-}
-
 Options parse(int argc, const char** argv)
 {
     Options options;
-    char* bin = nullptr;
-    char* output = nullptr;
-    char* replay = nullptr;
-    int shrinks = 0;
     const poptOption table[] = {
         { "seed", 's', POPT_ARG_LONG | POPT_ARGFLAG_SHOW_DEFAULT, &options.seed_, 0, "seed of the first schedule", "N" },
         { "count", 'c', POPT_ARG_INT | POPT_ARGFLAG_SHOW_DEFAULT, &options.count_, 0, "number of seeds, one after another", "N" },
         { "seconds", 0, POPT_ARG_INT | POPT_ARGFLAG_SHOW_DEFAULT, &options.seconds_, 0, "length of the disturbed part", "S" },
         { "instances", 'i', POPT_ARG_INT | POPT_ARGFLAG_SHOW_DEFAULT, &options.instances_, 0, "number of instances", "N" },
         { "workers", 'w', POPT_ARG_INT | POPT_ARGFLAG_SHOW_DEFAULT, &options.workers_, 0, "number of workers", "N" },
-        { "bin", 'b', POPT_ARG_STRING, &bin, 0, "folder of the programs; the current one by default", "DIR" },
-        { "output", 'o', POPT_ARG_STRING, &output, 0, "folder for schedules, logs and results; soak by default", "DIR" },
-        { "replay", 'r', POPT_ARG_STRING, &replay, 0, "plays a written schedule", "FILE" },
-        { "shrink", 0, POPT_ARG_NONE, &shrinks, 0, "looks for a shorter schedule that still fails", nullptr },
+        { "bin", 'b', POPT_ARG_STRING | POPT_ARGFLAG_SHOW_DEFAULT, &options.bin_, 0, "folder of the programs", "DIR" },
+        { "output", 'o', POPT_ARG_STRING | POPT_ARGFLAG_SHOW_DEFAULT, &options.output_, 0, "folder for schedules, logs and results", "DIR" },
+        { "replay", 'r', POPT_ARG_STRING, &options.replay_, 0, "plays a written schedule", "FILE" },
+        { "shrink", 0, POPT_ARG_NONE, &options.shrinks_, 0, "looks for a shorter schedule that still fails", nullptr },
         { "first-port", 'p', POPT_ARG_INT | POPT_ARGFLAG_SHOW_DEFAULT, &options.firstPort_, 0, "first port on loopback; uses about 200 and one for each worker", "N" },
         POPT_AUTOHELP POPT_TABLEEND
     };
@@ -81,10 +69,6 @@
     const int parsed = poptGetNextOpt(context);
     const bool hasArguments = poptPeekArg(context) != nullptr;
     poptFreeContext(context);
-    options.bin_ = take(bin, options.bin_);
-    options.output_ = take(output, options.output_);
-    options.replay_ = take(replay, options.replay_);
-    options.shrinks_ = shrinks != 0;
     if (parsed < -1 || hasArguments)
         throw UsageError { parsed < -1 ? poptStrerror(parsed) : "no arguments are taken" };
     if (options.seed_ < 0 || options.count_ < 1 || options.seconds_ < 1 || options.instances_ < 1 || options.workers_ < 1)
@@ -155,7 +139,7 @@
     std::fflush(stdout);
     if (outcome.violations_.empty())
         return true;
-    if (options.shrinks_)
+    if (options.shrinks_ != 0)
         shrink(options, schedule, ruleOf(outcome.violations_.front()), folder);
     return false;
 }
@@ -173,7 +157,7 @@
 
 bool run(const Options& options)
 {
-    if (!options.replay_.empty())
+    if (options.replay_)
         return playAndReport(options, readSchedule(options.replay_));
     bool isKept = true;
     for (int index = 0; index < options.count_; ++index) {
--- a/src/fescuecleat-soak/soakrun.cpp
+++ b/src/fescuecleat-soak/soakrun.cpp
@@ -28,6 +28,13 @@
         return settings;
     }
 
+    /** Values of the stand-in's faults that disturb nothing. */
+    Json calmFaults()
+    {
+        return { { "store", { { "mode", "up" }, { "commitDelayMs", 0 }, { "feedsSilent", false } } },
+            { "workers", { { "lostRequests", 0.0 }, { "lostAnswers", 0.0 }, { "lateRequests", 0.0 }, { "refusedStarts", 0.0 }, { "maxDelayMs", 3 } } } };
+    }
+
     /** The queues as callers use them; those of organisations without a key get an empty one. */
     std::vector<CallerQueue> callerQueues(const PoolConfiguration& configuration)
     {
@@ -158,25 +165,13 @@
     });
 }
 
-void SoakRun::begin(const DisturbStore& action)
+void SoakRun::begin(const DisturbPlatform& action)
 {
-    const int fault = ++storeFaults_;
-    testbed_.control("POST", "/faults",
-        { { "store", { { "mode", action.mode_ }, { "commitDelayMs", action.commitDelay_.count() }, { "loseAnswers", action.lostAnswers_ }, { "holdBackCommits", action.heldCommits_ }, { "feedsSilent", action.areFeedsSilent_ }, { "dropHistory", action.isHistoryDropped_ } } } });
-    later(action.duration_, [this, fault] {
-        if (storeFaults_ == fault)
-            calmStore();
-    });
-}
-
-void SoakRun::begin(const DisturbWorkers& action)
-{
-    const int fault = ++workerFaults_;
-    testbed_.control("POST", "/faults",
-        { { "workers", { { "lostRequests", action.lostRequests_ }, { "lostAnswers", action.lostAnswers_ }, { "lateRequests", action.lateRequests_ }, { "refusedStarts", action.refusedStarts_ }, { "maxDelayMs", action.maxDelay_.count() } } } });
-    later(action.duration_, [this, fault] {
-        if (workerFaults_ == fault)
-            calmWorkers();
+    const int fault = ++platformFaults_[action.part_];
+    testbed_.control("POST", "/faults", { { action.part_, action.faults_ } });
+    later(action.duration_, [this, fault, part = action.part_] {
+        if (platformFaults_[part] == fault)
+            testbed_.control("POST", "/faults", { { part, calmFaults().at(part) } });
     });
 }
 
@@ -237,7 +232,7 @@
     for (std::size_t index = 0; index < configuration.queues_.size(); ++index) {
         std::string& service = configuration.queues_[index].service_;
         if (movedQueues_[static_cast<int>(index)] > 0)
-            service = service == services()[0] ? services()[1] : services()[0];
+            service = service == services[0] ? services[1] : services[0];
     }
     for (std::size_t index = 0; index < configuration.organisations_.size(); ++index) {
         if (withdrawnKeys_[static_cast<int>(index)] > 0)
@@ -268,24 +263,13 @@
     callers_.configurationConfirmed(callerQueues(configuration), now);
 }
 
-void SoakRun::calmStore()
-{
-    testbed_.control("POST", "/faults", { { "store", { { "mode", "up" }, { "commitDelayMs", 0 }, { "feedsSilent", false } } } });
-}
-
-void SoakRun::calmWorkers()
-{
-    testbed_.control("POST", "/faults", { { "workers", { { "lostRequests", 0.0 }, { "lostAnswers", 0.0 }, { "lateRequests", 0.0 }, { "refusedStarts", 0.0 }, { "maxDelayMs", 3 } } } });
-}
-
 void SoakRun::endFaults()
 {
     note("faults end");
     areFaultsOver_ = true;
     timers_.clear();
     callers_.stopSubmitting();
-    calmStore();
-    calmWorkers();
+    testbed_.control("POST", "/faults", calmFaults());
     for (const auto& [dataCentre, count] : closures_) {
         if (count > 0)
             testbed_.control("DELETE", "/closures/" + dataCentre, nullptr);
@@ -313,27 +297,16 @@
 void SoakRun::awaitRecovery()
 {
     const Time faultsEnd = monotonicNow();
-    std::set<int> unready;
-    for (int instance = 0; instance < schedule_.size_.instances_; ++instance)
-        unready.insert(instance);
-    Time nextProbe {};
     bool isReadinessChecked = false;
-    runUntil(loop_, faultsEnd + recoveryLimit_, [&] {
-        const Time now = monotonicNow();
-        if (!isReadinessChecked && now >= nextProbe) {
-            nextProbe = now + probeInterval;
-            for (const int instance : unready) {
-                testbed_.probe(instance, [&unready, instance](bool isReady) {
-                    if (isReady)
-                        unready.erase(instance);
-                });
-            }
-        }
-        if (!isReadinessChecked && (unready.empty() || now >= faultsEnd + readinessLimit_)) {
-            isReadinessChecked = true;
-            for (const int instance : unready)
-                report("READY i" + std::to_string(instance) + " isn't ready " + std::to_string(wholeMilliseconds(readinessLimit_)) + " ms after the faults");
-        }
+    const auto checkReadiness = [&](const std::set<int>& unready) {
+        if (isReadinessChecked || (!unready.empty() && monotonicNow() < faultsEnd + readinessLimit_))
+            return;
+        isReadinessChecked = true;
+        for (const int instance : unready)
+            report("READY i" + std::to_string(instance) + " isn't ready " + std::to_string(wholeMilliseconds(readinessLimit_)) + " ms after the faults");
+    };
+    testbed_.probeAll(faultsEnd + recoveryLimit_, [&](const std::set<int>& unready) {
+        checkReadiness(unready);
         return isReadinessChecked && callers_.openJobs().empty();
     });
     note("recovery took " + std::to_string(wholeMilliseconds(monotonicNow() - faultsEnd)) + " ms");
--- a/src/fescuecleat-soak/soakrun.h
+++ b/src/fescuecleat-soak/soakrun.h
@@ -48,8 +48,7 @@
     void begin(const RestartInstances&);
     void begin(const PauseInstances&);
     void begin(const DisturbLinks&);
-    void begin(const DisturbStore&);
-    void begin(const DisturbWorkers&);
+    void begin(const DisturbPlatform&);
     void begin(const RestartWorker&);
     void begin(const HideWorker&);
     void begin(const ChangeConfiguration&);
@@ -63,8 +62,6 @@
     /** Sends the configuration with the changes that hold now, unless one is on its way. */
     void sendConfiguration();
     void configurationConfirmed(const PoolConfiguration&);
-    void calmStore();
-    void calmWorkers();
     void endFaults();
     void awaitRecovery();
     void checkAudit();
@@ -81,10 +78,9 @@
     Time startedAt_ {};
     bool areFaultsOver_ = false;
     std::list<Timer> timers_;
-    /** Number of faults so far of each link, the store and the workers; the end of a fault that was replaced changes nothing. */
+    /** Number of faults so far of each link and each part of the stand-in; the end of a fault that was replaced changes nothing. */
     std::map<LoopbackProxy*, int> linkFaults_;
-    int storeFaults_ = 0;
-    int workerFaults_ = 0;
+    std::map<std::string, int> platformFaults_;
     std::map<int, int> pauses_;
     std::map<std::string, int> closures_;
     /** Label and service of workers that were restarted as another kind. */
--- a/src/fescuecleat-soak/soakschedule.cpp
+++ b/src/fescuecleat-soak/soakschedule.cpp
@@ -9,32 +9,19 @@
 
 namespace fescuecleat::soak {
 
+// The first entry stands for unknown names too, and no action has it.
+NLOHMANN_JSON_SERIALIZE_ENUM(LinkMode, { { LinkMode::Forward, nullptr }, { LinkMode::Delay, "delay" }, { LinkMode::Reset, "reset" }, { LinkMode::Silent, "silent" }, { LinkMode::DropUpstream, "drop-upstream" }, { LinkMode::DropDownstream, "drop-downstream" } })
+
 namespace {
 
     using Json = nlohmann::json;
 
-    constexpr std::array<std::pair<LinkMode, const char*>, 6> linkModeNames { {
-        { LinkMode::Forward, "forward" },
-        { LinkMode::Delay, "delay" },
-        { LinkMode::Reset, "reset" },
-        { LinkMode::Silent, "silent" },
-        { LinkMode::DropUpstream, "drop-upstream" },
-        { LinkMode::DropDownstream, "drop-downstream" },
-    } };
-
-    const char* nameOf(LinkMode mode)
-    {
-        const auto found = std::find_if(linkModeNames.begin(), linkModeNames.end(), [mode](const auto& entry) { return entry.first == mode; });
-        return found->second;
-    }
-
     LinkMode linkModeOf(const Json& json)
     {
-        const std::string name = json.at("mode");
-        const auto found = std::find_if(linkModeNames.begin(), linkModeNames.end(), [&name](const auto& entry) { return entry.second == name; });
-        if (found == linkModeNames.end())
-            throw Json::other_error::create(500, "unknown mode " + name, &json);
-        return found->first;
+        const auto mode = json.at("mode").get<LinkMode>();
+        if (mode == LinkMode::Forward)
+            throw Json::other_error::create(500, "unknown mode " + json["mode"].dump(), &json);
+        return mode;
     }
 
     Milliseconds milliseconds(const Json& json, const char* name)
@@ -72,15 +59,10 @@
                                   return { { "kind", "pause-instances" }, { "instances", pause.instances_ }, { "forMs", pause.duration_.count() } };
                               },
                               [](const DisturbLinks& links) -> Json {
-                                  return { { "kind", "disturb-links" }, { "instances", links.instances_ }, { "store", links.isStoreLink_ }, { "mode", nameOf(links.mode_) }, { "delayMs", links.delay_.count() }, { "forMs", links.duration_.count() } };
-                              },
-                              [](const DisturbStore& store) -> Json {
-                                  return { { "kind", "disturb-store" }, { "mode", store.mode_ }, { "commitDelayMs", store.commitDelay_.count() }, { "loseAnswers", store.lostAnswers_ }, { "holdBackCommits", store.heldCommits_ },
-                                      { "feedsSilent", store.areFeedsSilent_ }, { "dropHistory", store.isHistoryDropped_ }, { "forMs", store.duration_.count() } };
+                                  return { { "kind", "disturb-links" }, { "instances", links.instances_ }, { "store", links.isStoreLink_ }, { "mode", links.mode_ }, { "delayMs", links.delay_.count() }, { "forMs", links.duration_.count() } };
                               },
-                              [](const DisturbWorkers& workers) -> Json {
-                                  return { { "kind", "disturb-workers" }, { "lostRequests", workers.lostRequests_ }, { "lostAnswers", workers.lostAnswers_ }, { "lateRequests", workers.lateRequests_ },
-                                      { "refusedStarts", workers.refusedStarts_ }, { "maxDelayMs", workers.maxDelay_.count() }, { "forMs", workers.duration_.count() } };
+                              [](const DisturbPlatform& platform) -> Json {
+                                  return { { "kind", "disturb-platform" }, { "part", platform.part_ }, { "faults", platform.faults_ }, { "forMs", platform.duration_.count() } };
                               },
                               [](const RestartWorker& restart) -> Json {
                                   return { { "kind", "restart-worker" }, { "worker", restart.worker_ }, { "downtimeMs", restart.downtime_.count() }, { "label", restart.label_ }, { "service", restart.service_ } };
@@ -114,10 +96,8 @@
             return PauseInstances { instancesOf(json, size), milliseconds(json, "forMs") };
         if (kind == "disturb-links")
             return DisturbLinks { instancesOf(json, size), json.at("store"), linkModeOf(json), milliseconds(json, "delayMs"), milliseconds(json, "forMs") };
-        if (kind == "disturb-store")
-            return DisturbStore { json.at("mode"), milliseconds(json, "commitDelayMs"), json.at("loseAnswers"), json.at("holdBackCommits"), json.at("feedsSilent"), json.at("dropHistory"), milliseconds(json, "forMs") };
-        if (kind == "disturb-workers")
-            return DisturbWorkers { json.at("lostRequests"), json.at("lostAnswers"), json.at("lateRequests"), json.at("refusedStarts"), milliseconds(json, "maxDelayMs"), milliseconds(json, "forMs") };
+        if (kind == "disturb-platform")
+            return DisturbPlatform { json.at("part"), json.at("faults"), milliseconds(json, "forMs") };
         if (kind == "restart-worker")
             return RestartWorker { index(json, "worker", 0, size.workers_), milliseconds(json, "downtimeMs"), json.at("label"), json.at("service") };
         if (kind == "hide-worker")
@@ -154,14 +134,14 @@
             if (kind < 62)
                 return store();
             if (kind < 70)
-                return DisturbWorkers { share(), share(), share(), share(), time(3, 400), time(500, 4000) };
+                return workers();
             if (kind < 82)
-                return RestartWorker { below(size_.workers_), time(50, 4000), chance(50) ? "a" : "b", chance(40) ? services()[static_cast<std::size_t>(below(2))] : "" };
+                return RestartWorker { below(size_.workers_), time(50, 4000), chance(50) ? "a" : "b", chance(40) ? services[static_cast<std::size_t>(below(2))] : "" };
             if (kind < 88)
                 return HideWorker { below(size_.workers_), time(500, 8000) };
             if (kind < 95)
                 return ChangeConfiguration { chance(60) ? below(queueCount) : -1, chance(60) ? below(organisationCount) : -1, time(1000, 6000) };
-            return CloseDataCentre { dataCentres()[static_cast<std::size_t>(below(3))], time(1000, 5000) };
+            return CloseDataCentre { dataCentres[static_cast<std::size_t>(below(3))], time(1000, 5000) };
         }
 
         Milliseconds time(int least, int most) { return Milliseconds(between(least, most)); }
@@ -194,28 +174,36 @@
         DisturbLinks links()
         {
             const bool isStoreLink = chance(60);
-            const LinkMode mode = linkModeNames[static_cast<std::size_t>(between(1, 5))].first;
+            const auto mode = static_cast<LinkMode>(between(1, static_cast<int>(LinkMode::DropDownstream)));
             return { instances(std::max(2, size_.instances_ / 2)), isStoreLink, mode, mode == LinkMode::Delay ? time(20, 1500) : Milliseconds::zero(), time(200, 7000) };
         }
 
-        DisturbStore store()
+        DisturbPlatform store()
         {
-            DisturbStore fault;
-            fault.mode_ = "up";
-            fault.duration_ = time(200, 3000);
+            const Milliseconds duration = time(200, 3000);
+            Json faults { { "mode", "up" } };
             const int kind = below(7);
             if (kind < 3)
-                fault.mode_ = std::array<const char*, 3> { "silent", "refusing", "reset" }[static_cast<std::size_t>(kind)];
+                faults["mode"] = std::array<const char*, 3> { "silent", "refusing", "reset" }[static_cast<std::size_t>(kind)];
             if (kind == 3)
-                fault.commitDelay_ = time(20, 800);
+                faults["commitDelayMs"] = between(20, 800);
             if (kind == 4)
-                fault.lostAnswers_ = between(1, 20);
+                faults["loseAnswers"] = between(1, 20);
             if (kind == 5)
-                fault.heldCommits_ = between(1, 5);
+                faults["holdBackCommits"] = between(1, 5);
             if (kind == 6)
-                fault.areFeedsSilent_ = true;
-            fault.isHistoryDropped_ = chance(20);
-            return fault;
+                faults["feedsSilent"] = true;
+            faults["dropHistory"] = chance(20);
+            return { "store", std::move(faults), duration };
+        }
+
+        DisturbPlatform workers()
+        {
+            Json faults = Json::object();
+            for (const char* const name : { "lostRequests", "lostAnswers", "lateRequests", "refusedStarts" })
+                faults[name] = share();
+            faults["maxDelayMs"] = between(3, 400);
+            return { "workers", std::move(faults), time(500, 4000) };
         }
 
         std::mt19937 random_;
@@ -224,18 +212,6 @@
 
 }
 
-const std::vector<std::string>& dataCentres()
-{
-    static const std::vector<std::string> names { "north", "south", "west" };
-    return names;
-}
-
-const std::vector<std::string>& services()
-{
-    static const std::vector<std::string> names { "rilievo", "tariff-desk" };
-    return names;
-}
-
 SoakSchedule drawSchedule(std::uint32_t seed, const SoakSize& size)
 {
     Drawing drawing(seed, size);
--- a/src/fescuecleat-soak/soakschedule.h
+++ b/src/fescuecleat-soak/soakschedule.h
@@ -53,24 +53,11 @@
     Milliseconds duration_ {};
 };
 
-/** A fault of the store itself: its mode, or feeds without rows. */
-struct DisturbStore {
-    std::string mode_;
-    Milliseconds commitDelay_ {};
-    int lostAnswers_ = 0;
-    int heldCommits_ = 0;
-    bool areFeedsSilent_ = false;
-    bool isHistoryDropped_ = false;
-    Milliseconds duration_ {};
-};
-
-/** Faults of the workers' interface, as shares of the requests. */
-struct DisturbWorkers {
-    double lostRequests_ = 0;
-    double lostAnswers_ = 0;
-    double lateRequests_ = 0;
-    double refusedStarts_ = 0;
-    Milliseconds maxDelay_ {};
+/** Faults of the stand-in itself, as its control interface describes them. */
+struct DisturbPlatform {
+    /** What the faults concern: "store" or "workers". */
+    std::string part_;
+    nlohmann::json faults_;
     Milliseconds duration_ {};
 };
 
@@ -104,7 +91,7 @@
     Milliseconds duration_ {};
 };
 
-using Action = std::variant<RestartInstances, PauseInstances, DisturbLinks, DisturbStore, DisturbWorkers, RestartWorker, HideWorker, ChangeConfiguration, CloseDataCentre>;
+using Action = std::variant<RestartInstances, PauseInstances, DisturbLinks, DisturbPlatform, RestartWorker, HideWorker, ChangeConfiguration, CloseDataCentre>;
 
 /** An action and the time from the start of the schedule at which it begins. */
 struct TimedAction {
@@ -129,8 +116,8 @@
 };
 
 /** Names of the deployment that schedules refer to. */
-const std::vector<std::string>& dataCentres();
-const std::vector<std::string>& services();
+inline const std::vector<std::string> dataCentres { "north", "south", "west" };
+inline const std::vector<std::string> services { "rilievo", "tariff-desk" };
 constexpr int queueCount = 3;
 constexpr int organisationCount = 3;
 
--- a/src/fescuecleat-soak/soaktestbed.cpp
+++ b/src/fescuecleat-soak/soaktestbed.cpp
@@ -15,6 +15,7 @@
 
     constexpr Duration startLimit = std::chrono::seconds(15);
     constexpr Duration controlTimeout = std::chrono::seconds(5);
+    constexpr Duration probeInterval = std::chrono::milliseconds(200);
     constexpr Duration probeTimeout = std::chrono::seconds(1);
     constexpr Duration heartbeat = std::chrono::milliseconds(1500);
     constexpr Duration maxLease = std::chrono::seconds(6);
@@ -63,22 +64,34 @@
     } catch (const std::system_error& error) {
         throw TestbedError(std::string("a program can't be started: ") + error.what());
     }
-    int ready = 0;
-    std::vector<bool> isReady(instances_.size());
+    std::size_t unreadyCount = 0;
+    probeAll(monotonicNow() + startLimit, [&unreadyCount](const std::set<int>& unready) {
+        unreadyCount = unready.size();
+        return unready.empty();
+    });
+    if (unreadyCount > 0)
+        throw TestbedError(std::to_string(unreadyCount) + " instances aren't ready " + std::to_string(wholeMilliseconds(startLimit)) + " ms after the start");
+}
+
+void SoakTestbed::probeAll(Time deadline, const std::function<bool(const std::set<int>& unready)>& condition)
+{
+    // Answers may come after the return.
+    const auto unready = std::make_shared<std::set<int>>();
+    for (int index = 0; index < settings_.size_.instances_; ++index)
+        unready->insert(index);
     Time nextProbe {};
-    runUntil(loop_, monotonicNow() + startLimit, [&] {
+    runUntil(loop_, deadline, [&] {
         if (monotonicNow() >= nextProbe) {
-            nextProbe = monotonicNow() + std::chrono::milliseconds(100);
-            for (int index = 0; index < settings_.size_.instances_; ++index) {
-                if (!isReady[static_cast<std::size_t>(index)])
-                    probe(index, [&, index](bool succeeded) { isReady[static_cast<std::size_t>(index)] = isReady[static_cast<std::size_t>(index)] || succeeded; });
+            nextProbe = monotonicNow() + probeInterval;
+            for (const int index : *unready) {
+                probe(index, [unready, index](bool isReady) {
+                    if (isReady)
+                        unready->erase(index);
+                });
             }
         }
-        ready = static_cast<int>(std::count(isReady.begin(), isReady.end(), true));
-        return ready == settings_.size_.instances_;
+        return condition(*unready);
     });
-    if (ready < settings_.size_.instances_)
-        throw TestbedError("only " + std::to_string(ready) + " instances are ready " + std::to_string(wholeMilliseconds(startLimit)) + " ms after the start");
 }
 
 void SoakTestbed::startStandIn()
@@ -87,7 +100,7 @@
         { "seed", settings_.seed_ },
         { "store", toString(address(StorePort)) },
         { "control", toString(address(ControlPort)) },
-        { "workers", { { "host", address(0).address_ }, { "firstPort", settings_.firstPort_ + WorkerPorts }, { "count", settings_.size_.workers_ }, { "perRack", 8 }, { "dataCentres", dataCentres() }, { "service", services().front() }, { "cpuMillis", 64000 }, { "memoryMb", 256000 }, { "accelerators", 8 } } },
+        { "workers", { { "host", address(0).address_ }, { "firstPort", settings_.firstPort_ + WorkerPorts }, { "count", settings_.size_.workers_ }, { "perRack", 8 }, { "dataCentres", dataCentres }, { "service", services.front() }, { "cpuMillis", 64000 }, { "memoryMb", 256000 }, { "accelerators", 8 } } },
         { "heartbeatMs", wholeMilliseconds(heartbeat) },
         { "maxLeaseMs", wholeMilliseconds(maxLease) },
         { "runTimeFactor", 1.0 },
@@ -113,7 +126,7 @@
     if (!runUntil(loop_, monotonicNow() + startLimit, [&confirmed] { return confirmed == 1; }))
         throw TestbedError("the stand-in doesn't accept the configuration");
     for (int worker = 0; worker < settings_.size_.workers_; ++worker) {
-        if (firstService(worker) != services().front())
+        if (firstService(worker) != services.front())
             restartWorker(worker, Milliseconds(1), firstLabel(worker), firstService(worker));
     }
 }
@@ -130,7 +143,7 @@
 {
     return {
         { "instance", "i" + std::to_string(index) },
-        { "dataCentre", dataCentres()[static_cast<std::size_t>(index) % dataCentres().size()] },
+        { "dataCentre", dataCentres[static_cast<std::size_t>(index) % dataCentres.size()] },
         { "callers", toString(address(index, CallerPort)) },
         { "readiness", toString(address(index, ReadinessPort)) },
         { "peers", toString(address(index, PeerPort)) },
@@ -196,7 +209,7 @@
         queue.name_ = "queue" + std::to_string(index);
         queue.host_ = "pool.example";
         queue.prefix_ = "/" + queue.name_;
-        queue.service_ = services()[index == 0 ? 1 : 0];
+        queue.service_ = services[index == 0 ? 1 : 0];
         queue.priority_ = index;
         queue.maxAttempts_ = 10;
         queue.stretch_ = 4;
@@ -211,7 +224,7 @@
 
 std::string SoakTestbed::firstLabel(int worker) { return worker % 2 == 0 ? "a" : "b"; }
 
-std::string SoakTestbed::firstService(int worker) { return services()[static_cast<std::size_t>(worker / 2 % 2)]; }
+std::string SoakTestbed::firstService(int worker) { return services[static_cast<std::size_t>(worker / 2 % 2)]; }
 
 SocketAddress SoakTestbed::address(int port) const
 {
--- a/src/fescuecleat-soak/soaktestbed.h
+++ b/src/fescuecleat-soak/soaktestbed.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -51,6 +52,8 @@
     void control(const std::string& method, const std::string& target, const nlohmann::json& body, std::function<void(const nlohmann::json&)> done = {});
     /** Passes on whether the instance's readiness probe succeeds. */
     void probe(int instance, std::function<void(bool)> done);
+    /** Probes all instances until the condition holds, which gets those that haven't been ready yet, or the deadline has passed. */
+    void probeAll(Time deadline, const std::function<bool(const std::set<int>& unready)>& condition);
     /** When a worker that was restarted is up again; it can't be restarted before. */
     Time workerUpAt(int worker) const;
     void restartWorker(int worker, Milliseconds downtime, const std::string& label, const std::string& service);
@@ -69,21 +72,16 @@
 
 private:
     /** Ports of the testbed, from its first port on. */
-    enum Port {
-        StorePort,
+    enum Port { StorePort,
         ControlPort,
         InstancePorts = 10,
-        WorkerPorts = 200,
-    };
-    /** Ports of each instance. */
-    enum InstancePort {
-        CallerPort,
+        WorkerPorts = 200 };
+    enum InstancePort { CallerPort,
         ReadinessPort,
         PeerPort,
         CallerLinkPort,
         StoreLinkPort,
-        PortsPerInstance,
-    };
+        PortsPerInstance };
 
     SocketAddress address(int port) const;
     SocketAddress address(int instance, InstancePort) const;
