Keep to the last change of the configuration and restore restarted workers

Overlapping changes of the configuration were counted; the last one now holds until it is over. Keys stay withdrawn for up to 9 s, longer than the 5 s within which they must be refused. An answer that came after the wait for the stand-in had ended wrote to a variable that was gone.

--- a/src/fescuecleat-soak/main.cpp
+++ b/src/fescuecleat-soak/main.cpp
@@ -13,6 +13,7 @@
 #include <fstream>
 #include <iterator>
 #include <popt.h>
+#include <stdexcept>
 #include <string>
 
 using namespace fescuecleat;
@@ -39,16 +40,6 @@
     int firstPort_ = 19500;
 };
 
-/** Thrown for an invalid command line or schedule. */
-struct UsageError {
-    std::string message_;
-};
-
-/** Thrown by a signal that ends the driver. */
-struct Interrupted {
-    int signal_ = 0;
-};
-
 Options parse(int argc, const char** argv)
 {
     Options options;
@@ -70,9 +61,13 @@
     const bool hasArguments = poptPeekArg(context) != nullptr;
     poptFreeContext(context);
     if (parsed < -1 || hasArguments)
-        throw UsageError { parsed < -1 ? poptStrerror(parsed) : "no arguments are taken" };
+        throw std::invalid_argument(parsed < -1 ? poptStrerror(parsed) : "no arguments are taken");
     if (options.seed_ < 0 || options.count_ < 1 || options.seconds_ < 1 || options.instances_ < 1 || options.workers_ < 1)
-        throw UsageError { "numbers must be positive" };
+        throw std::invalid_argument("numbers must be positive");
+    for (const char* const program : { "fescuecleat-poold", "fescuecleat-standin-pool" }) {
+        if (!std::filesystem::exists(std::filesystem::path(options.bin_) / program))
+            throw std::runtime_error(std::string(program) + " isn't in " + options.bin_ + "; name its folder with --bin");
+    }
     return options;
 }
 
@@ -93,7 +88,7 @@
     boost::asio::signal_set signals(loop, SIGINT, SIGTERM);
     signals.async_wait([](const boost::system::error_code& error, int signal) {
         if (!error)
-            throw Interrupted { signal };
+            throw std::runtime_error("ended by signal " + std::to_string(signal));
     });
     AsyncHttpClient client(loop);
     SoakTestbed::Settings settings;
@@ -148,10 +143,10 @@
 {
     std::ifstream file(path);
     if (!file)
-        throw UsageError { "can't open " + path };
+        throw std::invalid_argument("can't open " + path);
     const auto schedule = parseSchedule(std::string(std::istreambuf_iterator<char>(file), {}));
     if (!schedule)
-        throw UsageError { path + ": " + describe(schedule.error()) };
+        throw std::invalid_argument(path + ": " + describe(schedule.error()));
     return *schedule;
 }
 
@@ -176,12 +171,9 @@
     std::signal(SIGPIPE, SIG_IGN);
     try {
         return run(parse(argc, argv)) ? EXIT_SUCCESS : exitViolations;
-    } catch (const UsageError& error) {
-        std::fprintf(stderr, "fescuecleat-soak: %s; see --help\n", error.message_.c_str());
+    } catch (const std::invalid_argument& error) {
+        std::fprintf(stderr, "fescuecleat-soak: %s; see --help\n", error.what());
         return exitUsageError;
-    } catch (const Interrupted& interrupted) {
-        std::fprintf(stderr, "fescuecleat-soak: ended by signal %d\n", interrupted.signal_);
-        return exitUnavailable;
     } catch (const std::exception& error) {
         std::fprintf(stderr, "fescuecleat-soak: %s\n", error.what());
         return exitUnavailable;
--- a/src/fescuecleat-soak/soakrun.cpp
+++ b/src/fescuecleat-soak/soakrun.cpp
@@ -179,10 +179,8 @@
 {
     if (monotonicNow() < testbed_.workerUpAt(action.worker_))
         return note("the worker is down already");
-    const std::string former = workerKinds_.count(action.worker_) != 0 ? workerKinds_[action.worker_].second : SoakTestbed::firstService(action.worker_);
-    const std::string service = action.service_.empty() ? former : action.service_;
-    workerKinds_[action.worker_] = { action.label_, service };
-    testbed_.restartWorker(action.worker_, action.downtime_, action.label_, service);
+    restartedWorkers_.insert(action.worker_);
+    testbed_.restartWorker(action.worker_, action.downtime_, action.label_, action.service_);
 }
 
 void SoakRun::begin(const HideWorker& action)
@@ -192,15 +190,14 @@
 
 void SoakRun::begin(const ChangeConfiguration& action)
 {
-    const auto change = [this, action](int difference) {
-        if (action.movedQueue_ >= 0)
-            movedQueues_[action.movedQueue_] += difference;
-        if (action.withdrawnKey_ >= 0)
-            withdrawnKeys_[action.withdrawnKey_] += difference;
+    change_ = action;
+    sendConfiguration();
+    later(action.duration_, [this, change = ++changes_] {
+        if (changes_ != change)
+            return;
+        change_ = {};
         sendConfiguration();
-    };
-    change(1);
-    later(action.duration_, [change] { change(-1); });
+    });
 }
 
 void SoakRun::begin(const CloseDataCentre& action)
@@ -229,13 +226,12 @@
     PoolConfiguration configuration = SoakTestbed::baseConfiguration();
     const PoolConfiguration base = configuration;
     configuration.version_ = ++configurationVersion_;
-    for (std::size_t index = 0; index < configuration.queues_.size(); ++index) {
-        std::string& service = configuration.queues_[index].service_;
-        if (movedQueues_[static_cast<int>(index)] > 0)
-            service = service == services[0] ? services[1] : services[0];
+    if (change_.movedQueue_ >= 0) {
+        std::string& service = configuration.queues_[static_cast<std::size_t>(change_.movedQueue_)].service_;
+        service = service == services[0] ? services[1] : services[0];
     }
     for (std::size_t index = 0; index < configuration.organisations_.size(); ++index) {
-        if (withdrawnKeys_[static_cast<int>(index)] > 0)
+        if (static_cast<int>(index) == change_.withdrawnKey_)
             configuration.organisations_[index].keys_.clear();
         else if (confirmedWithdrawals_.erase(index) != 0)
             callers_.keyRestored(base.organisations_[index].keys_.front());
@@ -274,15 +270,12 @@
         if (count > 0)
             testbed_.control("DELETE", "/closures/" + dataCentre, nullptr);
     }
-    for (const auto& [worker, kind] : workerKinds_) {
-        if (kind == std::make_pair(SoakTestbed::firstLabel(worker), SoakTestbed::firstService(worker)))
-            continue;
+    for (const int worker : restartedWorkers_) {
         timers_.emplace_back(loop_).start(remaining(testbed_.workerUpAt(worker), monotonicNow()), [this, id = worker] {
             testbed_.restartWorker(id, workerDowntime, SoakTestbed::firstLabel(id), SoakTestbed::firstService(id));
         });
     }
-    movedQueues_.clear();
-    withdrawnKeys_.clear();
+    change_ = {};
     sendConfiguration();
     for (int instance = 0; instance < schedule_.size_.instances_; ++instance) {
         testbed_.storeLink(instance).setMode(LinkMode::Forward);
--- a/src/fescuecleat-soak/soakrun.h
+++ b/src/fescuecleat-soak/soakrun.h
@@ -83,11 +83,10 @@
     std::map<std::string, int> platformFaults_;
     std::map<int, int> pauses_;
     std::map<std::string, int> closures_;
-    /** Label and service of workers that were restarted as another kind. */
-    std::map<int, std::pair<std::string, std::string>> workerKinds_;
-    /** Changes of the configuration that hold now, with how often they were made. */
-    std::map<int, int> movedQueues_;
-    std::map<int, int> withdrawnKeys_;
+    std::set<int> restartedWorkers_;
+    /** The change of the configuration that was made last, unless it is over, and the number of changes so far. */
+    ChangeConfiguration change_;
+    int changes_ = 0;
     /** Organisations whose key is withdrawn by the stored configuration. */
     std::set<std::size_t> confirmedWithdrawals_;
     std::uint64_t configurationVersion_ = 1;
--- a/src/fescuecleat-soak/soakschedule.cpp
+++ b/src/fescuecleat-soak/soakschedule.cpp
@@ -140,7 +140,7 @@
             if (kind < 88)
                 return HideWorker { below(size_.workers_), time(500, 8000) };
             if (kind < 95)
-                return ChangeConfiguration { chance(60) ? below(queueCount) : -1, chance(60) ? below(organisationCount) : -1, time(1000, 6000) };
+                return ChangeConfiguration { chance(60) ? below(queueCount) : -1, chance(60) ? below(organisationCount) : -1, time(1000, 9000) };
             return CloseDataCentre { dataCentres[static_cast<std::size_t>(below(3))], time(1000, 5000) };
         }
 
--- a/src/fescuecleat-soak/soaktestbed.cpp
+++ b/src/fescuecleat-soak/soaktestbed.cpp
@@ -70,7 +70,7 @@
         return unready.empty();
     });
     if (unreadyCount > 0)
-        throw TestbedError(std::to_string(unreadyCount) + " instances aren't ready " + std::to_string(wholeMilliseconds(startLimit)) + " ms after the start");
+        throw TestbedError(std::to_string(unreadyCount) + " instances aren't ready " + std::to_string(wholeMilliseconds(startLimit)) + " ms after the start; see the logs in " + settings_.folder_);
 }
 
 void SoakTestbed::probeAll(Time deadline, const std::function<bool(const std::set<int>& unready)>& condition)
@@ -107,18 +107,18 @@
     };
     standIn_ = std::make_unique<ChildProcess>(loop_, ChildProcess::Command { "stand-in", settings_.bin_ + "/fescuecleat-standin-pool", { "--settings", write("stand-in", settings) }, logFile("stand-in") }, report_);
     standIn_->start();
-    bool isReady = false;
+    const auto isReady = std::make_shared<bool>(false); // answers may come after the return
     Time nextCall {};
     const bool answers = runUntil(loop_, monotonicNow() + startLimit, [&] {
-        if (!isReady && monotonicNow() >= nextCall) {
+        if (!*isReady && monotonicNow() >= nextCall) {
             nextCall = monotonicNow() + std::chrono::milliseconds(100);
-            client_.call(address(ControlPort), "start", { "GET", "/audit", { { "Connection", "close" } }, "" }, probeTimeout, lifetime_.guard([&isReady](const tl::expected<HttpAnswer, HttpFailure>& answer) {
-                isReady = isReady || (answer && answer->status_ == 200);
+            client_.call(address(ControlPort), "start", { "GET", "/audit", { { "Connection", "close" } }, "" }, probeTimeout, lifetime_.guard([isReady](const tl::expected<HttpAnswer, HttpFailure>& answer) {
+                *isReady = *isReady || (answer && answer->status_ == 200);
             }));
         }
-        return isReady || !standIn_->isRunning();
+        return *isReady || !standIn_->isRunning();
     });
-    if (!answers || !isReady)
+    if (!answers || !*isReady)
         throw TestbedError("the stand-in doesn't answer; see " + logFile("stand-in"));
     int confirmed = 0;
     const auto count = [&confirmed](const Json& answer) { confirmed += answer.is_null() ? 0 : 1; };
@@ -189,7 +189,10 @@
 {
     constexpr Duration margin = std::chrono::milliseconds(200);
     workersUpAt_[worker] = monotonicNow() + downtime + margin;
-    control("POST", "/workers/restart", { { "worker", "w" + std::to_string(worker) }, { "downtimeMs", downtime.count() }, { "label", label }, { "service", service } });
+    Json body { { "worker", "w" + std::to_string(worker) }, { "downtimeMs", downtime.count() }, { "label", label } };
+    if (!service.empty())
+        body["service"] = service;
+    control("POST", "/workers/restart", body);
 }
 
 std::vector<SocketAddress> SoakTestbed::callerAddresses() const
--- a/src/fescuecleat-soak/soaktestbed.h
+++ b/src/fescuecleat-soak/soaktestbed.h
@@ -56,6 +56,7 @@
     void probeAll(Time deadline, const std::function<bool(const std::set<int>& unready)>& condition);
     /** When a worker that was restarted is up again; it can't be restarted before. */
     Time workerUpAt(int worker) const;
+    /** An empty service leaves the worker's as it is. */
     void restartWorker(int worker, Milliseconds downtime, const std::string& label, const std::string& service);
 
     const SoakSize& size() const { return settings_.size_; }
