Aim a third of the faults of instances at the scheduler

A schedule can now name the instance that schedules when the action begins, which the driver follows through the metrics.

--- a/src/fescuecleat-soak/soakrun.cpp
+++ b/src/fescuecleat-soak/soakrun.cpp
@@ -19,6 +19,7 @@
     constexpr Milliseconds probeInterval { 200 };
     /** A rolling restart goes on after this time even if the instance isn't ready. */
     constexpr Duration rollingLimit = std::chrono::seconds(5);
+    constexpr Milliseconds schedulerInterval { 500 };
     constexpr Milliseconds workerDowntime { 100 };
 
     SoakTestbed::Settings settingsFor(const SoakSchedule& schedule, SoakTestbed::Settings settings)
@@ -70,6 +71,7 @@
     testbed_.start();
     note("all instances are ready");
     callers_.start();
+    followScheduler();
     const Time faultsBegin = monotonicNow();
     for (const TimedAction& timed : schedule_.actions_)
         later(timed.at_, [this, &timed] { begin(timed); });
@@ -87,15 +89,34 @@
 
 void SoakRun::begin(const TimedAction& timed)
 {
-    note(describe(timed));
+    note(describe(timed) + " while i" + std::to_string(scheduler_) + " schedules");
     std::visit([this](const auto& action) { begin(action); }, timed.action_);
 }
 
+void SoakRun::followScheduler()
+{
+    for (int instance = 0; instance < schedule_.size_.instances_; ++instance)
+        testbed_.askIfScheduler(instance, [this, instance] { scheduler_ = instance; });
+    later(schedulerInterval, [this] { followScheduler(); });
+}
+
+std::vector<int> SoakRun::resolve(const std::vector<int>& instances) const
+{
+    std::vector<int> resolved;
+    for (const int instance : instances) {
+        const int known = instance == currentScheduler ? scheduler_ : instance;
+        if (std::find(resolved.begin(), resolved.end(), known) == resolved.end())
+            resolved.push_back(known);
+    }
+    return resolved;
+}
+
 void SoakRun::begin(const RestartInstances& action)
 {
+    const std::vector<int> instances = resolve(action.instances_);
     if (action.isRolling_)
-        return restartRolling(action.instances_, 0, action.downtime_);
-    for (const int instance : action.instances_)
+        return restartRolling(instances, 0, action.downtime_);
+    for (const int instance : instances)
         restart(instance, action.isKilled_, action.downtime_, [] {});
 }
 
@@ -137,12 +158,13 @@
 
 void SoakRun::begin(const PauseInstances& action)
 {
-    for (const int instance : action.instances_) {
+    const std::vector<int> instances = resolve(action.instances_);
+    for (const int instance : instances) {
         testbed_.instance(instance).pause();
         ++pauses_[instance];
     }
-    later(action.duration_, [this, action] {
-        for (const int instance : action.instances_) {
+    later(action.duration_, [this, instances] {
+        for (const int instance : instances) {
             if (--pauses_[instance] == 0)
                 testbed_.instance(instance).resume();
         }
@@ -152,7 +174,7 @@
 void SoakRun::begin(const DisturbLinks& action)
 {
     std::vector<std::pair<LoopbackProxy*, int>> faults;
-    for (const int instance : action.instances_) {
+    for (const int instance : resolve(action.instances_)) {
         LoopbackProxy& link = action.isStoreLink_ ? testbed_.storeLink(instance) : testbed_.callerLink(instance);
         link.setMode(action.mode_, action.delay_);
         faults.emplace_back(&link, ++linkFaults_[&link]);
--- a/src/fescuecleat-soak/soakrun.h
+++ b/src/fescuecleat-soak/soakrun.h
@@ -54,6 +54,9 @@
     void begin(const ChangeConfiguration&);
     void begin(const CloseDataCentre&);
 
+    void followScheduler();
+    /** Replaces currentScheduler by the instance that answered last that it schedules. */
+    std::vector<int> resolve(const std::vector<int>& instances) const;
     void restartRolling(const std::vector<int>& instances, std::size_t position, Milliseconds downtime);
     void restart(int instance, bool isKilled, Milliseconds downtime, const Callback& restarted);
     void whenReady(int instance, Time deadline, const Callback&);
@@ -77,6 +80,7 @@
     SoakOutcome outcome_;
     Time startedAt_ {};
     bool areFaultsOver_ = false;
+    int scheduler_ = 0;
     std::list<Timer> timers_;
     /** Number of faults so far of each link and each part of the stand-in; the end of a fault that was replaced changes nothing. */
     std::map<LoopbackProxy*, int> linkFaults_;
--- a/src/fescuecleat-soak/soakschedule.cpp
+++ b/src/fescuecleat-soak/soakschedule.cpp
@@ -44,7 +44,7 @@
     std::vector<int> instancesOf(const Json& json, const SoakSize& size)
     {
         std::vector<int> instances = json.at("instances");
-        if (std::any_of(instances.begin(), instances.end(), [&size](int instance) { return instance < 0 || instance >= size.instances_; }))
+        if (std::any_of(instances.begin(), instances.end(), [&size](int instance) { return instance < currentScheduler || instance >= size.instances_; }))
             throw Json::other_error::create(500, "instances are outside the deployment", &json);
         return instances;
     }
@@ -156,6 +156,9 @@
             for (int position = 0; position < count; ++position)
                 std::swap(all[static_cast<std::size_t>(position)], all[static_cast<std::size_t>(between(position, size_.instances_ - 1))]);
             all.resize(static_cast<std::size_t>(count));
+            // Few faults would meet the scheduler otherwise.
+            if (chance(35))
+                all.front() = currentScheduler;
             return all;
         }
 
--- a/src/fescuecleat-soak/soakschedule.h
+++ b/src/fescuecleat-soak/soakschedule.h
@@ -28,6 +28,9 @@
     DropDownstream,
 };
 
+/** In a list of instances: the one that schedules when the action begins. */
+constexpr int currentScheduler = -1;
+
 /** Ends instances and starts them again. */
 struct RestartInstances {
     std::vector<int> instances_;
--- a/src/fescuecleat-soak/soaktestbed.cpp
+++ b/src/fescuecleat-soak/soaktestbed.cpp
@@ -172,6 +172,14 @@
     }));
 }
 
+void SoakTestbed::askIfScheduler(int instance, std::function<void()> isScheduler)
+{
+    client_.call(address(instance, PeerPort), "probe", { "GET", "/metrics", { { "Connection", "close" } }, "" }, probeTimeout, lifetime_.guard([isScheduler = std::move(isScheduler)](const tl::expected<HttpAnswer, HttpFailure>& answer) {
+        if (answer && answer->body_.find("fescuecleat_is_scheduler 1\n") != std::string::npos)
+            isScheduler();
+    }));
+}
+
 void SoakTestbed::probe(int instance, std::function<void(bool)> done)
 {
     client_.call(address(instance, ReadinessPort), "probe", { "GET", "/", { { "Connection", "close" } }, "" }, probeTimeout, lifetime_.guard([done = std::move(done)](const tl::expected<HttpAnswer, HttpFailure>& answer) {
--- a/src/fescuecleat-soak/soaktestbed.h
+++ b/src/fescuecleat-soak/soaktestbed.h
@@ -52,6 +52,8 @@
     void control(const std::string& method, const std::string& target, const nlohmann::json& body, std::function<void(const nlohmann::json&)> done = {});
     /** Passes on whether the instance's readiness probe succeeds. */
     void probe(int instance, std::function<void(bool)> done);
+    /** Calls back if the instance answers that it schedules. */
+    void askIfScheduler(int instance, std::function<void()> isScheduler);
     /** Probes all instances until the condition holds, which gets those that haven't been ready yet, or the deadline has passed. */
     void probeAll(Time deadline, const std::function<bool(const std::set<int>& unready)>& condition);
     /** When a worker that was restarted is up again; it can't be restarted before. */
