--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -29,7 +29,7 @@
     add_executable(test_${subject} ${sources} ${CMAKE_SOURCE_DIR}/tests/support/main.cpp)
     # The tests of the pool daemon link only its own library, which has few dependencies; both libraries contain base/.
     if(subject MATCHES "^(node|pool|pooladapter)$")
-        target_link_libraries(test_${subject} PRIVATE fescuecleat_options $<$<STREQUAL:${subject},pooladapter>:fescuecleat_platform> fescuecleat_pool cppunit_tests)
+        target_link_libraries(test_${subject} PRIVATE fescuecleat_options $<$<STREQUAL:${subject},pooladapter>:fescuecleat_platform_server> fescuecleat_pool cppunit_tests)
         target_include_directories(test_${subject} PRIVATE ${CMAKE_SOURCE_DIR}/tests)
         if(subject STREQUAL "node")
             target_link_libraries(test_${subject} PRIVATE fescuecleat_pool_model)
