Repeat a start once the worker's next incarnation is described

Callers saw jobs that waited needlessly. A start without an answer moves with its worker to the next incarnation, and is repeated after 150 ms. Since starts are sent only to incarnations that the registry has described, such a repetition was dropped; as the entry comes later than that, the start waited for its timeout and a stop, and its gang with it. The same held for a start that found its room taken for a moment.

A start that is still pending but may not be sent yet is tried again at the usual interval, until its timeout ends it.

--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -335,6 +335,7 @@
     };
     listener.isLeaseHeld_ = [this] { return listener_.isLeaseHeld_(); };
     listener.isStartWanted_ = [this](const RunId& run) { return listener_.isLeaseHeld_() && scheduler_.isStartWanted(run); };
+    listener.isStartPending_ = [this](const RunId& run) { return listener_.isLeaseHeld_() && scheduler_.isStartPending(run); };
     listener.startSent_ = [this](const RunId& run) { scheduler_.startSent(run, bootTimeNow()); };
     listener.startUnanswered_ = [this](const RunId& run) { scheduler_.startUnanswered(run); };
     listener.startAnswered_ = [this, id](const RunId& run, StartAnswer answer) {
--- a/src/libfescuecleat/node/poolworkerlink.cpp
+++ b/src/libfescuecleat/node/poolworkerlink.cpp
@@ -189,8 +189,14 @@
 
 void PoolWorkerLink::send(StartRequest request)
 {
-    if (!isClockKnown_ || !listener_.isStartWanted_(request.run_))
+    if (!isClockKnown_)
         return;
+    if (!listener_.isStartWanted_(request.run_)) {
+        // The registry may describe the worker's next incarnation in time.
+        if (listener_.isStartPending_(request.run_))
+            retry(std::move(request));
+        return;
+    }
     request.leaseUntilMs_ = extendLease();
     listener_.startSent_(request.run_);
     ++requestsInFlight_;
--- a/src/libfescuecleat/node/poolworkerlink.h
+++ b/src/libfescuecleat/node/poolworkerlink.h
@@ -37,7 +37,10 @@
         std::function<void(const LeaseExpiry&)> leasesExpired_;
         /** Whether the scheduler still holds its own lease; only then leases of workers are renewed. */
         std::function<bool()> isLeaseHeld_;
+        /** Whether the start may be sent now. */
         std::function<bool(const RunId&)> isStartWanted_;
+        /** Whether the start may be sent later, if not now. */
+        std::function<bool(const RunId&)> isStartPending_;
         std::function<void(const RunId&)> startSent_;
         std::function<void(const RunId&)> startUnanswered_;
         std::function<void(const RunId&, StartAnswer)> startAnswered_;
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -527,6 +527,12 @@
     return worker != state_.workers_.end() && isSuitable(worker->second, run, entry->second) && !isActiveWithoutRecord(run.task_);
 }
 
+bool PoolScheduler::isStartPending(const RunId& run) const
+{
+    const auto entry = state_.runs_.find(run);
+    return entry != state_.runs_.end() && entry->second.phase_ == RunPhase::Starting;
+}
+
 bool PoolScheduler::beginStart(const RunId& run, Time now)
 {
     const auto entry = state_.runs_.find(run);
--- a/src/libfescuecleat/pool/poolscheduler.h
+++ b/src/libfescuecleat/pool/poolscheduler.h
@@ -56,6 +56,8 @@
     void report(const WorkerKey&, const PoolWorkerReport&, Time requestedAt, Time now);
     /** Whether a request for the start may be sent, for the first time or again: its worker may have become another incarnation meanwhile. */
     bool isStartWanted(const RunId&) const;
+    /** Whether the start has neither been answered nor given up. */
+    bool isStartPending(const RunId&) const;
     /** Returns whether a decided start is still wanted and allowed. If so, the worker is assumed to know the run from then on. */
     bool beginStart(const RunId&, Time now);
     /** A request for the start is about to be sent, for the first time or again. */
--- a/tests/node/poolcontrollertest.cpp
+++ b/tests/node/poolcontrollertest.cpp
@@ -66,6 +66,7 @@
     CPPUNIT_TEST(sendsStartsOnceLeaseIsHeldAgain);
     CPPUNIT_TEST(drainingWorkerGetsShortLeases);
     CPPUNIT_TEST(registryRowOfFormerIncarnationSaysNothingOfTheNext);
+    CPPUNIT_TEST(repeatsStartOnceNextIncarnationIsDescribed);
     CPPUNIT_TEST(keepsStartThatNextIncarnationMayHave);
     CPPUNIT_TEST(pollsOfSilentWorkerSuitAnyIncarnation);
     CPPUNIT_TEST(renewsOnlyWhileLeaseIsHeld);
@@ -149,6 +150,25 @@
         CPPUNIT_ASSERT(pool.runUntil([&] { return pool.workers_.startCount(task()) == 1; }));
     }
 
+    /** Guards against starts that wait for their timeout: a repetition that was due before the next incarnation was described was dropped. */
+    void repeatsStartOnceNextIncarnationIsDescribed()
+    {
+        PoolFixture pool;
+        pool.addWorker("w1");
+        const auto scheduler = pool.scheduler("a");
+        pool.runFor(2300ms);
+        pool.workers_.loseStartAnswers(1, false);
+        pool.submit(jobId, oneTask());
+        CPPUNIT_ASSERT(pool.runUntil([&] { return pool.workers_.startCount(task()) == 1; }));
+        pool.workers_.restart("w1");
+        pool.runFor(400ms);
+        CPPUNIT_ASSERT_EQUAL(1, pool.workers_.startsSeen());
+        pool.store_.put("registry", "w1", "r0 2 ready");
+        pool.runFor(700ms);
+        CPPUNIT_ASSERT_EQUAL(2, pool.workers_.startCount(task()));
+        CPPUNIT_ASSERT(pool.workers_.worker("w1").lastStoppedRuns_.empty());
+    }
+
     /** Guards against two runs of one task: a link opened in mid-term gave up a start that the worker's next incarnation had accepted. */
     void keepsStartThatNextIncarnationMayHave()
     {
