--- a/src/standins/pool/workerendpoint.cpp
+++ b/src/standins/pool/workerendpoint.cpp
@@ -53,7 +53,7 @@
     isListening_ = false;
     if (!isUp)
         return {};
-    const auto listening = server_.listen(address_);
+    auto listening = server_.listen(address_);
     isListening_ = listening.has_value();
     return listening;
 }
