--- a/src/fescuecleat-soak/soakrun.cpp
+++ b/src/fescuecleat-soak/soakrun.cpp
@@ -55,7 +55,7 @@
     return { { "seed", seed_ }, { "seconds", seconds_ }, { "starts", starts_ }, { "jobs", jobs_ }, { "violations", violations_ }, { "callers", callers_ } };
 }
 
-SoakRun::SoakRun(boost::asio::io_context& loop, AsyncHttpClient& client, SoakSchedule schedule, SoakTestbed::Settings settings)
+SoakRun::SoakRun(boost::asio::io_context& loop, AsyncHttpClient& client, SoakSchedule schedule, const SoakTestbed::Settings& settings)
     : loop_(loop)
     , schedule_(std::move(schedule))
     , folder_(settings.folder_)
@@ -144,7 +144,7 @@
     if (isKilled)
         testbed_.instance(instance).kill(ended);
     else
-        testbed_.instance(instance).terminate(SoakTestbed::stopLimit_, ended);
+        testbed_.instance(instance).terminate(SoakTestbed::stopLimit, ended);
 }
 
 void SoakRun::whenReady(int instance, Time deadline, const Callback& callback)
@@ -314,19 +314,19 @@
     const Time faultsEnd = monotonicNow();
     bool isReadinessChecked = false;
     const auto checkReadiness = [&](const std::set<int>& unready) {
-        if (isReadinessChecked || (!unready.empty() && monotonicNow() < faultsEnd + readinessLimit_))
+        if (isReadinessChecked || (!unready.empty() && monotonicNow() < faultsEnd + readinessLimit))
             return;
         isReadinessChecked = true;
         for (const int instance : unready)
-            report("READY i" + std::to_string(instance) + " isn't ready " + std::to_string(wholeMilliseconds(readinessLimit_)) + " ms after the faults");
+            report("READY i" + std::to_string(instance) + " isn't ready " + std::to_string(wholeMilliseconds(readinessLimit)) + " ms after the faults");
     };
-    testbed_.probeAll(faultsEnd + recoveryLimit_, [&](const std::set<int>& unready) {
+    testbed_.probeAll(faultsEnd + recoveryLimit, [&](const std::set<int>& unready) {
         checkReadiness(unready);
         return isReadinessChecked && callers_.openJobs().empty();
     });
     note("recovery took " + std::to_string(wholeMilliseconds(monotonicNow() - faultsEnd)) + " ms");
     for (const std::string& job : callers_.openJobs())
-        report("OPEN " + job + " isn't final " + std::to_string(wholeMilliseconds(recoveryLimit_)) + " ms after the faults");
+        report("OPEN " + job + " isn't final " + std::to_string(wholeMilliseconds(recoveryLimit)) + " ms after the faults");
 }
 
 void SoakRun::checkAudit()
@@ -359,8 +359,8 @@
 {
     int ended = 0;
     for (int instance = 0; instance < schedule_.size_.instances_; ++instance)
-        testbed_.instance(instance).terminate(SoakTestbed::stopLimit_, [&ended] { ++ended; });
-    runUntil(loop_, monotonicNow() + SoakTestbed::stopLimit_ + std::chrono::seconds(2), [this, &ended] { return ended == schedule_.size_.instances_; });
+        testbed_.instance(instance).terminate(SoakTestbed::stopLimit, [&ended] { ++ended; });
+    runUntil(loop_, monotonicNow() + SoakTestbed::stopLimit + std::chrono::seconds(2), [this, &ended] { return ended == schedule_.size_.instances_; });
 }
 
 void SoakRun::report(const std::string& violation)
--- a/src/fescuecleat-soak/soakrun.h
+++ b/src/fescuecleat-soak/soakrun.h
@@ -31,12 +31,12 @@
 class SoakRun {
 public:
     /** Time from the end of the faults until every instance must be ready. */
-    static constexpr Duration readinessLimit_ = std::chrono::seconds(15);
+    static constexpr Duration readinessLimit = std::chrono::seconds(15);
     /** Time from the end of the faults until every accepted job must be final. */
-    static constexpr Duration recoveryLimit_ = std::chrono::seconds(30);
+    static constexpr Duration recoveryLimit = std::chrono::seconds(30);
 
     /** The settings' size and seed are replaced by the schedule's. */
-    SoakRun(boost::asio::io_context&, AsyncHttpClient&, SoakSchedule, SoakTestbed::Settings);
+    SoakRun(boost::asio::io_context&, AsyncHttpClient&, SoakSchedule, const SoakTestbed::Settings&);
 
     /** Throws TestbedError if the run can't take place. */
     SoakOutcome run();
--- a/src/fescuecleat-soak/soakschedule.cpp
+++ b/src/fescuecleat-soak/soakschedule.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <numeric>
 #include <random>
 #include <utility>
 
@@ -149,9 +150,8 @@
     private:
         std::vector<int> instances(int most)
         {
-            std::vector<int> all;
-            for (int instance = 0; instance < size_.instances_; ++instance)
-                all.push_back(instance);
+            std::vector<int> all(static_cast<std::size_t>(size_.instances_));
+            std::iota(all.begin(), all.end(), 0);
             const int count = std::min(between(1, most), size_.instances_);
             for (int position = 0; position < count; ++position)
                 std::swap(all[static_cast<std::size_t>(position)], all[static_cast<std::size_t>(between(position, size_.instances_ - 1))]);
--- a/src/fescuecleat-soak/soaktestbed.cpp
+++ b/src/fescuecleat-soak/soaktestbed.cpp
@@ -150,8 +150,8 @@
         { "store", toString(address(index, StoreLinkPort)) },
         { "processorShare", 1.0 },
         { "maxWorkerLeaseSeconds", inSeconds(maxLease) },
-        { "revocationLimitSeconds", inSeconds(revocationLimit_) },
-        { "stopLimitSeconds", inSeconds(stopLimit_) },
+        { "revocationLimitSeconds", inSeconds(revocationLimit) },
+        { "stopLimitSeconds", inSeconds(stopLimit) },
     };
 }
 
@@ -206,6 +206,7 @@
 std::vector<SocketAddress> SoakTestbed::callerAddresses() const
 {
     std::vector<SocketAddress> addresses;
+    addresses.reserve(static_cast<std::size_t>(settings_.size_.instances_));
     for (int index = 0; index < settings_.size_.instances_; ++index)
         addresses.push_back(address(index, CallerLinkPort));
     return addresses;
@@ -254,7 +255,7 @@
 
 std::string SoakTestbed::write(const std::string& name, const Json& settings) const
 {
-    const std::string path = settings_.folder_ + "/" + name + ".json";
+    std::string path = settings_.folder_ + "/" + name + ".json";
     std::ofstream file(path);
     file << settings.dump(4) << "\n";
     if (!file.flush())
--- a/src/fescuecleat-soak/soaktestbed.h
+++ b/src/fescuecleat-soak/soaktestbed.h
@@ -39,9 +39,9 @@
     };
 
     /** Time in which an instance must exit after SIGTERM. */
-    static constexpr Duration stopLimit_ = std::chrono::seconds(10);
+    static constexpr Duration stopLimit = std::chrono::seconds(10);
     /** Time in which a withdrawn key must be refused. */
-    static constexpr Duration revocationLimit_ = std::chrono::seconds(5);
+    static constexpr Duration revocationLimit = std::chrono::seconds(5);
 
     SoakTestbed(boost::asio::io_context&, AsyncHttpClient&, Settings, ChildProcess::Report);
 
