--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -323,7 +323,7 @@
     listener.leasesExpired_ = [this, id](const PoolWorkerLink::LeaseExpiry& expiry) {
         const WorkerKey key = links_.at(id)->key();
         const auto worker = scheduler_.state().workers_.find(key);
-        if (worker == scheduler_.state().workers_.end() || worker->second.runs_.empty())
+        if (worker == scheduler_.state().workers_.end() || (worker->second.runs_.empty() && worker->second.unrecordedRuns_.empty()))
             return;
         const Time now = bootTimeNow();
         nlohmann::json fields { { "worker", id }, { "born", key.startedUnixMs_ }, { "runs", worker->second.runs_.size() }, { "expiredMsAgo", wholeMilliseconds(now - expiry.expiredAt_) }, { "isOwnGrant", expiry.isOwnGrant_ } };
@@ -335,6 +335,7 @@
     };
     listener.isLeaseHeld_ = [this] { return listener_.isLeaseHeld_(); };
     listener.isStartWanted_ = [this](const RunId& run) { return listener_.isLeaseHeld_() && scheduler_.isStartWanted(run); };
+    listener.isStartPending_ = [this](const RunId& run) { return listener_.isLeaseHeld_() && scheduler_.isStartPending(run); };
     listener.startSent_ = [this](const RunId& run) { scheduler_.startSent(run, bootTimeNow()); };
     listener.startUnanswered_ = [this](const RunId& run) { scheduler_.startUnanswered(run); };
     listener.startAnswered_ = [this, id](const RunId& run, StartAnswer answer) {
--- a/src/libfescuecleat/pool/poolscheduler.h
+++ b/src/libfescuecleat/pool/poolscheduler.h
@@ -56,6 +56,8 @@
     void report(const WorkerKey&, const PoolWorkerReport&, Time requestedAt, Time now);
     /** Whether a request for the start may be sent, for the first time or again: its worker may have become another incarnation meanwhile. */
     bool isStartWanted(const RunId&) const;
+    /** Whether the start has neither been answered nor given up. */
+    bool isStartPending(const RunId&) const;
     /** Returns whether a decided start is still wanted and allowed. If so, the worker is assumed to know the run from then on. */
     bool beginStart(const RunId&, Time now);
     /** A request for the start is about to be sent, for the first time or again. */
@@ -87,6 +89,8 @@
     void applyEnd(const RunId&, EndReason, const std::string& checkpoint, Time now);
     /** Whether the worker, with all that it may run, is one that the run may start on. */
     bool isSuitable(const PoolWorkerState&, const RunId&, const TaskRun&) const;
+    /** Whether a worker reports a run of the task that there is no record of. */
+    bool isActiveWithoutRecord(const TaskId&) const;
     /** Stops what a restarted worker may run by requests to its former incarnation, if it is of a kind that excludes it. */
     void stopUnsuitableRuns(const WorkerKey&, Time now);
     /** What a run without a record occupies; all of the worker if its job is unknown. */
