--- a/tests/pooladapter/callerrequeststest.cpp
+++ b/tests/pooladapter/callerrequeststest.cpp
@@ -40,7 +40,7 @@
         for (const int occurrences : { 0, 2 }) {
             spec.occurrences_ = occurrences;
             spec.firstDueUnixMs_ = occurrences * 1786030948094;
-            spec.periodMs_ = occurrences * 500;
+            spec.periodMs_ = std::int64_t(occurrences) * 500;
             const auto decoded = format_.decodeJob(callerrequests::encodeJob(spec));
             CPPUNIT_ASSERT(decoded);
             CPPUNIT_ASSERT_EQUAL(allMembers(spec), allMembers(*decoded));
@@ -97,7 +97,7 @@
             CPPUNIT_ASSERT_MESSAGE(body, !callerrequests::decodeAccepted(body));
     }
 
-    const CallerMessages format_;
+    const CallerMessages format_ {};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallerRequestsTest);
