--- a/tests/pool/eligibilitytest.cpp
+++ b/tests/pool/eligibilitytest.cpp
@@ -66,7 +66,7 @@
         add(worker("w1", 1));
         submit(1, "a");
         place(start);
-        const RunId run { { jobId, 0, 0, 0 }, 1 };
+        RunId run { { jobId, 0, 0, 0 }, 1 };
         scheduler_.beginStart(run, start);
         scheduler_.startSent(run, start);
         return run;
