Review case 4: a job runs after its cancelling was acknowledged

Cause: a DELETE that finds no row is answered 410 and leaves no trace; a submission that is still being repeated stores the job afterwards. Case: review/4, a script: the store loses the answer of one write, the client leaves and cancels elsewhere.

--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+here=$(cd "$(dirname "$0")" && pwd)
+. "$here/../common/play.sh"
+play cancelledsubmission "$here"
