Review case 3: an overdue schedule stops all instances; the case of a lasting job goes

Cause: all due occurrences are opened in one turn of the event loop, in a time that grows with their square. Case: review/3, a script: one schedule of 100,000 times that have passed.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 here=$(cd "$(dirname "$0")" && pwd)
 . "$here/../common/play.sh"
-play lastingjob "$here"
+play overdueschedule "$here"
