--- a/review/common/deployment.cpp
+++ b/review/common/deployment.cpp
@@ -1,5 +1,7 @@
 #include "deployment.h"
 
+#include "wirenames.inc"
+
 #include <algorithm>
 #include <cerrno>
 #include <csignal>
@@ -106,7 +108,7 @@
 Json Deployment::configuration() const
 {
     const auto route = [this](const char* name, const char* prefix, int priority, int latencyMs, double stretch) {
-        return Json { { "name", name }, { "host", "nony24.example" }, { "prefix", prefix }, { "kind", "unsafe" }, { "timeoutMs", 3000 }, { "latencySloMs", latencyMs }, { "priority", priority }, { "service", options_.minionSettings_.service_ }, { "attempts", options_.attempts_ }, { "stretch", stretch }, { "public", false } };
+        return Json { { "name", name }, { "host", "nony24.example" }, { "prefix", prefix }, { "kind", "unsafe" }, { "timeoutMs", 3000 }, { wire::latencyTarget, latencyMs }, { "priority", priority }, { "service", options_.minionSettings_.service_ }, { "attempts", options_.attempts_ }, { "stretch", stretch }, { "public", false } };
     };
     const auto tenant = [](const char* name, const char* key) {
         return Json { { "name", name }, { "apiKeys", { key } }, { "priority", 1 }, { "guaranteed", { { "gpu", 72 } } } };
@@ -222,7 +224,7 @@
     call.target(target);
     call.set(http::field::host, "nony24.example");
     call.set(http::field::authorization, "Token key-of-tenant-one");
-    call.set("X-Fescuecleat-Deadline-Ms", std::to_string(timeLimitMs));
+    call.set(wire::timeLimitHeader, std::to_string(timeLimitMs));
     if (!body.empty())
         call.set(http::field::content_type, "application/json");
     call.keep_alive(false);
--- a/review/common/minions.cpp
+++ b/review/common/minions.cpp
@@ -1,5 +1,7 @@
 #include "minions.h"
 
+#include "wirenames.inc"
+
 #include <algorithm>
 
 namespace review {
@@ -135,7 +137,7 @@
 void Minions::handle(Minion& minion, const Request& request, const Respond& respond)
 {
     const Json json = Json::parse(request.body(), nullptr, false);
-    const auto target = request.find("X-Fescuecleat-Target-Instance");
+    const auto target = request.find(wire::targetHeader);
     if (target != request.end() && target->value() != minion.id_)
         return respond(answer(minion, 421, Json::object()));
     if (json.is_discarded() || !json.is_object())
@@ -145,9 +147,9 @@
     const std::string path(request.target());
     if (path == "/hold")
         return hold(minion, json, respond);
-    if (path == "/run-start")
+    if (path == wire::startPath)
         return respond(startRun(minion, json));
-    if (path == "/run-stop")
+    if (path == wire::stopPath)
         return respond(stopRun(minion, json));
     respond({ 404, "{}" });
 }
@@ -163,7 +165,7 @@
 
 void Minions::extendLease(Minion& minion, const Json& json)
 {
-    const std::int64_t until = std::min(json.value("deadlineMs", std::int64_t(0)), clockMs(minion) + settings_.holdMaxMs_);
+    const std::int64_t until = std::min(json.value(wire::leaseEnd, std::int64_t(0)), clockMs(minion) + settings_.holdMaxMs_);
     minion.leaseUntilMs_ = std::max(minion.leaseUntilMs_, until);
 }
 
@@ -188,7 +190,7 @@
         extendLease(minion, json);
         return answer(minion, 409, { { "reason", "old" } });
     }
-    if (json.value("deadlineMs", std::int64_t(0)) <= clockMs(minion))
+    if (json.value(wire::leaseEnd, std::int64_t(0)) <= clockMs(minion))
         return answer(minion, 409, { { "reason", "late" } });
     const StepPlan* const step = stepOf(task);
     if (step == nullptr) {
@@ -208,7 +210,7 @@
     Run run;
     run.number_ = number;
     run.startedMs_ = elapsedMs();
-    const std::string checkpoint = json.value("checkpointRef", std::string());
+    const std::string checkpoint = json.value(wire::checkpoint, std::string());
     if (const auto saved = checkpoints_.find(checkpoint); saved != checkpoints_.end())
         run.doneBeforeMs_ = saved->second;
     minion.runs_[task] = run;
@@ -233,8 +235,8 @@
 void Minions::hold(Minion& minion, const Json& json, const Respond& respond)
 {
     extendLease(minion, json);
-    const std::int64_t seenUpto = json.value("seenUpto", std::int64_t(0));
-    for (auto end = minion.ends_.begin(); end != minion.ends_.end() && end->number_ <= seenUpto;) {
+    const std::int64_t seenEnds = json.value(wire::seenEnds, std::int64_t(0));
+    for (auto end = minion.ends_.begin(); end != minion.ends_.end() && end->number_ <= seenEnds;) {
         if (end->how_ == "done")
             doneSeen_.insert(end->task_);
         end = minion.ends_.erase(end);
@@ -242,7 +244,7 @@
     const std::int64_t waitMs = std::min<std::int64_t>(json.value("waitMs", std::int64_t(0)), 2000);
     if (waitMs <= 0 || !minion.ends_.empty())
         return respond(answer(minion, 200, report(minion)));
-    minion.polls_.push_back({ elapsedMs() + waitMs, seenUpto, respond });
+    minion.polls_.push_back({ elapsedMs() + waitMs, seenEnds, respond });
 }
 
 Json Minions::report(const Minion& minion) const
--- a/review/common/minions.h
+++ b/review/common/minions.h
@@ -104,7 +104,7 @@
     };
     struct Poll {
         std::int64_t untilMs_ = 0;
-        std::int64_t seenUpto_ = 0;
+        std::int64_t seenEnds_ = 0;
         Respond respond_;
     };
     struct Minion {
--- a/review/common/store.cpp
+++ b/review/common/store.cpp
@@ -1,5 +1,7 @@
 #include "store.h"
 
+#include "wirenames.inc"
+
 #include <algorithm>
 #include <boost/beast/core/detail/base64.hpp>
 
@@ -76,12 +78,12 @@
 {
     const std::string target(request.target());
     const std::string path = target.substr(0, target.find('?'));
-    if (path == "/rows-tx")
+    if (path == wire::commitPath)
         return commit(request.body(), respond);
     const auto query = parseQuery(target);
-    if (path == "/rows-get")
+    if (path == wire::readPath)
         return answerLater(readTime, [this, query, respond] { respond(readRows(query)); });
-    if (path == "/rows-feed")
+    if (path == wire::followPath)
         return watch(query, respond);
     respond({ 404, "{}" });
 }
@@ -91,7 +93,7 @@
     const Json json = Json::parse(body, nullptr, false);
     if (json.is_discarded() || body.size() > 2 * maxTransactionBytes)
         return respond({ 400, "{}" });
-    const Json writes = json.value("setKeys", Json::array());
+    const Json writes = json.value(wire::writes, Json::array());
     std::size_t bytes = 0;
     bool isLate = false;
     for (const Json& row : writes) {
@@ -104,7 +106,7 @@
         }
         isLate = isLate || (lateBy_.count() > 0 && row.at("table") == lateTable_);
     }
-    if (writes.size() + json.value("expectedRev", Json::array()).size() + json.value("remove", Json::array()).size() > maxEntries || bytes > maxTransactionBytes)
+    if (writes.size() + json.value(wire::expectations, Json::array()).size() + json.value("remove", Json::array()).size() > maxEntries || bytes > maxTransactionBytes)
         return respond({ 400, R"({"error":"the transaction is too large"})" });
     if (isLate) {
         record_.write("store leaves a write of %s unanswered; it is carried out %d ms later", lateTable_.c_str(), static_cast<int>(lateBy_.count()));
@@ -119,7 +121,7 @@
     const auto keyOf = [](const Json& row) { return RowKey { row.at("table"), row.value("part", std::string()), row.at("key") }; };
     bool isMet = true;
     Json current = Json::array();
-    for (const Json& expected : json.value("expectedRev", Json::array())) {
+    for (const Json& expected : json.value(wire::expectations, Json::array())) {
         const auto row = rows_.find(keyOf(expected));
         isMet = isMet && (row == rows_.end() ? 0 : row->second.version_) == expected.at("ver").get<std::uint64_t>();
         if (row != rows_.end())
@@ -132,7 +134,7 @@
     }
     ++version_;
     ++commits_;
-    for (const Json& row : json.value("setKeys", Json::array()))
+    for (const Json& row : json.value(wire::writes, Json::array()))
         write(keyOf(row), decodeBase64(row.at("value").get<std::string>()), false);
     for (const Json& row : json.value("remove", Json::array()))
         write(keyOf(row), {}, true);
--- a/review/common/store.h
+++ b/review/common/store.h
@@ -15,7 +15,7 @@
 std::string encodeBase64(const std::string& bytes);
 std::string decodeBase64(const std::string& text);
 
-/** Stand-in of the platform's store: rows-tx, rows-get and rows-feed as PROTOCOL.md describes them. */
+/** Stand-in of the platform's store: transactions, reads and the feed as PROTOCOL.md describes them. */
 class Store {
 public:
     /** Figures of a small site, as its processes read them in their settings. */
