--- a/review/build.sh
+++ b/review/build.sh
@@ -1,15 +1,13 @@
 #!/usr/bin/env bash
-# Builds the programs that play the cases, with the compiler and the libraries of the deploy file.
+# Builds the program of each case, review/N/play, with the compiler and the libraries of the deploy file.
+# common/ holds the stand-ins of store, minions and clients that all of them are built with.
 set -euo pipefail
 cd "$(dirname "$0")"
-mkdir -p bin
-objects=()
+objects=$(mktemp -d)
+trap 'rm -rf "$objects"' EXIT
 for source in common/*.cpp; do
-    object=bin/$(basename "$source" .cpp).o
-    "${CXX:-c++}" -std=c++17 -O1 -pthread -c "$source" -o "$object" &
-    objects+=("$object")
+    "${CXX:-c++}" -std=c++17 -O1 -pthread -c "$source" -o "$objects/$(basename "$source" .cpp).o"
 done
-wait
-for source in src/*.cpp; do
-    "${CXX:-c++}" -std=c++17 -O1 -pthread "$source" "${objects[@]}" -o "bin/$(basename "$source" .cpp)"
+for source in [1-5]/case.cpp; do
+    "${CXX:-c++}" -std=c++17 -O1 -pthread "$source" "$objects"/*.o -o "$(dirname "$source")/play"
 done
