review: case 1, two runs of a task after a foreign entry in the registry

Cause: PoolScheduler::putWorker takes any entry with the machine of a worker and a later start as proof that the worker has ended, also one of a service that no configuration names.

--- a/review/common/deployment.cpp
+++ b/review/common/deployment.cpp
@@ -203,6 +203,16 @@
     return true;
 }
 
+std::int64_t Deployment::residentKb(std::size_t index) const
+{
+    const pid_t id = processes_.at(index).id_;
+    std::int64_t pages = 0;
+    std::ifstream file("/proc/" + std::to_string(id) + "/statm");
+    if (id <= 0 || !(file >> pages >> pages))
+        return 0;
+    return pages * ::sysconf(_SC_PAGESIZE) / 1024;
+}
+
 void Deployment::onPlatform(const std::function<void(Store&, Minions&)>& action)
 {
     std::promise<void> done;
--- a/review/common/minions.cpp
+++ b/review/common/minions.cpp
@@ -40,7 +40,7 @@
         auto minion = std::make_unique<Minion>();
         const auto rack = static_cast<int>(i) / settings_.perRack_;
         const std::size_t zone = static_cast<std::size_t>(rack) % settings_.zones_.size();
-        minion->id_ = "i-" + std::to_string(1000 + i);
+        minion->id_ = idOf(i);
         minion->zone_ = settings_.zones_[zone];
         minion->rack_ = "r" + std::to_string(zone + 1) + "-" + std::to_string(rack);
         minion->port_ = ports[i];
@@ -134,6 +134,11 @@
     return sum;
 }
 
+std::size_t Minions::idleMinions() const
+{
+    return static_cast<std::size_t>(std::count_if(minions_.begin(), minions_.end(), [](const auto& minion) { return minion->isUp_ && minion->runs_.empty(); }));
+}
+
 void Minions::handle(Minion& minion, const Request& request, const Respond& respond)
 {
     const Json json = Json::parse(request.body(), nullptr, false);
--- a/review/common/minions.h
+++ b/review/common/minions.h
@@ -76,6 +76,8 @@
     /** Until `untilMs`, the minion's runs end as `failed` `afterMs` after they began. */
     void failRuns(std::size_t minion, std::int64_t untilMs, std::int64_t afterMs);
 
+    static std::string idOf(std::size_t minion) { return "i-" + std::to_string(1000 + minion); }
+    static std::string machineOf(std::size_t minion) { return "m-" + idOf(minion); }
     std::size_t count() const { return minions_.size(); }
     /** The minions on which a task is active. */
     std::vector<std::size_t> minionsOf(const std::string& task) const;
@@ -83,6 +85,8 @@
     /** Accelerators that active runs occupy. */
     std::int64_t acceleratorsInUse() const;
     std::int64_t accelerators() const { return settings_.gpu_ * static_cast<std::int64_t>(minions_.size()); }
+    /** Minions that run nothing. */
+    std::size_t idleMinions() const;
     /** Starts of a task that was active elsewhere, or whose end `done` had been seen. */
     int twice() const { return twice_; }
 
--- a/review/common/store.cpp
+++ b/review/common/store.cpp
@@ -166,6 +166,22 @@
     notify();
 }
 
+void Store::copyRows(const std::string& from, const std::string& to)
+{
+    const auto [known, isNew] = copied_.try_emplace(from);
+    if (isNew) {
+        for (const auto& [key, row] : rows_) {
+            if (std::get<2>(key) == from)
+                known->second.emplace_back(key, row);
+        }
+    }
+    ++version_;
+    for (const auto& [key, row] : known->second) {
+        const std::string part = std::get<1>(key) == from.substr(0, 1) ? to.substr(0, 1) : std::get<1>(key);
+        rows_[{ std::get<0>(key), part, to }] = { part, row.value_, version_, false };
+    }
+}
+
 Answer Store::readRows(const std::map<std::string, std::string>& query)
 {
     const auto text = [&query](const char* name) {
--- a/review/common/store.h
+++ b/review/common/store.h
@@ -32,6 +32,8 @@
     /** Writes by the operator and the minions, which don't go through the interface. */
     void put(const std::string& table, const std::string& key, const Json& value);
     void erase(const std::string& table, const std::string& key);
+    /** Stores the same rows once more, as another job would have left them; a part that is the key's first character follows it. */
+    void copyRows(const std::string& from, const std::string& to);
 
     /** Writes that refuse `text` are answered 400; counts them. */
     int refusedForSize() const { return refusedForSize_; }
@@ -81,6 +83,8 @@
     Record& record_;
     HttpServer server_;
     std::map<RowKey, Row> rows_;
+    /** Rows that copies were made of, by their key. */
+    std::map<std::string, std::vector<std::pair<RowKey, Row>>> copied_;
     std::vector<Change> changes_;
     std::list<Watch> watches_;
     std::uint64_t version_ = 0;
