review: case 3, a gang is given up after one run of two attempts

Cause: PoolScheduler::recordFailure counts each failed task of a gang's run as an attempt. Case: review/3, a script; a gang of three is started on a minion that fails all that it starts.

--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -4,62 +4,63 @@
 
 namespace {
 
-constexpr const char* scheduleQueue = "/pule252/"; // termografia
-constexpr const char* plainQueue = "/lohu930/"; // fotogrammetria
-/** A time each minute for ten weeks; an instance accepts that many. */
-constexpr int occurrences = 100000;
-constexpr std::int64_t periodMs = 60000;
-/** RULES.md, LOST: jobs are asked for this long after the end of the traffic. */
-constexpr int finishMs = 14000;
-/** How long a client waits for an answer, and how often each instance is asked. */
-constexpr int timeLimitMs = 3000;
-constexpr int rounds = 6;
+constexpr const char* queue = "/pufi791/"; // verifica-fessure: gangs, 2 attempts
+/** The longest that workers fail what they start (srv_grey), and the time after which a task fails there. */
+constexpr int greyMs = 6500;
+constexpr int failsAfterMs = 500;
+constexpr int attempts = 2;
 
-JobPlan plainJob(int number)
+JobPlan gang(int number)
 {
-    return { jobId(number), "facade", { StepPlan { 2, false, false, false, 500, 1, 5600, 29000 } } };
-}
-
-std::int64_t unixMs()
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    return { jobId(number), "crack-map", { StepPlan { 3, true, false, false, 2500, 1, 7500, 31000 } } };
 }
 
 }
 
-/** A client hands in a long schedule whose times have passed, all of them but for the last. */
+/** A gang is started on a minion that fails all that it starts. */
 int main(int argc, char** argv)
 {
     const CaseArguments arguments = parseArguments(argc, argv);
     Record record(arguments.record_);
     Deployment::Options options;
+    options.attempts_ = attempts;
     Deployment deployment(arguments.program_, arguments.folder_, record, options);
-    if (!deployment.start() || !deployment.submit(plainQueue, plainJob(1), 500))
+    if (!deployment.start())
         return couldNotRun;
-    const std::int64_t firstMs = arguments.hasTrouble_ ? unixMs() - (occurrences - 1) * periodMs : unixMs() + 1000;
-    JobPlan schedule = plainJob(2);
-    schedule.steps_.front().count_ = 1;
-    const Json times { { "repeats", occurrences }, { "firstMs", firstMs }, { "periodMs", periodMs } };
-    if (!deployment.submit(scheduleQueue, schedule, 500, times.dump()))
+    // The next job of the same kind goes where this one went.
+    const JobPlan first = gang(1);
+    if (!deployment.submit(queue, first, 2500))
         return couldNotRun;
-    record.write("end of the traffic");
-    sleepMs(finishMs);
-    int unanswered = 0;
-    int calls = 0;
-    std::vector<bool> answered(deployment.instances());
-    for (int round = 0; round < rounds; ++round) {
-        for (std::size_t i = 0; i < deployment.instances(); ++i) {
-            const CallResult result = deployment.call(i, "GET", plainQueue, jobId(1), {}, timeLimitMs);
-            record.write("GET %s%s at instance %zu: %s%d %s", plainQueue, jobId(1).c_str(), i + 1, result.status_ == 0 ? "no answer within 3 s, " : "", result.status_, result.body_.c_str());
-            ++calls;
-            unanswered += result.status_ == 0 ? 1 : 0;
-            answered[i] = answered[i] || result.status_ != 0;
+    std::vector<std::size_t> used;
+    for (int i = 0; i < 40 && used.empty(); ++i) {
+        sleepMs(50);
+        deployment.onPlatform([&](Store&, Minions& minions) { used = minions.minionsOf(first.id_ + ".0.0.0"); });
+    }
+    sleepMs(4000);
+    if (used.empty() || deployment.stateOf(queue, first.id_) != "completed")
+        return couldNotRun;
+    const JobPlan second = gang(2);
+    if (arguments.hasTrouble_)
+        deployment.onPlatform([&](Store&, Minions& minions) { minions.failRuns(used.front(), elapsedMs() + greyMs, failsAfterMs); });
+    if (!deployment.submit(queue, second, 2500))
+        return couldNotRun;
+    sleepMs(12000);
+    const std::string state = deployment.stateOf(queue, second.id_);
+    int runs = 0;
+    int failedTasks = 0;
+    deployment.onPlatform([&](Store&, Minions& minions) {
+        for (int index = 0; index < second.steps_.front().count_; ++index) {
+            const auto task = minions.history().find(second.id_ + ".0.0." + std::to_string(index));
+            if (task == minions.history().end())
+                continue;
+            runs = std::max(runs, task->second.starts_);
+            failedTasks += task->second.failed_;
         }
-        sleepMs(1000);
+    });
+    record.write("the job is shown as %s after %d runs of the gang, of %d attempts; %d ends `failed`, one of each task", state.c_str(), runs, attempts, failedTasks);
+    if (arguments.hasTrouble_ && failedTasks == 0) {
+        record.write("the gang wasn't started on the minion that fails");
+        return couldNotRun;
     }
-    std::size_t hanging = 0;
-    for (std::size_t i = 0; i < deployment.instances(); ++i)
-        hanging += !answered[i] && !deployment.hasEnded(i) ? 1 : 0;
-    record.write("%d of %d calls had no answer; %zu of %zu instances run but never answered", unanswered, calls, hanging, deployment.instances());
-    return hanging == deployment.instances() ? ruleBroken : ruleHeld;
+    return state == "failed" && runs < attempts ? ruleBroken : ruleHeld;
 }
