review: case 3 is the submission that ends a process again

Cause: errorBody quotes bytes that aren't UTF-8 and dumps them with the strict handler, which throws; nothing catches it.

--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -4,72 +4,68 @@
 
 namespace {
 
-constexpr const char* queue = "/pufi791/"; // verifica-fessure: gangs, 2 attempts
-/** The longest that workers fail what they start (srv_grey), and the time after which a task fails there. */
-constexpr int greyMs = 6500;
-constexpr int failsAfterMs = 500;
-constexpr int attempts = 2;
+constexpr const char* queue = "/lohu930/"; // fotogrammetria
+/** The clients of the site try a call again four times, at other instances. */
+constexpr std::size_t attempts = 5;
+constexpr int jobs = 3;
+/** RULES.md, Fault: ends of processes by themselves, on a tenth of the machines and two at least. */
+constexpr int endsOfFault = 3;
+constexpr int machinesOfFault = 2;
+/** The platform starts an ended process again after a short delay. */
+constexpr int restartDelayMs = 500;
 
-JobPlan gang(int number)
+JobPlan facadeJob(int number)
 {
-    return { jobId(number), "crack-map", { StepPlan { 3, true, false, false, 2500, 8, 7500, 31000 } } };
+    return { jobId(number), "cattedrale di Noto", { StepPlan { 2, false, false, false, 500, 1, 1000, 1000 } } };
 }
 
 }
 
-/** A gang is started on minions that fail all that they start. */
+/**
+ * A client hands three jobs in whose text is Latin-1 in place of UTF-8. As it gets no
+ * answer, it sends each job again to the next instance, as the pages tell clients to.
+ */
 int main(int argc, char** argv)
 {
     const CaseArguments arguments = parseArguments(argc, argv);
     Record record(arguments.record_);
     Deployment::Options options;
-    options.attempts_ = attempts;
+    options.instances_ = attempts;
     Deployment deployment(arguments.program_, arguments.folder_, record, options);
-    if (!deployment.start())
+    if (!deployment.start() || !deployment.submit(queue, facadeJob(1), 500))
         return couldNotRun;
-    // The next job of the same kind goes where this one went.
-    const JobPlan first = gang(1);
-    if (!deployment.submit(queue, first, 2500))
-        return couldNotRun;
-    std::vector<std::size_t> used;
-    for (int i = 0; i < 40 && used.size() < 3; ++i) {
-        sleepMs(50);
-        deployment.onPlatform([&](Store&, Minions& minions) {
-            used.clear();
-            for (int index = 0; index < first.steps_.front().count_; ++index) {
-                for (const std::size_t minion : minions.minionsOf(first.id_ + ".0.0." + std::to_string(index)))
-                    used.push_back(minion);
+
+    std::vector<int> ends(deployment.instances());
+    int answered = 0;
+    for (int i = 0; i < jobs; ++i) {
+        const JobPlan plan = facadeJob(2 + i);
+        deployment.onPlatform([&plan](Store&, Minions& minions) { minions.addJob(plan); });
+        std::string body = Deployment::encodeJob(plan, 500, {});
+        if (arguments.hasTrouble_)
+            body.replace(body.find("Noto"), 4, "Nard\xf2"); // the last letter is one byte of Latin-1
+        for (std::size_t attempt = 0; attempt < attempts; ++attempt) {
+            const CallResult result = deployment.call(attempt, "POST", queue, plan.id_, body);
+            record.write("POST %s%s, attempt %zu: %s%d", queue, plan.id_.c_str(), attempt + 1, result.status_ == 0 ? "the channel ends without an answer, " : "", result.status_);
+            if (result.status_ != 0) {
+                ++answered;
+                break;
+            }
+            sleepMs(restartDelayMs);
+            if (deployment.hasEnded(attempt)) {
+                ++ends[attempt];
+                deployment.startInstance(attempt);
             }
-        });
-    }
-    sleepMs(4000);
-    if (used.size() < 3 || deployment.stateOf(queue, first.id_) != "completed")
-        return couldNotRun;
-    const JobPlan second = gang(2);
-    if (arguments.hasTrouble_)
-        deployment.onPlatform([&](Store&, Minions& minions) {
-            for (const std::size_t minion : used)
-                minions.failRuns(minion, elapsedMs() + greyMs, failsAfterMs);
-        });
-    if (!deployment.submit(queue, second, 2500))
-        return couldNotRun;
-    sleepMs(12000);
-    const std::string state = deployment.stateOf(queue, second.id_);
-    int runs = 0;
-    int failedTasks = 0;
-    deployment.onPlatform([&](Store&, Minions& minions) {
-        for (int index = 0; index < second.steps_.front().count_; ++index) {
-            const auto task = minions.history().find(second.id_ + ".0.0." + std::to_string(index));
-            if (task == minions.history().end())
-                continue;
-            runs = std::max(runs, task->second.starts_);
-            failedTasks += task->second.failed_;
         }
-    });
-    record.write("the job is shown as %s after %d runs of the gang, of %d attempts; %d ends `failed`, one of each task", state.c_str(), runs, attempts, failedTasks);
-    if (arguments.hasTrouble_ && failedTasks == 0) {
-        record.write("the gang wasn't started on the minions that fail");
-        return couldNotRun;
+        // The processes that were started again read the configuration.
+        sleepMs(4000);
+    }
+    int machines = 0;
+    for (std::size_t i = 0; i < ends.size(); ++i) {
+        record.write("the process of instance %zu ended by itself %d times", i + 1, ends[i]);
+        machines += ends[i] >= endsOfFault ? 1 : 0;
     }
-    return state == "failed" && runs < attempts ? ruleBroken : ruleHeld;
+    record.write("%d of %d jobs had an answer; on %d of %zu machines the process ended by itself %d times or more", answered, jobs, machines, ends.size(), endsOfFault);
+    if (machines >= machinesOfFault)
+        return ruleBroken;
+    return answered == jobs ? ruleHeld : couldNotRun;
 }
