--- a/review/common/deployment.cpp
+++ b/review/common/deployment.cpp
@@ -174,19 +174,6 @@
     record_.write("%s is started", process.name_.c_str());
 }
 
-void Deployment::signalInstance(std::size_t index, int signal)
-{
-    Process& process = processes_.at(index);
-    if (process.id_ <= 0)
-        return;
-    record_.write("signal %d is sent to %s", signal, process.name_.c_str());
-    ::kill(process.id_, signal);
-    if (signal == SIGKILL) {
-        ::waitpid(process.id_, nullptr, 0);
-        process.id_ = -1;
-    }
-}
-
 bool Deployment::hasEnded(std::size_t index)
 {
     Process& process = processes_.at(index);
@@ -203,16 +190,6 @@
     return true;
 }
 
-std::int64_t Deployment::residentKb(std::size_t index) const
-{
-    const pid_t id = processes_.at(index).id_;
-    std::int64_t pages = 0;
-    std::ifstream file("/proc/" + std::to_string(id) + "/statm");
-    if (id <= 0 || !(file >> pages >> pages))
-        return 0;
-    return pages * ::sysconf(_SC_PAGESIZE) / 1024;
-}
-
 void Deployment::onPlatform(const std::function<void(Store&, Minions&)>& action)
 {
     std::promise<void> done;
--- a/review/common/deployment.h
+++ b/review/common/deployment.h
@@ -41,11 +41,8 @@
     /** Starts everything; returns false if an instance isn't ready within 15 s. */
     bool start();
     void startInstance(std::size_t index);
-    void signalInstance(std::size_t index, int signal);
     /** Whether the process has ended; its exit is written to the record once. */
     bool hasEnded(std::size_t index);
-    /** Resident memory of an instance; 0 if its process has ended. */
-    std::int64_t residentKb(std::size_t index) const;
     std::size_t instances() const { return processes_.size(); }
 
     /** Runs an action on the thread of the platform and waits for it. */
--- a/review/common/minions.cpp
+++ b/review/common/minions.cpp
@@ -66,44 +66,6 @@
     store_.put("servers", minion.id_, { { "service", settings_.service_ }, { "address", "127.0.0.1:" + std::to_string(minion.port_) }, { "zone", minion.zone_ }, { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "coldRemainingMs", 0 }, { "capacity", { { "cpu", settings_.cpu_ }, { "memMb", settings_.memMb_ }, { "gpu", settings_.gpu_ } } }, { "labels", { "a", minion.rack_ } }, { "machine", "m-" + minion.id_ }, { "clockMs", clockMs(minion) }, { "born", minion.bornUnixMs_ }, { "seq", ++minion.seq_ } });
 }
 
-void Minions::crash(std::size_t index, std::int64_t downMs)
-{
-    Minion& minion = *minions_.at(index);
-    if (!minion.isUp_)
-        return;
-    record_.write("minion %s crashes, with %zu runs; a new boot follows after %d ms", minion.id_.c_str(), minion.runs_.size(), static_cast<int>(downMs));
-    minion.isUp_ = false;
-    std::vector<std::pair<std::string, int>> lost;
-    for (const auto& [task, run] : minion.runs_) {
-        lost.emplace_back(task, run.number_);
-        TaskHistory& history = history_[task];
-        ++history.lost_;
-        --history.active_;
-        history.lastActiveMs_ = elapsedMs();
-    }
-    minion.runs_.clear();
-    minion.polls_.clear();
-    minion.server_->shutDown();
-    for (const auto& [task, run] : lost)
-        endMembers(task, run, "broken");
-    const auto timer = std::make_shared<asio::steady_timer>(loop_, std::chrono::milliseconds(downMs));
-    timer->async_wait([this, timer, &minion](beast::error_code) {
-        minion.isUp_ = true;
-        minion.bornUnixMs_ = unixMs();
-        minion.bootedMs_ = elapsedMs();
-        minion.fence_ = 0;
-        minion.leaseUntilMs_ = 0;
-        minion.nextEnd_ = 1;
-        minion.barred_.clear();
-        minion.ends_.clear();
-        minion.failsUntilMs_ = 0;
-        minion.seq_ = 0;
-        open(minion);
-        beat(minion);
-        record_.write("minion %s is up again", minion.id_.c_str());
-    });
-}
-
 void Minions::failRuns(std::size_t index, std::int64_t untilMs, std::int64_t afterMs)
 {
     Minion& minion = *minions_.at(index);
--- a/review/common/minions.h
+++ b/review/common/minions.h
@@ -71,8 +71,6 @@
     void start(const std::vector<std::uint16_t>& ports);
     void addJob(const JobPlan& job) { jobs_[job.id_] = job; }
 
-    /** Ends a minion at once; a new boot under the same id comes back after `downMs`. */
-    void crash(std::size_t minion, std::int64_t downMs);
     /** Until `untilMs`, the minion's runs end as `failed` `afterMs` after they began. */
     void failRuns(std::size_t minion, std::int64_t untilMs, std::int64_t afterMs);
 
--- a/review/common/store.cpp
+++ b/review/common/store.cpp
@@ -95,7 +95,6 @@
         return respond({ 400, "{}" });
     const Json writes = json.value(wire::writes, Json::array());
     std::size_t bytes = 0;
-    bool isLate = false;
     for (const Json& row : writes) {
         const std::string value = decodeBase64(row.at("value").get<std::string>());
         bytes += value.size();
@@ -104,15 +103,9 @@
                 record_.write("store refuses a write: the value of %s/%s has %zu bytes, at most %zu are taken", row.at("table").get<std::string>().c_str(), row.at("key").get<std::string>().c_str(), value.size(), rowBytes);
             return answerLater(transactionTime, [respond] { respond({ 400, R"({"error":"the value is too large"})" }); });
         }
-        isLate = isLate || (lateBy_.count() > 0 && row.at("table") == lateTable_);
     }
     if (writes.size() + json.value(wire::expectations, Json::array()).size() + json.value("remove", Json::array()).size() > maxEntries || bytes > maxTransactionBytes)
         return respond({ 400, R"({"error":"the transaction is too large"})" });
-    if (isLate) {
-        record_.write("store leaves a write of %s unanswered; it is carried out %d ms later", lateTable_.c_str(), static_cast<int>(lateBy_.count()));
-        unanswered_.push_back(respond); // the channel stays open and silent
-        return answerLater(lateBy_, [this, json] { record_.write("store carries out the late write: %d", apply(json).status_); });
-    }
     answerLater(transactionTime, [this, json, respond] { respond(apply(json)); });
 }
 
@@ -133,7 +126,6 @@
         return { 412, answer.dump() };
     }
     ++version_;
-    ++commits_;
     for (const Json& row : json.value(wire::writes, Json::array()))
         write(keyOf(row), decodeBase64(row.at("value").get<std::string>()), false);
     for (const Json& row : json.value("remove", Json::array()))
@@ -159,29 +151,6 @@
     notify();
 }
 
-void Store::erase(const std::string& table, const std::string& key)
-{
-    ++version_;
-    write({ table, {}, key }, {}, true);
-    notify();
-}
-
-void Store::copyRows(const std::string& from, const std::string& to)
-{
-    const auto [known, isNew] = copied_.try_emplace(from);
-    if (isNew) {
-        for (const auto& [key, row] : rows_) {
-            if (std::get<2>(key) == from)
-                known->second.emplace_back(key, row);
-        }
-    }
-    ++version_;
-    for (const auto& [key, row] : known->second) {
-        const std::string part = std::get<1>(key) == from.substr(0, 1) ? to.substr(0, 1) : std::get<1>(key);
-        rows_[{ std::get<0>(key), part, to }] = { part, row.value_, version_, false };
-    }
-}
-
 Answer Store::readRows(const std::map<std::string, std::string>& query)
 {
     const auto text = [&query](const char* name) {
--- a/review/common/store.h
+++ b/review/common/store.h
@@ -31,20 +31,9 @@
     void listen(std::uint16_t port) { server_.listen(port); }
     /** Writes by the operator and the minions, which don't go through the interface. */
     void put(const std::string& table, const std::string& key, const Json& value);
-    void erase(const std::string& table, const std::string& key);
-    /** Stores the same rows once more, as another job would have left them; a part that is the key's first character follows it. */
-    void copyRows(const std::string& from, const std::string& to);
 
     /** Writes that refuse `text` are answered 400; counts them. */
     int refusedForSize() const { return refusedForSize_; }
-    /** Write calls answered with 200. */
-    int commits() const { return commits_; }
-    /** From now on, a write that sets this table is carried out after `delay` and never answered; zero ends it. */
-    void delayWritesOf(std::string table, std::chrono::milliseconds delay)
-    {
-        lateTable_ = std::move(table);
-        lateBy_ = delay;
-    }
 
 private:
     struct Row {
@@ -83,16 +72,10 @@
     Record& record_;
     HttpServer server_;
     std::map<RowKey, Row> rows_;
-    /** Rows that copies were made of, by their key. */
-    std::map<std::string, std::vector<std::pair<RowKey, Row>>> copied_;
     std::vector<Change> changes_;
     std::list<Watch> watches_;
     std::uint64_t version_ = 0;
     int refusedForSize_ = 0;
-    int commits_ = 0;
-    std::vector<Respond> unanswered_;
-    std::string lateTable_;
-    std::chrono::milliseconds lateBy_ {};
 };
 
 }
