review: one entry of another service in the registry stops the scheduling of all jobs

Cause: entries of any service are taken as workers and polled. A minion of another service, which has another holder, answers 409 with reason fence; the link takes that as proof that this scheduler is superseded, and the lease is abandoned. Each next holder does the same.

Case: review/1. One well-formed entry of a service that stands in no configuration is written once; at its address listens a sound minion that has seen a higher fence.

--- a/review/common/deployment.cpp
+++ b/review/common/deployment.cpp
@@ -62,8 +62,9 @@
 {
     const auto minions = static_cast<std::size_t>(options_.minions_);
     const auto instances = static_cast<std::size_t>(options_.instances_);
-    const std::vector<std::uint16_t> ports = freePorts(1 + minions + 3 * instances);
+    const std::vector<std::uint16_t> ports = freePorts(2 + minions + 3 * instances);
     storePort_ = ports[0];
+    sparePort_ = ports.back();
     minionPorts_.assign(ports.begin() + 1, ports.begin() + 1 + static_cast<std::ptrdiff_t>(minions));
     const std::vector<std::string> zones { "catania", "palermo", "siracusa" };
     for (std::size_t i = 0; i < instances; ++i) {
@@ -214,6 +215,15 @@
     return true;
 }
 
+std::string Deployment::addServer(Handler handler)
+{
+    onPlatform([&](Store&, Minions&) {
+        spareServer_ = std::make_unique<HttpServer>(loop_, std::move(handler));
+        spareServer_->listen(sparePort_);
+    });
+    return address(sparePort_);
+}
+
 void Deployment::onPlatform(const std::function<void(Store&, Minions&)>& action)
 {
     std::promise<void> done;
--- a/review/common/deployment.h
+++ b/review/common/deployment.h
@@ -50,6 +50,8 @@
     /** The operator writes a new version that changes the routes' time limits. */
     void changeConfiguration();
 
+    /** Starts a server beside the minions, on the thread of the platform; returns its address. */
+    std::string addServer(Handler);
     /** Runs an action on the thread of the platform and waits for it. */
     void onPlatform(const std::function<void(Store&, Minions&)>&);
 
@@ -84,6 +86,8 @@
     Store store_;
     Minions minions_;
     std::uint16_t storePort_ = 0;
+    std::uint16_t sparePort_ = 0;
+    std::unique_ptr<HttpServer> spareServer_;
     std::vector<std::uint16_t> minionPorts_;
     std::vector<Process> processes_;
     std::thread thread_;
