--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,71 +1,108 @@
 #include "../common/deployment.h"
 
+#include <atomic>
+#include <thread>
+
 using namespace review;
 
 namespace {
 
 constexpr const char* queue = "/lohu930/"; // fotogrammetria
-/** The clients of the site try a call again four times, at other instances. */
-constexpr std::size_t attempts = 5;
-constexpr int jobs = 3;
-/** RULES.md, Fault: ends of processes by themselves, on a tenth of the machines and two at least. */
-constexpr int endsOfFault = 3;
-constexpr int machinesOfFault = 2;
-/** The platform starts an ended process again after a short delay. */
-constexpr int restartDelayMs = 500;
-
-JobPlan facadeJob(int number)
-{
-    return { jobId(number), "cattedrale di Noto", { StepPlan { 2, false, false, false, 500, 1, 1000, 1000 } } };
-}
+/** How long the store refuses the calls of one part; in the site file it lasts for 4.5 s and more. */
+constexpr int outageMs = 1500;
+/** The operator writes two configurations, as close to each other as some days of the site file have them. */
+constexpr int changes = 2;
+constexpr int betweenChangesMs = 500;
+constexpr int takenUntilMs = 30000;
+constexpr int workMs = 1000;
+/** RULES.md, LOST: jobs are asked for this long after the end of the traffic, and one must not stand still for 3 s. */
+constexpr int finishMs = 14000;
+constexpr int standstillMs = 3000;
 
 }
 
-/**
- * A client hands three jobs in whose text is Latin-1 in place of UTF-8. As it gets no
- * answer, it sends each job again to the next instance, as the pages tell clients to.
- */
+/** The holder of the scheduler's lease is restarted in turn, while the store refuses one part for a moment and the configuration changes. */
 int main(int argc, char** argv)
 {
     const CaseArguments arguments = parseArguments(argc, argv);
     Record record(arguments.record_);
-    Deployment::Options options;
-    options.instances_ = attempts;
-    Deployment deployment(arguments.program_, arguments.folder_, record, options);
-    if (!deployment.start() || !deployment.submit(queue, facadeJob(1), 500))
+    Deployment deployment(arguments.program_, arguments.folder_, record, Deployment::Options {});
+    if (!deployment.start())
+        return couldNotRun;
+    const auto smallJob = [](int number) { return JobPlan { jobId(number), "facade", { StepPlan { 2, false, false, false, workMs, 1, 5600, 29000 } } }; };
+    if (!deployment.submit(queue, smallJob(1), workMs))
+        return couldNotRun;
+    sleepMs(4000);
+    if (deployment.stateOf(queue, jobId(1)) != "completed")
         return couldNotRun;
 
-    std::vector<int> ends(deployment.instances());
-    int answered = 0;
-    for (int i = 0; i < jobs; ++i) {
-        const JobPlan plan = facadeJob(2 + i);
-        deployment.onPlatform([&plan](Store&, Minions& minions) { minions.addJob(plan); });
-        std::string body = Deployment::encodeJob(plan, 500, {});
-        if (arguments.hasTrouble_)
-            body.replace(body.find("Noto"), 4, "Nard\xf2"); // the last letter is one byte of Latin-1
-        for (std::size_t attempt = 0; attempt < attempts; ++attempt) {
-            const CallResult result = deployment.call(attempt, "POST", queue, plan.id_, body);
-            record.write("POST %s%s, attempt %zu: %s%d", queue, plan.id_.c_str(), attempt + 1, result.status_ == 0 ? "the channel ends without an answer, " : "", result.status_);
-            if (result.status_ != 0) {
-                ++answered;
-                break;
-            }
-            sleepMs(restartDelayMs);
-            if (deployment.hasEnded(attempt)) {
-                ++ends[attempt];
-                deployment.startInstance(attempt);
-            }
+    std::string former;
+    deployment.onPlatform([&](Store& store, Minions&) { former = Json::parse(store.valueOf("lease", "scheduler", "pool"), nullptr, false).value("holder", std::string()); });
+    std::size_t holder = deployment.instances();
+    for (std::size_t i = 0; i < deployment.instances(); ++i)
+        holder = deployment.nameOf(i) == former ? i : holder;
+    if (holder == deployment.instances()) {
+        record.write("no instance holds the lease");
+        return couldNotRun;
+    }
+    record.write("the lease is held by %s", former.c_str());
+    std::atomic<bool> isTaken { false };
+    deployment.onPlatform([&](Store& store, Minions&) {
+        store.onWrite("lease", [&](const std::string& value) {
+            const Json lease = Json::parse(value, nullptr, false);
+            if (isTaken || lease.value("holder", std::string()) == former)
+                return;
+            isTaken = true;
+            record.write("the lease is taken by %s", lease.value("holder", std::string()).c_str());
+            if (!arguments.hasTrouble_)
+                return;
+            record.write("the store answers 503 to the calls of the part `scheduler` for %d ms", outageMs);
+            store.refusePart("scheduler", elapsedMs() + outageMs);
+        });
+    });
+    std::thread planned([&] {
+        while (!isTaken && elapsedMs() < takenUntilMs)
+            sleepMs(5);
+        for (int i = 0; i < changes; ++i) {
+            sleepMs(betweenChangesMs);
+            deployment.changeConfiguration();
         }
-        // The processes that were started again read the configuration.
-        sleepMs(4000);
+    });
+    deployment.restartInstance(holder);
+    planned.join();
+    if (!isTaken) {
+        record.write("no other instance takes the lease");
+        return couldNotRun;
+    }
+    sleepMs(8000);
+
+    int accepted = 0;
+    for (; accepted < 10; ++accepted) {
+        if (!deployment.submit(queue, smallJob(2 + accepted), workMs))
+            return couldNotRun;
+        sleepMs(1000);
     }
-    int machines = 0;
-    for (std::size_t i = 0; i < ends.size(); ++i) {
-        record.write("the process of instance %zu ended by itself %d times", i + 1, ends[i]);
-        machines += ends[i] >= endsOfFault ? 1 : 0;
+    record.write("end of the traffic: %d jobs accepted since", accepted);
+    sleepMs(finishMs);
+    const auto countStarts = [](const Minions& minions) {
+        int starts = 0;
+        for (const auto& [task, history] : minions.history())
+            starts += task.rfind(jobId(1), 0) == 0 ? 0 : history.starts_;
+        return starts;
+    };
+    int startedBefore = 0;
+    int started = 0;
+    std::int64_t inUse = 0;
+    deployment.onPlatform([&](Store&, Minions& minions) { startedBefore = countStarts(minions); });
+    const std::int64_t watchUntil = elapsedMs() + standstillMs;
+    while (elapsedMs() < watchUntil) {
+        sleepMs(100);
+        deployment.onPlatform([&](Store&, Minions& minions) { inUse = std::max(inUse, minions.acceleratorsInUse()); });
     }
-    record.write("%d of %d jobs had an answer; on %d of %zu machines the process ended by itself %d times or more", answered, jobs, machines, ends.size(), endsOfFault);
-    if (machines >= machinesOfFault)
-        return ruleBroken;
-    return answered == jobs ? ruleHeld : couldNotRun;
+    deployment.onPlatform([&](Store&, Minions& minions) { started = countStarts(minions); });
+    int unfinished = 0;
+    for (int i = 0; i < accepted; ++i)
+        unfinished += deployment.stateOf(queue, jobId(2 + i)) == "completed" ? 0 : 1;
+    record.write("%d of %d jobs aren't completed; %d of their tasks were ever started; in the last 3 s at most %lld accelerators were in use", unfinished, accepted, started, static_cast<long long>(inUse));
+    return unfinished > 0 && started == startedBefore && inUse == 0 ? ruleBroken : ruleHeld;
 }
--- a/review/common/deployment.cpp
+++ b/review/common/deployment.cpp
@@ -149,6 +149,8 @@
     try {
         store_.listen(storePort_);
         store_.put("op", "config", configuration());
+        if (options_.prepareStore_)
+            options_.prepareStore_(store_);
         minions_.start(minionPorts_);
     } catch (const std::exception& error) {
         record_.write("the platform can't start: %s", error.what());
--- a/review/common/deployment.h
+++ b/review/common/deployment.h
@@ -31,6 +31,8 @@
         /** The configuration's routes: priority and attempts of each queue. */
         int attempts_ = 2;
         Minions::Settings minionSettings_;
+        /** Fills the store before the first process starts. */
+        std::function<void(Store&)> prepareStore_;
     };
 
     Deployment(std::string program, std::string folder, Record&, Options);
--- a/review/common/store.cpp
+++ b/review/common/store.cpp
@@ -146,6 +146,11 @@
     return { 200, stamp().dump() };
 }
 
+void Store::restoreRow(const std::string& table, const std::string& part, const std::string& key, const std::string& value)
+{
+    rows_[{ table, part, key }] = { part, value, ++version_, false };
+}
+
 void Store::refusePart(const std::string& part, std::int64_t untilMs)
 {
     refusedPart_ = part;
--- a/review/common/store.h
+++ b/review/common/store.h
@@ -32,6 +32,8 @@
     /** Writes by the operator and the minions, which don't go through the interface. */
     void put(const std::string& table, const std::string& key, const Json& value);
 
+    /** Puts a row there that earlier traffic has left; nobody follows the table yet. */
+    void restoreRow(const std::string& table, const std::string& part, const std::string& key, const std::string& value);
     /** Reads and transactions of this part are answered 503 until `untilMs`; the others are served. */
     void refusePart(const std::string& part, std::int64_t untilMs);
     /** The value of a row, or nothing if it doesn't exist. */
