review: only what the cases use stays among their stand-ins

Cause: parts of review/common served cases that have left. review/build.sh builds each script's program from the rest.

--- a/review/common/httpserver.h
+++ b/review/common/httpserver.h
@@ -6,7 +6,6 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace review {
@@ -45,18 +44,6 @@
         accept();
     }
 
-    /** Closes the listener and resets all connections, as the end of a process does. */
-    void shutDown()
-    {
-        beast::error_code ignored;
-        acceptor_.close(ignored);
-        for (const std::weak_ptr<Session>& entry : sessions_) {
-            if (const auto session = entry.lock())
-                session->reset();
-        }
-        sessions_.clear();
-    }
-
 private:
     class Session : public std::enable_shared_from_this<Session> {
     public:
@@ -77,13 +64,6 @@
             });
         }
 
-        void reset()
-        {
-            beast::error_code ignored;
-            socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-            socket_.close(ignored);
-        }
-
     private:
         void write(Answer answer)
         {
@@ -115,7 +95,6 @@
             beast::error_code ignored;
             socket.set_option(asio::ip::tcp::no_delay(true), ignored);
             const auto session = std::make_shared<Session>(*this, std::move(socket));
-            sessions_.insert(session);
             session->read();
             accept();
         });
@@ -124,7 +103,6 @@
     asio::io_context& loop_;
     asio::ip::tcp::acceptor acceptor_;
     Handler handler_;
-    std::set<std::weak_ptr<Session>, std::owner_less<std::weak_ptr<Session>>> sessions_;
 };
 
 }
--- a/review/common/minions.cpp
+++ b/review/common/minions.cpp
@@ -66,24 +66,6 @@
     store_.put("servers", minion.id_, { { "service", settings_.service_ }, { "address", "127.0.0.1:" + std::to_string(minion.port_) }, { "zone", minion.zone_ }, { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "coldRemainingMs", 0 }, { "capacity", { { "cpu", settings_.cpu_ }, { "memMb", settings_.memMb_ }, { "gpu", settings_.gpu_ } } }, { "labels", { "a", minion.rack_ } }, { "machine", "m-" + minion.id_ }, { "clockMs", clockMs(minion) }, { "born", minion.bornUnixMs_ }, { "seq", ++minion.seq_ } });
 }
 
-void Minions::failRuns(std::size_t index, std::int64_t untilMs, std::int64_t afterMs)
-{
-    Minion& minion = *minions_.at(index);
-    minion.failsUntilMs_ = untilMs;
-    minion.failsAfterMs_ = afterMs;
-    record_.write("minion %s fails what it runs until %.1f s", minion.id_.c_str(), static_cast<double>(untilMs) / 1000);
-}
-
-std::vector<std::size_t> Minions::minionsOf(const std::string& task) const
-{
-    std::vector<std::size_t> result;
-    for (std::size_t i = 0; i < minions_.size(); ++i) {
-        if (minions_[i]->runs_.count(task) > 0)
-            result.push_back(i);
-    }
-    return result;
-}
-
 std::int64_t Minions::acceleratorsInUse() const
 {
     std::int64_t sum = 0;
@@ -96,11 +78,6 @@
     return sum;
 }
 
-std::size_t Minions::idleMinions() const
-{
-    return static_cast<std::size_t>(std::count_if(minions_.begin(), minions_.end(), [](const auto& minion) { return minion->isUp_ && minion->runs_.empty(); }));
-}
-
 void Minions::handle(Minion& minion, const Request& request, const Respond& respond)
 {
     const Json json = Json::parse(request.body(), nullptr, false);
@@ -167,13 +144,8 @@
     extendLease(minion, json);
     TaskHistory& history = history_[task];
     record_.write("start %s run %d on %s", task.c_str(), number, minion.id_.c_str());
-    if (history.active_ > 0 || doneSeen_.count(task) > 0) {
-        ++twice_;
-        record_.write("TWICE: %s starts though it %s", task.c_str(), history.active_ > 0 ? "is active elsewhere" : "was done");
-    }
     ++history.starts_;
     ++history.active_;
-    history.lastStartMs_ = elapsedMs();
     Run run;
     run.number_ = number;
     run.startedMs_ = elapsedMs();
@@ -203,11 +175,8 @@
 {
     extendLease(minion, json);
     const std::int64_t seenEnds = json.value(wire::seenEnds, std::int64_t(0));
-    for (auto end = minion.ends_.begin(); end != minion.ends_.end() && end->number_ <= seenEnds;) {
-        if (end->how_ == "done")
-            doneSeen_.insert(end->task_);
+    for (auto end = minion.ends_.begin(); end != minion.ends_.end() && end->number_ <= seenEnds;)
         end = minion.ends_.erase(end);
-    }
     const std::int64_t waitMs = std::min<std::int64_t>(json.value("waitMs", std::int64_t(0)), 2000);
     if (waitMs <= 0 || !minion.ends_.empty())
         return respond(answer(minion, 200, report(minion)));
@@ -265,9 +234,6 @@
     barred = std::max(barred, number);
     TaskHistory& history = history_[task];
     --history.active_;
-    history.lastActiveMs_ = elapsedMs();
-    history.done_ += how == "done" ? 1 : 0;
-    history.failed_ += how == "failed" ? 1 : 0;
     minion.ends_.push_back({ minion.nextEnd_++, task, number, how, std::string() });
     record_.write("end %s run %d on %s: %s", task.c_str(), number, minion.id_.c_str(), how.c_str());
 }
@@ -332,8 +298,6 @@
     const std::int64_t now = elapsedMs();
     std::vector<Due> due;
     for (const auto& minion : minions_) {
-        if (!minion->isUp_)
-            continue;
         if (minion->nextBeatMs_ <= now)
             beat(*minion);
         const bool hasLapsed = clockMs(*minion) > minion->leaseUntilMs_;
@@ -345,8 +309,6 @@
                 due.push_back({ minion.get(), task, run.number_, "stopped" });
             else if (run.workBeganMs_ < 0 && run.startedMs_ + settings_.gangMs_ <= now)
                 due.push_back({ minion.get(), task, run.number_, "alone" });
-            else if (run.workBeganMs_ >= 0 && minion->failsUntilMs_ > now && run.workBeganMs_ + minion->failsAfterMs_ <= now)
-                due.push_back({ minion.get(), task, run.number_, "failed" });
             else if (run.workBeganMs_ >= 0 && step != nullptr && !step->isLongRunning_ && workDoneMs(run, *step) >= step->workMs_)
                 due.push_back({ minion.get(), task, run.number_, "done" });
         }
@@ -355,10 +317,8 @@
         endRun(*end.minion_, end.task_, end.how_);
     for (const Due& end : due)
         endMembers(end.task_, end.run_, end.how_ == "done" ? "done" : "broken");
-    for (const auto& minion : minions_) {
-        if (minion->isUp_)
-            answerPolls(*minion);
-    }
+    for (const auto& minion : minions_)
+        answerPolls(*minion);
     timer_.expires_after(tickInterval);
     timer_.async_wait([this](beast::error_code error) {
         if (!error)
--- a/review/common/minions.h
+++ b/review/common/minions.h
@@ -35,12 +35,7 @@
 /** What a task of a job went through. */
 struct TaskHistory {
     int starts_ = 0;
-    int done_ = 0;
-    int failed_ = 0;
-    int lost_ = 0;
     int active_ = 0;
-    std::int64_t lastStartMs_ = -1;
-    std::int64_t lastActiveMs_ = -1;
 };
 
 /**
@@ -71,22 +66,11 @@
     void start(const std::vector<std::uint16_t>& ports);
     void addJob(const JobPlan& job) { jobs_[job.id_] = job; }
 
-    /** Until `untilMs`, the minion's runs end as `failed` `afterMs` after they began. */
-    void failRuns(std::size_t minion, std::int64_t untilMs, std::int64_t afterMs);
-
     static std::string idOf(std::size_t minion) { return "i-" + std::to_string(1000 + minion); }
-    static std::string machineOf(std::size_t minion) { return "m-" + idOf(minion); }
-    std::size_t count() const { return minions_.size(); }
-    /** The minions on which a task is active. */
-    std::vector<std::size_t> minionsOf(const std::string& task) const;
     const std::map<std::string, TaskHistory>& history() const { return history_; }
     /** Accelerators that active runs occupy. */
     std::int64_t acceleratorsInUse() const;
     std::int64_t accelerators() const { return settings_.gpu_ * static_cast<std::int64_t>(minions_.size()); }
-    /** Minions that run nothing. */
-    std::size_t idleMinions() const;
-    /** Starts of a task that was active elsewhere, or whose end `done` had been seen. */
-    int twice() const { return twice_; }
 
 private:
     struct Run {
@@ -115,7 +99,6 @@
         std::string rack_;
         std::uint16_t port_ = 0;
         std::unique_ptr<HttpServer> server_;
-        bool isUp_ = true;
         std::int64_t bornUnixMs_ = 0;
         std::int64_t bootedMs_ = 0;
         std::int64_t fence_ = 0;
@@ -125,8 +108,6 @@
         std::map<std::string, int> barred_;
         std::list<End> ends_;
         std::list<Poll> polls_;
-        std::int64_t failsUntilMs_ = 0;
-        std::int64_t failsAfterMs_ = 0;
         std::int64_t seq_ = 0;
         std::int64_t nextBeatMs_ = 0;
     };
@@ -160,8 +141,6 @@
     std::map<std::string, TaskHistory> history_;
     /** Progress that a checkpoint stands for. */
     std::map<std::string, std::int64_t> checkpoints_;
-    std::set<std::string> doneSeen_;
-    int twice_ = 0;
 };
 
 /** The step of a task: its name without the index. */
