Divide job records into rows, and isolate records that the store rejects

Cause: a job's record was one row with an entry for each task that had ever started. At about 1,600 tasks it passed rowBytes. JobRecorder took the store's 400 for an outage and repeated the commit unchanged for ever, and all starts and acknowledged ends waited for that commit, also under the next holder.

Change: JobRecordRows divides a record by ranges of tasks; done tasks are ranges, and a row of done tasks only goes. StoreFailureKind::Rejected tells what can't succeed from what can. JobRecorder halves a rejected commit until one record is left, puts it off and stores the others; after ten rejections the job is given up. Callbacks wait for their own jobs, in the order of the changes. The limits come with the settings (storeRowBytes).

--- a/src/libfescuecleat/node/instancesettings.cpp
+++ b/src/libfescuecleat/node/instancesettings.cpp
@@ -8,6 +8,9 @@
 
     using Json = nlohmann::json;
 
+    /** A job's specification alone may have some thousand bytes. */
+    constexpr std::int64_t minRowBytes = 1024;
+
     SocketAddress readSocketAddress(const Json& json, const char* name)
     {
         const auto parsed = parseSocketAddress(json.at(name).get<std::string>());
@@ -24,6 +27,14 @@
         return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
     }
 
+    std::size_t readRowBytes(const Json& json, const char* name)
+    {
+        const auto bytes = json.at(name).get<std::int64_t>();
+        if (bytes < minRowBytes)
+            throw Json::other_error::create(500, std::string(name) + " must be at least " + std::to_string(minRowBytes), &json);
+        return static_cast<std::size_t>(bytes);
+    }
+
 }
 
 Result<InstanceSettings> parseInstanceSettings(const std::string& text)
@@ -37,6 +48,8 @@
         settings.readiness_ = readSocketAddress(json, "readiness");
         settings.peers_ = readSocketAddress(json, "peers");
         settings.store_ = readSocketAddress(json, "store");
+        if (json.contains("storeRowBytes"))
+            settings.storeLimits_.rowBytes_ = readRowBytes(json, "storeRowBytes");
         settings.processorShare_ = json.value("processorShare", 1.0);
         settings.maxWorkerLease_ = readSeconds(json, "maxWorkerLeaseSeconds");
         settings.revocationLimit_ = readSeconds(json, "revocationLimitSeconds");
--- a/src/libfescuecleat/node/instancesettings.h
+++ b/src/libfescuecleat/node/instancesettings.h
@@ -3,6 +3,7 @@
 #include "base/result.h"
 #include "base/time.h"
 #include "net/socketaddress.h"
+#include "node/storelimits.h"
 
 #include <cstdint>
 #include <string>
@@ -20,6 +21,7 @@
     /** Listens for other instances, and serves metrics. */
     SocketAddress peers_;
     SocketAddress store_;
+    StoreLimits storeLimits_;
     /** Share of one processor that the instance may use. */
     double processorShare_ = 1;
     /** The longest lease that workers grant. */
--- a/src/libfescuecleat/node/jobrecorder.cpp
+++ b/src/libfescuecleat/node/jobrecorder.cpp
@@ -1,5 +1,6 @@
 #include "node/jobrecorder.h"
 
+#include "base/bootclock.h"
 #include "node/poolschedulerlease.h"
 #include "node/storelayout.h"
 
@@ -9,25 +10,40 @@
 
 namespace {
 
-    /** The store accepts 100 entries per transaction; the chain row needs two of them. */
-    constexpr std::size_t maxRecordsPerCommit = 90;
-    /** The store accepts 1 MB per transaction; values grow by a third on the wire. */
-    constexpr std::size_t maxCommitBytes = std::size_t(600) * 1024;
+    /** The chain row's expectation and write. */
+    constexpr std::size_t chainEntries = 2;
+    /** Space for the names of an entry's fields, and for those of the transaction. */
+    constexpr std::size_t entryOverheadBytes = 200;
     constexpr Duration commitTimeout = std::chrono::milliseconds(1500);
     constexpr Duration retryDelay = std::chrono::milliseconds(100);
+    /** After this many rejections of its record, a job is reported as unstorable. */
+    constexpr int maxRejections = 10;
+    /** Multiplied by the number of rejections, up to that limit, to get the delay before a record is sent again. */
+    constexpr Duration rejectionBackoff = std::chrono::milliseconds(200);
 
 }
 
-JobRecorder::JobRecorder(boost::asio::io_context& context, RowStore& store, JsonEventLog& log, std::int64_t epoch, std::uint64_t chainVersion, Listener listener)
+JobRecorder::JobRecorder(boost::asio::io_context& context, RowStore& store, JsonEventLog& log, const StoreLimits& limits, std::int64_t epoch, std::uint64_t chainVersion, Listener listener)
     : store_(store)
     , log_(log)
+    , limits_(limits)
     , epoch_(epoch)
     , chainVersion_(chainVersion)
     , listener_(std::move(listener))
     , retryTimer_(context)
+    , deferredTimer_(context)
+    , maxCommitSize_(limits.transactionEntries_)
 {
 }
 
+void JobRecorder::markChanged(const std::string& job)
+{
+    const auto [entry, isNew] = changed_.try_emplace(job, lastMark_ + 1, lastMark_ + 1);
+    entry->second.second = ++lastMark_;
+    if (isNew && rejected_.count(job) == 0)
+        order_.emplace(entry->second.first, job);
+}
+
 void JobRecorder::addToNextCommit(RowUpsert write)
 {
     for (RowUpsert& other : extraWrites_) {
@@ -41,40 +57,109 @@
 
 bool JobRecorder::isBeingStored(const std::string& job) const
 {
-    const std::vector<RowUpsert>& writes = transaction_.writes_;
-    return isCommitting_ && std::any_of(writes.begin(), writes.end(), [&job](const RowUpsert& write) { return write.table_ == table && write.key_ == job; });
+    return isCommitting_ && committing_.count(job) > 0;
+}
+
+void JobRecorder::whenStored(const std::set<std::string>& jobs, std::function<void()> callback)
+{
+    const auto waiter = std::make_shared<Waiter>();
+    waiter->number_ = ++lastWaiter_;
+    waiter->callback_ = std::move(callback);
+    for (const std::string& job : jobs) {
+        const auto change = changed_.find(job);
+        if (change == changed_.end() && !isBeingStored(job))
+            continue;
+        waiters_[job].emplace_back(change == changed_.end() ? committing_.at(job).storedMark_ : change->second.second, waiter);
+        ++waiter->jobs_;
+    }
+    if (waiter->jobs_ == 0)
+        readyWaiters_.emplace(waiter->number_, waiter);
 }
 
-void JobRecorder::whenStored(std::function<void()> callback)
+void JobRecorder::callReadyWaiters()
 {
-    pendingCallbacks_.push_back(std::move(callback));
+    for (const auto& [number, waiter] : std::exchange(readyWaiters_, {}))
+        waiter->callback_();
 }
 
 void JobRecorder::flush()
 {
-    if (isCommitting_)
+    callReadyWaiters();
+    if (isCommitting_ || (order_.empty() && extraWrites_.empty()))
         return;
-    if (changed_.empty()) {
-        for (const auto& callback : std::exchange(pendingCallbacks_, {}))
-            callback();
-        if (extraWrites_.empty() || isCommitting_ || !changed_.empty())
-            return;
-    }
+    prepareCommit();
+    if (transaction_.writes_.empty() && transaction_.deletions_.empty())
+        return handleCommitted(chainVersion_);
+    ++sequence_;
+    sendCommit();
+}
+
+void JobRecorder::prepareCommit()
+{
     isCommitting_ = true;
     transaction_ = {};
     transaction_.part_ = schedulerPart;
-    std::size_t bytes = 0;
-    for (auto job = changed_.begin(); job != changed_.end() && transaction_.writes_.size() < maxRecordsPerCommit && bytes < maxCommitBytes; job = changed_.erase(job)) {
-        transaction_.writes_.push_back({ table, *job, listener_.encode_(*job) });
-        bytes += transaction_.writes_.back().value_.size();
+    transactionBytes_ = 0;
+    while (!order_.empty() && commitSize() < maxCommitSize_) {
+        const std::string job = order_.begin()->second;
+        if (!addRecord(job, changed_.at(job).second))
+            break;
+        order_.erase(order_.begin());
+        changed_.erase(job);
     }
-    // The callbacks wait for all marked records, so they belong to the commit that contains the last of them.
-    if (changed_.empty())
-        committingCallbacks_ = std::exchange(pendingCallbacks_, {});
-    for (RowUpsert& write : std::exchange(extraWrites_, {}))
-        transaction_.writes_.push_back(std::move(write));
-    ++sequence_;
-    sendCommit();
+    while (!extraWrites_.empty() && commitSize() < maxCommitSize_ && hasSpaceFor(extraWrites_.front())) {
+        addWrite(extraWrites_.front());
+        committingWrites_.push_back(std::move(extraWrites_.front()));
+        extraWrites_.erase(extraWrites_.begin());
+    }
+}
+
+bool JobRecorder::hasSpaceFor(const RowUpsert& write) const
+{
+    const std::size_t entries = transaction_.writes_.size() + transaction_.deletions_.size() + chainEntries;
+    const std::size_t bytes = transactionBytes_ + StoreLimits::encodedBytes(write.value_.size()) + write.key_.size() + entryOverheadBytes;
+    return entries == chainEntries || (entries < limits_.transactionEntries_ && bytes + entryOverheadBytes <= limits_.transactionBytes_);
+}
+
+void JobRecorder::addWrite(const RowUpsert& write)
+{
+    transactionBytes_ += StoreLimits::encodedBytes(write.value_.size()) + write.key_.size() + entryOverheadBytes;
+    transaction_.writes_.push_back(write);
+}
+
+bool JobRecorder::addRecord(const std::string& job, std::uint64_t mark)
+{
+    const Rows rows = listener_.rows_(job);
+    const Rows& stored = storedRows_[job];
+    RecordChange change;
+    const auto addChanges = [&] {
+        for (const auto& [key, value] : rows) {
+            const auto former = stored.find(key);
+            if (former != stored.end() && former->second == value)
+                continue;
+            const RowUpsert write { table, key, value };
+            if (!hasSpaceFor(write))
+                return false;
+            addWrite(write);
+            change.writes_[key] = value;
+        }
+        // Deleted last: by then the other rows say what a deleted one said.
+        for (const auto& [key, value] : stored) {
+            if (rows.empty() || rows.count(key) > 0)
+                continue;
+            if (!hasSpaceFor({ table, key, {} }))
+                return false;
+            transactionBytes_ += key.size() + entryOverheadBytes;
+            transaction_.deletions_.push_back({ table, key });
+            change.deletions_.insert(key);
+        }
+        return true;
+    };
+    const bool isComplete = addChanges();
+    if (isComplete)
+        change.storedMark_ = mark;
+    committing_[job] = std::move(change);
+    return isComplete;
 }
 
 void JobRecorder::sendCommit()
@@ -87,6 +172,8 @@
             return handleCommitted(outcome->version_);
         const StoreFailure& failure = outcome.error();
         log_.write("records.commit_failed", { { "commit", sequence_ }, { "cause", storeFailureName(failure.kind_) }, { "detail", failure.message_ } });
+        if (failure.kind_ == StoreFailureKind::Rejected)
+            return handleRejected(failure.message_);
         if (failure.kind_ != StoreFailureKind::Conflict)
             return retryTimer_.start(retryDelay, [this] { sendCommit(); });
         for (const StoredRow& row : failure.rows_) {
@@ -104,10 +191,103 @@
 {
     chainVersion_ = version;
     isCommitting_ = false;
-    for (const auto& callback : std::exchange(committingCallbacks_, {}))
-        callback();
-    if (!isCommitting_)
+    committingWrites_.clear();
+    maxCommitSize_ = std::min(limits_.transactionEntries_, maxCommitSize_ * 2);
+    for (auto& [job, change] : std::exchange(committing_, {})) {
+        Rows& stored = storedRows_[job];
+        for (auto& [key, value] : change.writes_)
+            stored[key] = std::move(value);
+        for (const std::string& key : change.deletions_)
+            stored.erase(key);
+        if (change.storedMark_ > 0)
+            noteStored(job, change.storedMark_);
+    }
+    flush();
+}
+
+void JobRecorder::noteStored(const std::string& job, std::uint64_t mark)
+{
+    if (rejected_.erase(job) > 0) {
+        const auto change = changed_.find(job);
+        if (change != changed_.end())
+            order_.emplace(change->second.first, job);
+    }
+    const auto waiting = waiters_.find(job);
+    if (waiting == waiters_.end())
+        return;
+    auto& waiters = waiting->second;
+    const auto isStored = [this, mark](const auto& entry) {
+        if (entry.first > mark)
+            return false;
+        if (--entry.second->jobs_ == 0)
+            readyWaiters_.emplace(entry.second->number_, entry.second);
+        return true;
+    };
+    waiters.erase(std::remove_if(waiters.begin(), waiters.end(), isStored), waiters.end());
+    if (waiters.empty())
+        waiters_.erase(waiting);
+}
+
+void JobRecorder::handleRejected(const std::string& message)
+{
+    isCommitting_ = false;
+    const std::size_t size = commitSize();
+    const auto records = std::exchange(committing_, {});
+    const auto writes = std::exchange(committingWrites_, {});
+    for (const auto& [job, change] : records) {
+        if (changed_.count(job) == 0) // else further rows were left for the next commit
+            markChanged(job);
+    }
+    if (size > 1) {
+        maxCommitSize_ = size / 2;
+        for (const RowUpsert& write : writes) {
+            const auto isReplaced = std::any_of(extraWrites_.begin(), extraWrites_.end(), [&write](const RowUpsert& other) { return other.table_ == write.table_ && other.key_ == write.key_; });
+            if (!isReplaced)
+                extraWrites_.push_back(write);
+        }
+        return flush();
+    }
+    for (const auto& [job, change] : records)
+        deferRecord(job, change, message);
+    for (const RowUpsert& write : writes)
+        log_.write("row.rejected", { { "table", write.table_ }, { "key", write.key_ }, { "bytes", write.value_.size() }, { "detail", message } });
+    flush();
+}
+
+void JobRecorder::deferRecord(const std::string& job, const RecordChange& change, const std::string& message)
+{
+    std::size_t largest = 0;
+    for (const auto& [key, value] : change.writes_)
+        largest = std::max(largest, value.size());
+    Rejection& rejection = rejected_[job];
+    rejection.attempts_ = std::min(rejection.attempts_ + 1, maxRejections);
+    rejection.retryAt_ = bootTimeNow() + rejection.attempts_ * rejectionBackoff;
+    log_.write("record.rejected", { { "job", job }, { "rejections", rejection.attempts_ }, { "rows", change.writes_.size() }, { "largestRowBytes", largest }, { "detail", message } });
+    order_.erase({ changed_.at(job).first, job });
+    if (rejection.attempts_ == maxRejections)
+        listener_.unstorable_(job);
+    queueDeferred();
+}
+
+void JobRecorder::queueDeferred()
+{
+    const Time now = bootTimeNow();
+    Time next = Time::max();
+    for (const auto& [job, rejection] : rejected_) {
+        const auto change = changed_.find(job);
+        if (change == changed_.end())
+            continue;
+        if (rejection.retryAt_ <= now)
+            order_.emplace(change->second.first, job);
+        else
+            next = std::min(next, rejection.retryAt_);
+    }
+    if (next == Time::max())
+        return;
+    deferredTimer_.start(remaining(next, now), [this] {
+        queueDeferred();
         flush();
+    });
 }
 
 }
--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -3,6 +3,7 @@
 #include "base/bootclock.h"
 #include "node/jobintake.h"
 #include "node/storelayout.h"
+#include "pool/jobrecordrows.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -76,9 +77,10 @@
     , runLog_(context.log_)
     , epoch_(lease.epoch_)
     , listener_(std::move(listener))
-    , recorder_(context.loop_, context.store_, context.log_, lease.epoch_, lease.chainVersion_,
-          { [this](const std::string& job) { return encodePoolJobRecord(scheduler_.record(job)); },
-              [this](const std::string& cause) { listener_.superseded_(cause); } })
+    , recorder_(context.loop_, context.store_, context.log_, context.settings_.storeLimits_, lease.epoch_, lease.chainVersion_,
+          { [this](const std::string& job) { return recordRows(job); },
+              [this](const std::string& cause) { listener_.superseded_(cause); },
+              [this](const std::string& job) { handleUnstorableRecord(job); } })
     , intake_(context.loop_, context.store_, context.clock_, context.log_, { intakeTable, intakeParts() }, intakePollWait,
           { [this](const std::vector<StoredRow>& rows) {
                for (const StoredRow& row : rows)
@@ -116,19 +118,45 @@
     context_.store_.read({ JobRecorder::table, schedulerPart, from, {} }, readTimeout, lifetime_.guard([this, from](const tl::expected<RowPage, StoreFailure>& page) {
         if (!page)
             return timer_.start(readRetryDelay, [this, from] { loadRecords(from); });
-        for (const StoredRow& row : page->rows_) {
-            PoolJobRecord record;
-            if (decodePoolJobRecord(row.value_, record))
-                records_[row.key_] = std::move(record);
-            else
-                context_.log_.write("record.unreadable", { { "job", row.key_ }, { "version", row.version_ } });
-        }
+        for (const StoredRow& row : page->rows_)
+            addRecordRow(row);
         if (page->hasMore_ && !page->rows_.empty())
             return loadRecords(boundAfter(page->rows_.back().key_));
         recordsLoaded();
     }));
 }
 
+void PoolController::addRecordRow(const StoredRow& row)
+{
+    const std::string job = JobRecordRows::jobOf(row.key_);
+    // The first row of a job precedes its others.
+    PoolJobRecord record = records_.count(job) > 0 ? std::move(records_[job]) : PoolJobRecord {};
+    if (!JobRecordRows::decode(row.key_, row.value_, record)) {
+        records_.erase(job);
+        context_.log_.write("record.unreadable", { { "job", job }, { "row", row.key_ }, { "version", row.version_ } });
+        return;
+    }
+    if (!isFinal(record.state_))
+        recorder_.addStoredRow(job, row.key_, row.value_);
+    records_[job] = std::move(record);
+}
+
+JobRecorder::Rows PoolController::recordRows(const std::string& job) const
+{
+    const auto state = scheduler_.state().jobs_.find(job);
+    if (state != scheduler_.state().jobs_.end() && unstorableJobs_.count(job) > 0)
+        return { { job, encodePoolJobRecord({ state->second.state_, {}, {} }) } };
+    return scheduler_.recordRows(job, context_.settings_.storeLimits_.maxValueBytes());
+}
+
+void PoolController::handleUnstorableRecord(const std::string& job)
+{
+    unstorableJobs_.insert(job);
+    context_.log_.write("job.unstorable", { { "job", job } });
+    scheduler_.failJob(job, "the store rejects its record", bootTimeNow());
+    requestPass();
+}
+
 void PoolController::recordsLoaded()
 {
     context_.log_.write("scheduler.records_loaded", { { "epoch", epoch_ }, { "records", records_.size() } });
@@ -301,11 +329,14 @@
         logNewEnds(report, link.key());
         scheduler_.report(link.key(), report, askedAt, bootTimeNow());
         std::int64_t last = 0;
-        for (const ReportedEnd& end : report.ended_)
+        std::set<std::string> endedJobs;
+        for (const ReportedEnd& end : report.ended_) {
             last = std::max(last, end.sequence_);
+            endedJobs.insert(end.run_.task_.job_);
+        }
         executeDecisions();
         if (last > 0) {
-            recorder_.whenStored([this, key = link.key(), last] {
+            recorder_.whenStored(endedJobs, [this, key = link.key(), last] {
                 if (PoolWorkerLink* current = findLink(key))
                     current->acknowledgeEnds(last);
             });
@@ -423,20 +454,22 @@
         if (PoolWorkerLink* link = findLink(stop.worker_))
             link->stop(stop.run_);
     }
-    if (decisions.changedJobs_.empty() && decisions.starts_.empty())
-        return;
-    std::map<std::string, PoolJobState> states;
-    for (const std::string& job : decisions.changedJobs_) {
+    for (const std::string& job : decisions.changedJobs_)
         recorder_.markChanged(job);
+    std::map<std::string, std::vector<StartDecision>> starts;
+    for (const StartDecision& start : decisions.starts_)
+        starts[start.run_.task_.job_].push_back(start);
+    // Each job waits for its own record only, so that one that can't be stored delays no other.
+    for (const std::string& job : decisions.changedJobs_) {
         const auto found = scheduler_.state().jobs_.find(job);
-        if (found != scheduler_.state().jobs_.end())
-            states[job] = found->second.state_;
-    }
-    recorder_.whenStored([this, starts = decisions.starts_, states = std::move(states)] {
-        for (const auto& [job, state] : states)
+        if (found == scheduler_.state().jobs_.end())
+            continue;
+        recorder_.whenStored({ job }, [this, job, state = found->second.state_, starts = std::move(starts[job])] {
             handleJobStored(job, state);
-        sendStarts(starts);
-    });
+            if (!starts.empty())
+                sendStarts(starts);
+        });
+    }
 }
 
 void PoolController::handleJobStored(const std::string& job, PoolJobState state)
@@ -447,8 +480,11 @@
     stored = state;
     // Finished jobs would slow each pass down, so only their state is kept.
     // A record that is still to be encoded needs the job.
-    if (isFinal(state) && !recorder_.hasPendingChange(job) && scheduler_.forgetJob(job))
+    if (isFinal(state) && !recorder_.hasPendingChange(job) && scheduler_.forgetJob(job)) {
         payloads_.erase(job);
+        unstorableJobs_.erase(job);
+        recorder_.forget(job);
+    }
 }
 
 void PoolController::sendStarts(const std::vector<StartDecision>& decisions)
--- a/src/libfescuecleat/node/poolcontroller.h
+++ b/src/libfescuecleat/node/poolcontroller.h
@@ -59,7 +59,10 @@
 
 private:
     void loadRecords(const std::string& from);
+    void addRecordRow(const StoredRow&);
     void recordsLoaded();
+    JobRecorder::Rows recordRows(const std::string& job) const;
+    void handleUnstorableRecord(const std::string& job);
     void handleIntakeRow(const StoredRow&);
     void addJob(const std::string& id, const StoredRow&);
     void handleRegistryRow(const StoredRow&);
@@ -98,6 +101,8 @@
 
     std::map<std::string, PoolJobRecord> records_;
     std::set<std::string> cancelled_;
+    /** Jobs that were given up because the store rejects their records; only their states are stored. */
+    std::set<std::string> unstorableJobs_;
     std::map<std::string, std::string> payloads_;
     std::map<std::string, PoolJobState> storedStates_;
     std::map<std::string, std::unique_ptr<PoolWorkerLink>> links_;
--- a/src/libfescuecleat/node/rowstore.cpp
+++ b/src/libfescuecleat/node/rowstore.cpp
@@ -13,6 +13,8 @@
         return "outcome_unknown";
     case StoreFailureKind::HistoryGone:
         return "history_gone";
+    case StoreFailureKind::Rejected:
+        return "rejected";
     }
     return "unknown";
 }
--- a/src/libfescuecleat/node/rowstore.h
+++ b/src/libfescuecleat/node/rowstore.h
@@ -79,6 +79,8 @@
     OutcomeUnknown,
     /** The requested changes are no longer available. */
     HistoryGone,
+    /** The store doesn't accept the call itself, for example because of its size; sending it again can't succeed. */
+    Rejected,
 };
 
 /** Why a call of the store failed. */
--- a/src/libfescuecleat/node/storecall.cpp
+++ b/src/libfescuecleat/node/storecall.cpp
@@ -109,7 +109,7 @@
         const Json json = Json::from_cbor(bytes);
         if (json.contains("failure")) {
             const int kind = json["failure"];
-            if (kind < static_cast<int>(StoreFailureKind::Conflict) || kind > static_cast<int>(StoreFailureKind::HistoryGone))
+            if (kind < static_cast<int>(StoreFailureKind::Conflict) || kind > static_cast<int>(StoreFailureKind::Rejected))
                 return std::nullopt;
             return tl::unexpected<StoreFailure>({ static_cast<StoreFailureKind>(kind), decodeRows(json.at("rows")), json.at("message") });
         }
--- a/src/libfescuecleat/pool/pooljobrecord.h
+++ b/src/libfescuecleat/pool/pooljobrecord.h
@@ -4,6 +4,7 @@
 #include "pool/taskcrashes.h"
 #include "pool/workerinfo.h"
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -38,14 +39,31 @@
     std::vector<CrashRecord> crashes_;
 };
 
-/** Stored progress of a job, one row per job. */
+/** Consecutive tasks of a job by their numbers (TaskNumbering). */
+struct TaskRange {
+    std::int64_t first_ = 0;
+    std::int64_t last_ = 0;
+};
+
+/** Stored progress of a job. Its size is bounded by the tasks that are not done, not by those that ever ran. */
 struct PoolJobRecord {
     PoolJobState state_ = PoolJobState::Queued;
+    /** The started units that are not done, and those that are but have tasks that have not ended. */
     std::vector<UnitRecord> units_;
+    /** The tasks that are done, in order. Empty once the job has ended. */
+    std::vector<TaskRange> done_ = {};
+
+    /** Adds done tasks that come after those added so far. */
+    void addDone(TaskRange);
 };
 
+/** Encodes a record into one row. Records of any size are divided into several rows by JobRecordRows. */
 std::string encodePoolJobRecord(const PoolJobRecord&);
+/** Encodes only the tasks, for the further rows of a record. */
+std::string encodePoolJobTasks(const std::vector<UnitRecord>&, const std::vector<TaskRange>& done);
 /** Returns false if the text is not a valid record; `record` may then be partly filled. */
 bool decodePoolJobRecord(const std::string& text, PoolJobRecord& record);
+/** Adds the tasks of a further row to the record; returns false if the text is malformed. */
+bool decodePoolJobTasks(const std::string& text, PoolJobRecord& record);
 
 }
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -2,9 +2,12 @@
 
 #include "pool/crashreview.h"
 #include "pool/healthreview.h"
+#include "pool/jobrecordrows.h"
 #include "pool/schedulingpass.h"
+#include "pool/tasknumbering.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace fescuecleat {
@@ -72,51 +75,17 @@
 void PoolScheduler::restore(Job& job, const PoolJobRecord& record, Time now)
 {
     job.state_ = record.state_;
+    const TaskNumbering numbering(job.spec_);
     int occurrences = job.spec_.isTimed() ? 0 : 1;
     for (const UnitRecord& unit : record.units_)
         occurrences = std::max(occurrences, unit.occurrence_ + 1);
+    for (const TaskRange& range : record.done_)
+        occurrences = std::max(occurrences, static_cast<int>(range.last_ / std::max<std::int64_t>(1, numbering.tasksPerOccurrence())) + 1);
     for (int occurrence = 0; occurrence < occurrences; ++occurrence)
         openOccurrence(job, occurrence, now);
-    for (const UnitRecord& stored : record.units_) {
-        for (std::size_t i = 0; i < job.units_.size(); ++i) {
-            WorkUnit& unit = job.units_[i];
-            if (unit.occurrence_ != stored.occurrence_ || unit.step_ != stored.step_ || unit.index_ != stored.index_)
-                continue;
-            unit.lastRun_ = stored.lastRun_;
-            unit.failures_ = stored.failures_;
-            unit.checkpoint_ = stored.checkpoint_;
-            for (const CrashRecord& crash : stored.crashes_)
-                unit.crashes_[crash.index_] = crash.crashes_;
-            job.setUnitState(unit, stored.isDone_ ? UnitState::Done : UnitState::Waiting);
-            const Resources allocation = job.step(unit).allocation();
-            for (const PlacementRecord& placement : stored.placements_) {
-                const RunId run { { job.id_, unit.occurrence_, unit.step_, placement.index_ }, unit.lastRun_ };
-                PoolWorkerState& worker = state_.workers_[placement.worker_];
-                if (worker.info_.key_ != placement.worker_) {
-                    // This incarnation is not in the registry; its runs keep their resources until they are known to have ended.
-                    worker.info_.key_ = placement.worker_;
-                    worker.info_.machine_ = placement.machine_;
-                    worker.isListed_ = false;
-                }
-                TaskRun taskRun;
-                taskRun.worker_ = placement.worker_;
-                taskRun.phase_ = RunPhase::Starting;
-                taskRun.resources_ = allocation;
-                taskRun.unit_ = i;
-                taskRun.startedAt_ = now;
-                // Fencing: the worker rejects requests of the former lease holder that are still in flight.
-                taskRun.acknowledgedAt_ = now;
-                state_.addRun(run, taskRun, job);
-                unansweredStarts_.emplace_back(now, run);
-            }
-            if (!stored.placements_.empty() && !stored.isDone_) {
-                job.setUnitState(unit, UnitState::Active);
-                unit.startedAt_ = now;
-                if (static_cast<int>(stored.placements_.size()) < unit.taskCount_)
-                    abortRun(job, i, "part of the gang had ended", now);
-            }
-        }
-    }
+    restoreDoneUnits(job, record.done_, numbering);
+    for (const auto& [unit, stored] : unitRecords(job, record))
+        restoreUnit(job, unit, stored, now);
     if (isFinal(job.state_)) {
         for (std::size_t i = 0; i < job.units_.size(); ++i) {
             if (job.units_[i].state_ == UnitState::Active)
@@ -128,6 +97,88 @@
     completeIfDone(job);
 }
 
+void PoolScheduler::restoreDoneUnits(Job& job, std::vector<TaskRange> done, const TaskNumbering& numbering)
+{
+    const auto isBefore = [](const TaskRange& left, const TaskRange& right) { return left.first_ < right.first_; };
+    std::sort(done.begin(), done.end(), isBefore);
+    for (WorkUnit& unit : job.units_) {
+        const std::int64_t number = numbering.number(unit.occurrence_, unit.step_, unit.index_);
+        const auto next = std::upper_bound(done.begin(), done.end(), TaskRange { number, number }, isBefore);
+        if (next != done.begin() && number <= std::prev(next)->last_)
+            job.setUnitState(unit, UnitState::Done);
+    }
+}
+
+std::map<std::size_t, UnitRecord> PoolScheduler::unitRecords(const Job& job, const PoolJobRecord& record)
+{
+    std::map<std::tuple<int, int, int>, std::size_t> units;
+    for (std::size_t i = 0; i < job.units_.size(); ++i)
+        units[{ job.units_[i].occurrence_, job.units_[i].step_, job.units_[i].index_ }] = i;
+    std::map<std::size_t, UnitRecord> result;
+    for (const UnitRecord& stored : record.units_) {
+        const auto unit = units.find({ stored.occurrence_, stored.step_, stored.index_ });
+        if (unit == units.end())
+            continue;
+        const auto [entry, isNew] = result.emplace(unit->second, stored);
+        if (isNew)
+            continue;
+        // A gang has an entry in the row of each of its members. After a failover between two commits, some may be of an earlier run.
+        UnitRecord& merged = entry->second;
+        const bool isDone = merged.isDone_ || stored.isDone_;
+        if (merged.lastRun_ < stored.lastRun_)
+            merged = stored;
+        else if (merged.lastRun_ == stored.lastRun_) {
+            merged.placements_.insert(merged.placements_.end(), stored.placements_.begin(), stored.placements_.end());
+            merged.crashes_.insert(merged.crashes_.end(), stored.crashes_.begin(), stored.crashes_.end());
+        }
+        merged.isDone_ = isDone;
+    }
+    return result;
+}
+
+void PoolScheduler::restoreUnit(Job& job, std::size_t unitIndex, const UnitRecord& stored, Time now)
+{
+    WorkUnit& unit = job.units_[unitIndex];
+    unit.lastRun_ = stored.lastRun_;
+    unit.failures_ = stored.failures_;
+    unit.checkpoint_ = stored.checkpoint_;
+    for (const CrashRecord& crash : stored.crashes_)
+        unit.crashes_[crash.index_] = crash.crashes_;
+    const bool isDone = stored.isDone_ || unit.state_ == UnitState::Done;
+    job.setUnitState(unit, isDone ? UnitState::Done : UnitState::Waiting);
+    const Resources allocation = job.step(unit).allocation();
+    std::size_t placed = 0;
+    for (const PlacementRecord& placement : stored.placements_) {
+        const RunId run { { job.id_, unit.occurrence_, unit.step_, placement.index_ }, unit.lastRun_ };
+        if (state_.runs_.count(run) > 0)
+            continue;
+        PoolWorkerState& worker = state_.workers_[placement.worker_];
+        if (worker.info_.key_ != placement.worker_) {
+            // This incarnation is not in the registry; its runs keep their resources until they are known to have ended.
+            worker.info_.key_ = placement.worker_;
+            worker.info_.machine_ = placement.machine_;
+            worker.isListed_ = false;
+        }
+        TaskRun taskRun;
+        taskRun.worker_ = placement.worker_;
+        taskRun.phase_ = RunPhase::Starting;
+        taskRun.resources_ = allocation;
+        taskRun.unit_ = unitIndex;
+        taskRun.startedAt_ = now;
+        // Fencing: the worker rejects requests of the former lease holder that are still in flight.
+        taskRun.acknowledgedAt_ = now;
+        state_.addRun(run, taskRun, job);
+        unansweredStarts_.emplace_back(now, run);
+        ++placed;
+    }
+    if (placed == 0 || isDone)
+        return;
+    job.setUnitState(unit, UnitState::Active);
+    unit.startedAt_ = now;
+    if (static_cast<int>(placed) < unit.taskCount_)
+        abortRun(job, unitIndex, "part of the gang had ended", now);
+}
+
 void PoolScheduler::openOccurrence(Job& job, int occurrence, Time now)
 {
     for (std::size_t step = 0; step < job.spec_.steps_.size(); ++step) {
@@ -202,6 +253,13 @@
     state_.decisions_.changedJobs_.insert(job.id_);
 }
 
+void PoolScheduler::failJob(const std::string& id, const std::string& cause, Time now)
+{
+    Job* job = state_.findJob(id);
+    if (job != nullptr && job->isOpen())
+        endJob(*job, PoolJobState::Failed, cause, now);
+}
+
 bool PoolScheduler::forgetJob(const std::string& id)
 {
     const Job* job = state_.findJob(id);
@@ -737,11 +795,18 @@
     if (found == state_.jobs_.end())
         return record;
     const Job& job = found->second;
+    const TaskNumbering numbering(job.spec_);
     record.state_ = job.state_;
     for (const WorkUnit& unit : job.units_) {
-        if (unit.lastRun_ == 0)
+        const bool isDone = unit.state_ == UnitState::Done;
+        if (isDone && job.isOpen()) {
+            const std::int64_t first = numbering.number(unit.occurrence_, unit.step_, unit.index_);
+            record.addDone({ first, first + unit.taskCount_ - 1 });
+        }
+        // What is done or belongs to an ended job never starts again; only its open runs are still to be ended.
+        if (unit.lastRun_ == 0 || ((isDone || !job.isOpen()) && unit.openRuns_.empty()))
             continue;
-        UnitRecord stored { unit.occurrence_, unit.step_, unit.index_, unit.lastRun_, unit.failures_, unit.state_ == UnitState::Done, unit.checkpoint_, {}, {} };
+        UnitRecord stored { unit.occurrence_, unit.step_, unit.index_, unit.lastRun_, unit.failures_, isDone, unit.checkpoint_, {}, {} };
         for (const RunId& run : unit.openRuns_) {
             const auto entry = state_.runs_.find(run);
             if (entry == state_.runs_.end())
@@ -756,6 +821,14 @@
     return record;
 }
 
+std::map<std::string, std::string> PoolScheduler::recordRows(const std::string& id, std::size_t maxRowBytes) const
+{
+    const auto job = state_.jobs_.find(id);
+    if (job == state_.jobs_.end())
+        return {};
+    return JobRecordRows(id, record(id), TaskNumbering(job->second.spec_), maxRowBytes).values();
+}
+
 std::map<std::string, int> PoolScheduler::waitingJobs() const
 {
     std::map<std::string, int> waiting;
--- a/src/libfescuecleat/pool/poolscheduler.h
+++ b/src/libfescuecleat/pool/poolscheduler.h
@@ -3,9 +3,11 @@
 #include "pool/pooljobrecord.h"
 #include "pool/poolstate.h"
 #include "pool/poolworkerreport.h"
+#include "pool/tasknumbering.h"
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -36,6 +38,8 @@
     /** Adds a new job, or restores one from its record after a failover. Does nothing if the job is known. */
     void addJob(const std::string& id, PoolJobSpec, JobPolicy, Time submittedAt, const PoolJobRecord*, Time now);
     void cancelJob(const std::string& id, Time now);
+    /** Gives up an open job. */
+    void failJob(const std::string& id, const std::string& cause, Time now);
     /** Removes an ended job; returns false if the job is unknown or open, any of its runs is still active, or a change of it is yet to be taken. */
     bool forgetJob(const std::string& id);
 
@@ -79,6 +83,8 @@
 
     Decisions takeDecisions();
     PoolJobRecord record(const std::string& job) const;
+    /** The rows of a job's record by key, each of at most `maxRowBytes` if possible (JobRecordRows). */
+    std::map<std::string, std::string> recordRows(const std::string& job, std::size_t maxRowBytes) const;
     const PoolState& state() const { return state_; }
     /** Number of accepted jobs per queue of which no task has started. Recurring jobs don't count. */
     std::map<std::string, int> waitingJobs() const;
@@ -90,6 +96,10 @@
     void openOccurrence(Job&, int occurrence, Time now);
     void unblockReadyUnits(Job&, Time now);
     void restore(Job&, const PoolJobRecord&, Time now);
+    static void restoreDoneUnits(Job&, std::vector<TaskRange> done, const TaskNumbering&);
+    /** The entries of a record by the indexes of their units. */
+    static std::map<std::size_t, UnitRecord> unitRecords(const Job&, const PoolJobRecord&);
+    void restoreUnit(Job&, std::size_t unit, const UnitRecord&, Time now);
     void applyEnd(const RunId&, EndReason, const std::string& checkpoint, Time now);
     /** Whether the worker, with all that it may run, is one that the run may start on. */
     bool isSuitable(const PoolWorkerState&, const RunId&, const TaskRun&) const;
--- /dev/null
+++ b/src/libfescuecleat/pool/tasknumbering.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "pool/pooljobspec.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace fescuecleat {
+
+/** Numbers all tasks of a job: occurrence by occurrence, step by step, index by index. */
+class TaskNumbering {
+public:
+    explicit TaskNumbering(const PoolJobSpec&);
+
+    /** `index` is that of the task; that of a gang, which is negative, gives its first task. */
+    std::int64_t number(int occurrence, int step, int index) const;
+    std::int64_t tasksPerOccurrence() const { return tasksPerOccurrence_; }
+
+private:
+    std::vector<std::int64_t> firstOfStep_;
+    std::int64_t tasksPerOccurrence_ = 0;
+};
+
+}
--- a/src/standins/poolmodel/fakerowstore.cpp
+++ b/src/standins/poolmodel/fakerowstore.cpp
@@ -1,6 +1,7 @@
 #include "poolmodel/fakerowstore.h"
 
 #include "base/bootclock.h"
+#include "node/storelimits.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -64,6 +65,17 @@
     return timestamp();
 }
 
+bool FakeRowStore::isTooLarge(const RowTransaction& transaction)
+{
+    std::size_t largest = 0;
+    for (const RowUpsert& write : transaction.writes_)
+        largest = std::max(largest, StoreLimits::encodedBytes(write.value_.size()));
+    if (largest > rowBytes_)
+        return true;
+    largestRowBytes_ = std::max(largestRowBytes_, largest);
+    return false;
+}
+
 void FakeRowStore::commit(RowTransaction transaction, Duration timeout, CommitHandler handler)
 {
     if (commitDelay_ > timeout) {
@@ -77,6 +89,8 @@
             return handler(failed(StoreFailureKind::Refused));
         if (isRefusing_ || isSilent_)
             return handler(failed(isSilent_ ? StoreFailureKind::OutcomeUnknown : StoreFailureKind::Refused));
+        if (isTooLarge(transaction))
+            return handler(failed(StoreFailureKind::Rejected));
         if (commitsToHoldBack_ > 0) {
             --commitsToHoldBack_;
             heldBack_.push_back(transaction);
--- a/src/standins/poolmodel/fakerowstore.h
+++ b/src/standins/poolmodel/fakerowstore.h
@@ -38,6 +38,10 @@
     void setCommitDelay(Duration delay) { commitDelay_ = delay; }
     /** Refuses commits while set, as an overloaded part does. */
     void setRefusingWrites(bool refuses) { isRefusingWrites_ = refuses; }
+    /** Rejects transactions with a value above this size, measured as it is sent. */
+    void setRowBytes(std::size_t bytes) { rowBytes_ = bytes; }
+    /** The size of the largest value written so far, measured as it is sent. */
+    std::size_t largestRowBytes() const { return largestRowBytes_; }
     /** Neither applies nor answers calls while set. */
     void setSilent(bool isSilent) { isSilent_ = isSilent; }
     /** Feeds deliver no changes while set. */
@@ -72,6 +76,7 @@
         std::uint64_t goneUpTo_ = 0;
     };
 
+    bool isTooLarge(const RowTransaction&);
     tl::expected<StoreTimestamp, StoreFailure> apply(const RowTransaction&);
     StoreTimestamp timestamp() const;
     std::vector<StoredRow> changesAfter(const std::string& table, std::uint64_t after) const;
@@ -102,6 +107,8 @@
     bool areFeedsSilent_ = false;
     int commitsSeen_ = 0;
     bool isRefusing_ = false;
+    std::size_t rowBytes_ = std::numeric_limits<std::size_t>::max();
+    std::size_t largestRowBytes_ = 0;
 };
 
 }
--- a/tests/node/poolcontrollertest.cpp
+++ b/tests/node/poolcontrollertest.cpp
@@ -46,6 +46,8 @@
     CPPUNIT_TEST(keepsStartThatNextIncarnationMayHave);
     CPPUNIT_TEST(pollsOfSilentWorkerSuitAnyIncarnation);
     CPPUNIT_TEST(showsNoStateThatACommitMayHaveReplaced);
+    CPPUNIT_TEST(largeJobStopsNoOther);
+    CPPUNIT_TEST(givesUpJobWhoseRecordIsRejected);
     CPPUNIT_TEST_SUITE_END();
 
     void runsJobToCompletion()
@@ -516,6 +518,40 @@
         pool.store_.loseAnswers(0);
         CPPUNIT_ASSERT(pool.runUntil([&] { return scheduler->controller() != nullptr && scheduler->controller()->stateOf(jobId) == PoolJobState::Completed; }));
     }
+
+    /** Guards against a large job's record that outgrows its row, is refused for ever and stops all scheduling. */
+    void largeJobStopsNoOther()
+    {
+        PoolFixture pool;
+        pool.settings_.storeLimits_.rowBytes_ = 4096;
+        pool.store_.setRowBytes(4096);
+        for (int i = 0; i < 30; ++i)
+            pool.addWorker("w" + std::to_string(i));
+        const auto scheduler = pool.scheduler("a");
+        StepSpec step = oneTask();
+        step.taskCount_ = 230;
+        pool.submit(jobId, step);
+        CPPUNIT_ASSERT(pool.runUntil([&] { return pool.workers_.startCount(task(229)) == 1; }));
+        pool.submit("00000000000000bb", oneTask());
+        CPPUNIT_ASSERT(pool.runUntil([&] { return pool.workers_.startCount({ "00000000000000bb", 0, 0, 0 }) == 1; }));
+        CPPUNIT_ASSERT(pool.store_.largestRowBytes() <= 4096);
+    }
+
+    /** A job whose record can't be stored is given up, and its tasks are stopped; others are not affected. */
+    void givesUpJobWhoseRecordIsRejected()
+    {
+        PoolFixture pool;
+        pool.settings_.storeLimits_.rowBytes_ = 4096;
+        pool.addWorker("w1");
+        const auto scheduler = pool.scheduler("a");
+        pool.store_.setRowBytes(72);
+        pool.submit(jobId, oneTask());
+        CPPUNIT_ASSERT(pool.runUntil([&] { return pool.recordedState(jobId) == PoolJobState::Failed; }, 30s));
+        CPPUNIT_ASSERT_EQUAL(0, pool.workers_.startCount(task()));
+        pool.store_.setRowBytes(4096);
+        pool.submit("00000000000000bb", oneTask());
+        CPPUNIT_ASSERT(pool.runUntil([&] { return pool.workers_.startCount({ "00000000000000bb", 0, 0, 0 }) == 1; }));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PoolControllerTest);
--- a/tests/pool/recoverytest.cpp
+++ b/tests/pool/recoverytest.cpp
@@ -1,5 +1,7 @@
+#include "pool/jobrecordrows.h"
 #include "pool/poolscheduler.h"
 
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace fescuecleat;
@@ -9,6 +11,7 @@
 
 constexpr const char* jobId = "00000000000000aa";
 constexpr Time start { 1000s };
+constexpr std::size_t smallRowBytes = 2048;
 
 PoolJobSpec jobWithSteps(int firstTasks, int secondTasks)
 {
@@ -38,7 +41,7 @@
     info.key_ = { id, 1 };
     info.service_ = "service";
     info.rack_ = "r0";
-    info.capacity_ = { 64000, 64000, accelerators };
+    info.capacity_ = { std::max<std::int64_t>(64, accelerators) * 1000, std::max<std::int64_t>(64, accelerators) * 1000, accelerators };
     scheduler.putWorker(info, start);
     scheduler.setReachable(info.key_);
 }
@@ -51,6 +54,10 @@
     CPPUNIT_TEST(restoresTasksThatHadNotStarted);
     CPPUNIT_TEST(restoresUrgentAccelerators);
     CPPUNIT_TEST(changedJobIsNotForgotten);
+    CPPUNIT_TEST(rowsDoNotGrowWithDoneTasks);
+    CPPUNIT_TEST(restoresFromSeveralRows);
+    CPPUNIT_TEST(restoresGangFromSeveralRows);
+    CPPUNIT_TEST(abortsGangWithRowsOfTwoRuns);
     CPPUNIT_TEST_SUITE_END();
 
     /** Only some tasks of a step had started when the scheduler failed; the others have no record. */
@@ -96,6 +103,147 @@
         CPPUNIT_ASSERT(scheduler.record(jobId).state_ == PoolJobState::Completed);
         CPPUNIT_ASSERT(scheduler.forgetJob(jobId));
     }
+
+    /** Guards against a record with an entry for each task that ever ran: a long schedule's outgrew its row. */
+    void rowsDoNotGrowWithDoneTasks()
+    {
+        PoolJobSpec spec = jobWithSteps(3, 2);
+        spec.occurrences_ = 2000;
+        spec.periodMs_ = 1000;
+        PoolScheduler scheduler;
+        addWorker(scheduler, "w1", 8);
+        scheduler.addJob(jobId, spec, policy(), start, nullptr, start);
+        std::int64_t sequence = 0;
+        for (int occurrence = 0; occurrence < 300; ++occurrence) {
+            const Time now = start + occurrence * 1s;
+            finishAllStarts(scheduler, now, occurrence * 1000, sequence);
+            finishAllStarts(scheduler, now + 1ms, occurrence * 1000, sequence);
+        }
+        const auto rows = scheduler.recordRows(jobId, smallRowBytes);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), rows.size());
+        CPPUNIT_ASSERT(rows.at(jobId).size() < 200);
+
+        const PoolJobRecord record = decode(rows);
+        PoolScheduler next;
+        addWorker(next, "w1", 8);
+        next.addJob(jobId, spec, policy(), start, &record, start);
+        next.schedule(start + 300s, 299000);
+        CPPUNIT_ASSERT(next.takeDecisions().starts_.empty());
+        next.schedule(start + 300s, 300000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), next.takeDecisions().starts_.size());
+    }
+
+    /** Guards against losing tasks at the boundaries of rows: of 200 tasks, every third is done and the others run. */
+    void restoresFromSeveralRows()
+    {
+        PoolScheduler scheduler;
+        addWorker(scheduler, "w1", 200);
+        scheduler.addJob(jobId, jobWithSteps(200, 1), policy(), start, nullptr, start);
+        scheduler.schedule(start, 0);
+        PoolWorkerReport report;
+        std::int64_t sequence = 0;
+        for (const StartDecision& decision : scheduler.takeDecisions().starts_) {
+            scheduler.beginStart(decision.run_, start);
+            scheduler.startAnswered(decision.run_, StartAnswer::Accepted, start);
+            if (decision.run_.task_.index_ % 3 == 0)
+                report.ended_.push_back({ ++sequence, decision.run_, EndReason::Done, {} });
+            else
+                report.running_.push_back({ decision.run_, "c" + std::to_string(decision.run_.task_.index_), 10 });
+        }
+        scheduler.report({ "w1", 1 }, report, start + 1s, start + 1s);
+        const auto rows = scheduler.recordRows(jobId, smallRowBytes);
+        CPPUNIT_ASSERT(rows.size() > 10);
+        for (const auto& [key, value] : rows)
+            CPPUNIT_ASSERT(value.size() <= smallRowBytes);
+
+        const PoolJobRecord record = decode(rows);
+        PoolScheduler next;
+        addWorker(next, "w1", 200);
+        next.addJob(jobId, jobWithSteps(200, 1), policy(), start, &record, start);
+        const Job& job = next.state().jobs_.at(jobId);
+        for (int index = 0; index < 200; ++index) {
+            const WorkUnit& unit = job.units_.at(static_cast<std::size_t>(index));
+            CPPUNIT_ASSERT(unit.state_ == (index % 3 == 0 ? UnitState::Done : UnitState::Active));
+            CPPUNIT_ASSERT(index % 3 == 0 || unit.checkpoint_ == "c" + std::to_string(index));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(133), next.state().runs_.size());
+    }
+
+    /** A gang that is larger than a row is restored whole. */
+    void restoresGangFromSeveralRows()
+    {
+        const PoolJobRecord record = decode(placedGang().recordRows(jobId, smallRowBytes));
+        PoolScheduler next;
+        next.addJob(jobId, jobWithGang(), policy(), start, &record, start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(gangTasks), next.state().runs_.size());
+        CPPUNIT_ASSERT(next.takeDecisions().stops_.empty());
+    }
+
+    /** After a failover between two commits, some rows are those of an earlier run: nothing of the gang was started yet. */
+    void abortsGangWithRowsOfTwoRuns()
+    {
+        const auto rows = placedGang().recordRows(jobId, smallRowBytes);
+        PoolJobRecord record;
+        for (const auto& [key, value] : rows) {
+            PoolJobRecord part;
+            CPPUNIT_ASSERT(JobRecordRows::decode(key, value, part));
+            for (UnitRecord& unit : part.units_) {
+                unit.lastRun_ = JobRecordRows::isFirst(key) ? 2 : 1;
+                record.units_.push_back(unit);
+            }
+        }
+        record.state_ = PoolJobState::Running;
+        PoolScheduler next;
+        next.addJob(jobId, jobWithGang(), policy(), start, &record, start);
+        CPPUNIT_ASSERT(next.state().runs_.size() < std::size_t(gangTasks));
+        for (const auto& [run, taskRun] : next.state().runs_) {
+            CPPUNIT_ASSERT_EQUAL(2, run.number_);
+            CPPUNIT_ASSERT(taskRun.phase_ == RunPhase::Stopping);
+        }
+    }
+
+private:
+    static constexpr int gangTasks = 40;
+
+    static PoolJobSpec jobWithGang()
+    {
+        PoolJobSpec spec = jobWithSteps(gangTasks, 1);
+        spec.steps_.front().isGang_ = true;
+        return spec;
+    }
+
+    static PoolScheduler placedGang()
+    {
+        PoolScheduler scheduler;
+        addWorker(scheduler, "w1", gangTasks);
+        scheduler.addJob(jobId, jobWithGang(), policy(), start, nullptr, start);
+        scheduler.schedule(start, 0);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(gangTasks), scheduler.state().runs_.size());
+        return scheduler;
+    }
+
+    static PoolJobRecord decode(const std::map<std::string, std::string>& rows)
+    {
+        PoolJobRecord record;
+        for (const auto& [key, value] : rows) {
+            CPPUNIT_ASSERT_EQUAL(std::string(jobId), JobRecordRows::jobOf(key));
+            CPPUNIT_ASSERT(JobRecordRows::decode(key, value, record));
+        }
+        return record;
+    }
+
+    /** Starts what can start and reports it as done. */
+    static void finishAllStarts(PoolScheduler& scheduler, Time now, std::int64_t unixMs, std::int64_t& sequence)
+    {
+        scheduler.schedule(now, unixMs);
+        PoolWorkerReport report;
+        for (const StartDecision& decision : scheduler.takeDecisions().starts_) {
+            scheduler.beginStart(decision.run_, now);
+            scheduler.startAnswered(decision.run_, StartAnswer::Accepted, now);
+            report.ended_.push_back({ ++sequence, decision.run_, EndReason::Done, {} });
+        }
+        scheduler.report({ "w1", 1 }, report, now, now);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RecoveryTest);
