Give each purpose of the controller and the lease its own timer

Cause: PoolController::timer_ repeated a failed read of the records and started the next pass. Starting a timer replaces what is pending, so a change of the configuration between the failure and the repetition removed the read for ever.

Change: recordsTimer_ and passTimer_; acquireTimer_ and renewalTimer_ in PoolSchedulerLease, whose flag for a pending acquisition is apart from that of a write in flight.

The new test repeatsFailedReadOfRecordsBesideOtherEvents fails without the change (no task is started within 3 s) and passes with it.

--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -98,7 +98,8 @@
               nullptr })
     , registry_(context.loop_, context.store_, context.clock_, context.log_, { context.registryFormat_.table() }, registryPollWait,
           { [this](const std::vector<StoredRow>& rows) { handleRegistryReset(rows); }, [this](const StoredRow& row) { handleRegistryRow(row); }, nullptr })
-    , timer_(context.loop_)
+    , recordsTimer_(context.loop_)
+    , passTimer_(context.loop_)
     , formerHolderActiveUntil_(lease.formerHolderActiveUntil_)
     , linkTimer_(context.loop_)
 {
@@ -117,7 +118,7 @@
 {
     context_.store_.read({ JobRecorder::table, schedulerPart, from, {} }, readTimeout, lifetime_.guard([this, from](const tl::expected<RowPage, StoreFailure>& page) {
         if (!page)
-            return timer_.start(readRetryDelay, [this, from] { loadRecords(from); });
+            return recordsTimer_.start(readRetryDelay, [this, from] { loadRecords(from); });
         for (const StoredRow& row : page->rows_)
             addRecordRow(row);
         if (page->hasMore_ && !page->rows_.empty())
@@ -425,7 +426,7 @@
     Duration delay = std::max(minPassDelay, remaining(scheduler_.nextWake(now, unixMsNow()), now));
     if (!deferredStarts_.empty())
         delay = std::min(delay, deferredStartDelay);
-    timer_.start(delay, [this] { runPass(); });
+    passTimer_.start(delay, [this] { runPass(); });
 }
 
 void PoolController::runScheduler()
--- a/src/libfescuecleat/node/poolcontroller.h
+++ b/src/libfescuecleat/node/poolcontroller.h
@@ -92,7 +92,9 @@
     JobRecorder recorder_;
     TableFollower intake_;
     TableFollower registry_;
-    Timer timer_;
+    /** Repeats a failed read of the records. */
+    Timer recordsTimer_;
+    Timer passTimer_;
     Lifetime lifetime_;
     /** Former lease holders may have renewed workers' leases until then. */
     Time formerHolderActiveUntil_ {};
--- a/src/libfescuecleat/node/poolschedulerlease.cpp
+++ b/src/libfescuecleat/node/poolschedulerlease.cpp
@@ -88,7 +88,8 @@
                    observe(row);
            },
               [this](const StoredRow& row) { observe(row); }, [this] { tryAcquire(); } })
-    , timer_(context)
+    , acquireTimer_(context)
+    , renewalTimer_(context)
     , leaseCheckTimer_(context)
     , renewalCheckTimer_(context)
 {
@@ -140,7 +141,7 @@
 
 void PoolSchedulerLease::tryAcquire()
 {
-    if (isHolder_ || isWriting_ || isStopping_ || !follower_.isLoaded() || !clock_.isKnown())
+    if (isHolder_ || isWriting_ || isAcquirePending_ || isStopping_ || !follower_.isLoaded() || !clock_.isKnown())
         return;
     const Time now = bootTimeNow();
     if (!isVacant(now))
@@ -148,10 +149,10 @@
     // Without recent contact the row may have been renewed in the meantime.
     if (now - follower_.currentAsOf() > 2 * leasePollWait)
         return;
-    isWriting_ = true;
-    timer_.start(acquireDelay_, [this] {
-        isWriting_ = false;
-        if (isVacant(bootTimeNow()))
+    isAcquirePending_ = true;
+    acquireTimer_.start(acquireDelay_, [this] {
+        isAcquirePending_ = false;
+        if (!isHolder_ && !isWriting_ && !isStopping_ && isVacant(bootTimeNow()))
             acquire();
     });
 }
@@ -215,7 +216,7 @@
 
 void PoolSchedulerLease::scheduleRenewal(Time lastAttemptAt)
 {
-    timer_.start(remaining(lastAttemptAt + renewalInterval, bootTimeNow()), [this] { renew(); });
+    renewalTimer_.start(remaining(lastAttemptAt + renewalInterval, bootTimeNow()), [this] { renew(); });
 }
 
 void PoolSchedulerLease::renew()
@@ -244,7 +245,7 @@
             return renew();
         }
         log_.write("lease.renewal_failed", { { "epoch", epoch_ }, { "cause", storeFailureName(failure.kind_) }, { "detail", failure.message_ } });
-        timer_.start(std::chrono::milliseconds(100), [this] { renew(); });
+        renewalTimer_.start(std::chrono::milliseconds(100), [this] { renew(); });
     });
 }
 
@@ -272,7 +273,7 @@
     if (!isHolder_)
         return;
     isHolder_ = false;
-    timer_.cancel();
+    renewalTimer_.cancel();
     log_.write("lease.lost", { { "epoch", epoch_ }, { "cause", cause } });
     listener_.lost_(cause);
 }
--- a/src/libfescuecleat/node/poolschedulerlease.h
+++ b/src/libfescuecleat/node/poolschedulerlease.h
@@ -84,7 +84,8 @@
     Duration acquireDelay_;
     Listener listener_;
     TableFollower follower_;
-    Timer timer_;
+    Timer acquireTimer_;
+    Timer renewalTimer_;
     Timer leaseCheckTimer_;
     Timer renewalCheckTimer_;
     Lifetime lifetime_;
@@ -93,6 +94,8 @@
     std::uint64_t lastSeenVersion_ = 0;
     bool isHolder_ = false;
     bool isWriting_ = false;
+    /** The delay before an attempt to acquire the lease is running. */
+    bool isAcquirePending_ = false;
     bool isStopping_ = false;
     std::int64_t epoch_ = 0;
     std::int64_t untilMs_ = 0;
--- a/tests/node/poolcontrollertest.cpp
+++ b/tests/node/poolcontrollertest.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(keepsStartThatNextIncarnationMayHave);
     CPPUNIT_TEST(pollsOfSilentWorkerSuitAnyIncarnation);
     CPPUNIT_TEST(showsNoStateThatACommitMayHaveReplaced);
+    CPPUNIT_TEST(repeatsFailedReadOfRecordsBesideOtherEvents);
     CPPUNIT_TEST(largeJobStopsNoOther);
     CPPUNIT_TEST(givesUpJobWhoseRecordIsRejected);
     CPPUNIT_TEST_SUITE_END();
@@ -519,6 +520,23 @@
         CPPUNIT_ASSERT(pool.runUntil([&] { return scheduler->controller() != nullptr && scheduler->controller()->stateOf(jobId) == PoolJobState::Completed; }));
     }
 
+    /** Guards against a timer with two purposes: a pass that was requested meanwhile replaced the repetition of the read for ever. */
+    void repeatsFailedReadOfRecordsBesideOtherEvents()
+    {
+        PoolFixture pool;
+        pool.addWorker("w1");
+        pool.submit(jobId, oneTask());
+        SchedulerUnderTest scheduler(pool.context_, "a", [&pool](PoolController&) { pool.store_.setRefusing(true); });
+        CPPUNIT_ASSERT(pool.runUntil([&] { return scheduler.controller() != nullptr; }));
+        pool.runFor(20ms);
+        for (int i = 0; i < 3; ++i) {
+            scheduler.controller()->setClosedDataCentres({});
+            pool.runFor(50ms);
+        }
+        pool.store_.setRefusing(false);
+        CPPUNIT_ASSERT(pool.runUntil([&] { return pool.workers_.startCount(task()) == 1; }, 3s));
+    }
+
     /** Guards against a large job's record that outgrows its row, is refused for ever and stops all scheduling. */
     void largeJobStopsNoOther()
     {
