Refuse a submission at once that the store can't take

What callers saw: a job whose row is larger than the store takes was sent again every 80 ms until the caller's deadline, then answered 503 with Retry-After, though no repetition could succeed.

Change: 400 at once after a rejection, 413 without a call to the store if the row exceeds storeRowBytes.

Evidence: StoreTest::refusesTooLargeJobAtOnce, which counts the commits.

--- a/src/libfescuecleat/node/jobapi.cpp
+++ b/src/libfescuecleat/node/jobapi.cpp
@@ -127,6 +127,9 @@
     intake.spec_ = std::move(*spec);
     intake.submittedMs_ = context_.clock_.earliestMs(call->startedAt_);
     call->row_ = encodeJobIntake(intake);
+    const std::size_t maxBytes = context_.settings_.storeLimits_.maxValueBytes();
+    if (call->row_.size() > maxBytes)
+        return answer(call, 413, errorBody("the job takes " + std::to_string(call->row_.size()) + " bytes when stored, and at most " + std::to_string(maxBytes) + " are possible"), "too large");
     if (context_.clock_.lastAnswerAt() + maxContactAge > bootTimeNow())
         return sendSubmission(call);
     probeStore(call);
@@ -172,6 +175,8 @@
 
 void JobApi::handleSubmissionFailure(const CallPointer& call, const StoreFailure& failure)
 {
+    if (failure.kind_ == StoreFailureKind::Rejected && !call->mayHaveBeenWritten_)
+        return answer(call, 400, errorBody("the store rejects the job: " + failure.message_), "rejected by the store");
     if (failure.kind_ == StoreFailureKind::OutcomeUnknown)
         call->mayHaveBeenWritten_ = true;
     if (bootTimeNow() + storeRetryDelay + storeRetryDelay < call->deadline_)
--- a/tests/node/storetest.cpp
+++ b/tests/node/storetest.cpp
@@ -77,6 +77,7 @@
     CPPUNIT_TEST(retriesAfterLostAnswer);
     CPPUNIT_TEST(refusedJobIsNotStored);
     CPPUNIT_TEST(reportsUnknownOutcome);
+    CPPUNIT_TEST(refusesTooLargeJobAtOnce);
     CPPUNIT_TEST(repeatedSubmissionIsIdempotent);
     CPPUNIT_TEST(rejectsInvalidRequests);
     CPPUNIT_TEST(cancelsOnlyKnownJobs);
@@ -130,6 +131,19 @@
         CPPUNIT_ASSERT_EQUAL(1, pool.store_.applyHeldBack());
     }
 
+    /** Guards against a submission that is repeated unchanged until its deadline although the store can't take it. */
+    void refusesTooLargeJobAtOnce()
+    {
+        PoolFixture pool;
+        JobApiUnderTest api(pool);
+        pool.store_.setRowBytes(64);
+        CPPUNIT_ASSERT_EQUAL(400, api.call("POST", path).status_);
+        CPPUNIT_ASSERT_EQUAL(1, pool.store_.commitsSeen());
+        pool.settings_.storeLimits_.rowBytes_ = 64;
+        CPPUNIT_ASSERT_EQUAL(413, api.call("POST", path).status_);
+        CPPUNIT_ASSERT_EQUAL(1, pool.store_.commitsSeen());
+    }
+
     void repeatedSubmissionIsIdempotent()
     {
         PoolFixture pool;
