Judge the own path to the store by all answers, not by one part

What callers saw: while the part of the store without a name was unavailable, instances that had one more failure took their own path for down and left their calls to peers that had done the same. Nothing reached the store, although all other parts were served: no lease, no records, no submissions (LOST, 503).

Cause: FailoverRowStore::probe read one row range, in the part without a name, and its failure decided for all calls. A path that was down got no call at all, so only that same read could bring it back.

Probes rotate over all parts.

--- a/src/libfescuecleat/node/failoverrowstore.h
+++ b/src/libfescuecleat/node/failoverrowstore.h
@@ -5,12 +5,18 @@
 #include "node/lifetime.h"
 #include "node/rowstore.h"
 
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
 namespace fescuecleat {
 
 /**
  * Accesses the store over the instance's own path, and fails over to peers while
  * that path is down: the store may refuse single instances or be unreachable
- * from them. The own path is probed meanwhile and used again once it answers.
+ * from them. It may also be unavailable in part, which is no fault of the path: the path
+ * counts as down only while nothing is answered over it. What no peer can do is still tried over it.
  */
 class FailoverRowStore : public RowStore {
 public:
@@ -20,22 +26,43 @@
     void read(const RowRange&, Duration timeout, PageHandler) override;
     void follow(const std::string& table, std::uint64_t after, Duration wait, Duration timeout, PageHandler) override;
 
-    /** Whether the last probe of the own path succeeded, or none was needed yet. */
+    /** Whether the store answers over the own path, or no call has failed yet. */
     bool isOwnPathUp() const { return isOwnPathUp_; }
 
 private:
-    /** Probes the own path after a failure; returns whether the call may be repeated over a peer. */
-    bool handleOwnPathFailure(const StoreFailure&);
+    template <typename Answer>
+    using Handler = std::function<void(tl::expected<Answer, StoreFailure>)>;
+    /** Sends a call over a path with a timeout. */
+    template <typename Answer>
+    using Send = std::function<void(RowStore& path, Duration timeout, Handler<Answer>)>;
+
+    /** `target` names the part or feed that the call concerns. */
+    template <typename Answer>
+    void call(const std::string& target, Duration timeout, Send<Answer>, Handler<Answer>);
+    template <typename Answer>
+    void callOwn(Duration timeout, const Send<Answer>&, Handler<Answer>);
+    void noteAnswer();
+    void noteFailure(const StoreFailure&);
     void markOwnPathDown(const StoreFailure&);
-    void probe();
+    /** Reads several parts; one answer shows that the path is up. */
+    void probe(std::size_t parts);
+    void handleProbe(const tl::expected<RowPage, StoreFailure>&);
+    /** Whether a call that no peer could do may be sent over the own path now. */
+    bool isOwnAttemptDue(const std::string& target);
 
     RowStore& own_;
     RowStore& peers_;
     JsonEventLog& log_;
     Timer probeTimer_;
     Lifetime lifetime_;
+    std::vector<std::string> parts_;
+    std::size_t nextPart_ = 0;
     bool isOwnPathUp_ = true;
-    bool isProbing_ = false;
+    std::size_t probesInFlight_ = 0;
+    Time probedAt_ {};
+    Time lastAnswerAt_ {};
+    /** By target. */
+    std::map<std::string, Time> nextOwnAttemptAt_;
 };
 
 }
--- a/src/standins/poolmodel/fakerowstore.cpp
+++ b/src/standins/poolmodel/fakerowstore.cpp
@@ -85,7 +85,7 @@
     }
     auto execute = [this, transaction = std::move(transaction), handler = std::move(handler)] {
         ++commitsSeen_;
-        if (isRefusingWrites_)
+        if (isRefusingWrites_ || refusedParts_.count(transaction.part_) > 0)
             return handler(failed(StoreFailureKind::Refused));
         if (isRefusing_ || isSilent_)
             return handler(failed(isSilent_ ? StoreFailureKind::OutcomeUnknown : StoreFailureKind::Refused));
@@ -127,6 +127,8 @@
     postToLoop([this, range, handler = std::move(handler)] {
         if (isRefusing_ || isSilent_)
             return handler(failed(isSilent_ ? StoreFailureKind::OutcomeUnknown : StoreFailureKind::Refused));
+        if (refusedParts_.count(range.part_) > 0)
+            return handler(failed(StoreFailureKind::Refused));
         RowPage page;
         page.timestamp_ = timestamp();
         const auto& rows = tables_[range.table_];
@@ -169,6 +171,8 @@
     postToLoop([this, table, after, wait, handler = std::move(handler)] {
         if (isRefusing_ || isSilent_)
             return handler(failed(isSilent_ ? StoreFailureKind::OutcomeUnknown : StoreFailureKind::Refused));
+        if (isRefusingFeeds_)
+            return handler(failed(StoreFailureKind::Refused));
         if (isHistoryGone(table, after))
             return handler(failed(StoreFailureKind::HistoryGone));
         longPolls_.push_back({ table, after, handler, std::make_unique<Timer>(loop_) });
--- a/src/standins/poolmodel/fakerowstore.h
+++ b/src/standins/poolmodel/fakerowstore.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -32,6 +33,10 @@
     void holdBackCommits(int count) { commitsToHoldBack_ = count; }
     /** Applies the commits held back whose expectations are still met; returns their number. */
     int applyHeldBack();
+    /** Refuses reads and commits of these parts. */
+    void setRefusedParts(std::set<std::string> parts) { refusedParts_ = std::move(parts); }
+    /** Refuses feeds while set. */
+    void setRefusingFeeds(bool refuses) { isRefusingFeeds_ = refuses; }
     /** Refuses all calls while set. */
     void setRefusing(bool refuses) { isRefusing_ = refuses; }
     /** Delays the application and the answer of commits, as a slow store does. */
@@ -104,6 +109,8 @@
     std::list<Timer> delays_;
     bool isSilent_ = false;
     bool isRefusingWrites_ = false;
+    bool isRefusingFeeds_ = false;
+    std::set<std::string> refusedParts_;
     bool areFeedsSilent_ = false;
     int commitsSeen_ = 0;
     bool isRefusing_ = false;
--- a/tests/node/storepathtest.cpp
+++ b/tests/node/storepathtest.cpp
@@ -2,6 +2,7 @@
 #include "node/failoverrowstore.h"
 #include "node/peerrowstore.h"
 #include "node/poolfixture.h"
+#include "node/storelayout.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -34,6 +35,75 @@
     FailoverRowStore failover_;
 };
 
+/** The path over a peer, which refuses calls while its own path is down. */
+class PeerPath : public RowStore {
+public:
+    PeerPath(RowStore& store, const FailoverRowStore*& peer)
+        : store_(store)
+        , peer_(peer)
+    {
+    }
+
+    void commit(RowTransaction transaction, Duration timeout, CommitHandler handler) override
+    {
+        if (!peer_->isOwnPathUp())
+            return handler(refused());
+        store_.commit(std::move(transaction), timeout, std::move(handler));
+    }
+
+    void read(const RowRange& range, Duration timeout, PageHandler handler) override
+    {
+        if (!peer_->isOwnPathUp())
+            return handler(refused());
+        store_.read(range, timeout, std::move(handler));
+    }
+
+    void follow(const std::string& table, std::uint64_t after, Duration wait, Duration timeout, PageHandler handler) override
+    {
+        if (!peer_->isOwnPathUp())
+            return handler(refused());
+        store_.follow(table, after, wait, timeout, std::move(handler));
+    }
+
+private:
+    static tl::unexpected<StoreFailure> refused() { return tl::unexpected<StoreFailure>({ StoreFailureKind::Refused, {}, "no peer reaches the store" }); }
+
+    RowStore& store_;
+    const FailoverRowStore*& peer_;
+};
+
+/** Two instances that share a store, follow a table of it and have each other as peers. */
+class InstancesUnderTest {
+public:
+    InstancesUnderTest()
+    {
+        for (const auto& follower : { &firstFollower_, &secondFollower_ })
+            follower->start();
+        pool_.runFor(50ms);
+    }
+
+    bool commitsIn(const std::string& part)
+    {
+        RowTransaction transaction;
+        transaction.part_ = part;
+        transaction.writes_.push_back({ "table", "key-" + part, "value" });
+        std::optional<bool> isDone;
+        first_.commit(std::move(transaction), 500ms, [&isDone](const auto& outcome) { isDone = outcome.has_value(); });
+        CPPUNIT_ASSERT(pool_.runUntil([&isDone] { return isDone.has_value(); }));
+        return *isDone;
+    }
+
+    PoolFixture pool_;
+    const FailoverRowStore* firstPeer_ = &second_;
+    const FailoverRowStore* secondPeer_ = &first_;
+    PeerPath overSecond_ { pool_.store_, firstPeer_ };
+    PeerPath overFirst_ { pool_.store_, secondPeer_ };
+    FailoverRowStore first_ { pool_.loop_, pool_.store_, overSecond_, pool_.log_ };
+    FailoverRowStore second_ { pool_.loop_, pool_.store_, overFirst_, pool_.log_ };
+    TableFollower firstFollower_ { pool_.loop_, first_, pool_.clock_, pool_.log_, { "lease", { schedulerPart } }, 100ms, {} };
+    TableFollower secondFollower_ { pool_.loop_, second_, pool_.clock_, pool_.log_, { "lease", { schedulerPart } }, 100ms, {} };
+};
+
 /** A peer on the loopback interface that serves or refuses store calls. */
 class PeerUnderTest {
 public:
@@ -74,6 +144,8 @@
     CPPUNIT_TEST(failsOverFromSilentPathAndBack);
     CPPUNIT_TEST(keepsPathWhenWritesAreRefused);
     CPPUNIT_TEST(refusesWhenBothPathsAreDown);
+    CPPUNIT_TEST(servesOtherPartsWhileOneIsUnavailable);
+    CPPUNIT_TEST(servesAPartAgainOnceItIsAvailable);
     CPPUNIT_TEST(encodesBinaryValues);
     CPPUNIT_TEST(rejectsMalformedCalls);
     CPPUNIT_TEST(triesNextPeerAfterRefusal);
@@ -149,6 +221,41 @@
         CPPUNIT_ASSERT(!outcome && outcome.error().kind_ == StoreFailureKind::Refused);
     }
 
+    /**
+     * Guards against judging the whole path by one part: while one part was unavailable, each of the instances
+     * took its path for down and left its calls to the others, so that none reached the store.
+     */
+    void servesOtherPartsWhileOneIsUnavailable()
+    {
+        for (const std::string& part : storeParts()) {
+            InstancesUnderTest test;
+            test.pool_.store_.setRefusedParts({ part });
+            test.pool_.store_.setRefusingFeeds(true);
+            test.pool_.runFor(300ms);
+            test.pool_.store_.setRefusingFeeds(false);
+            test.pool_.runFor(100ms);
+            for (const std::string& other : storeParts())
+                CPPUNIT_ASSERT_EQUAL_MESSAGE("'" + part + "' is unavailable, commit in '" + other + "'", part != other, test.commitsIn(other));
+            CPPUNIT_ASSERT(test.first_.isOwnPathUp() && test.second_.isOwnPathUp());
+        }
+    }
+
+    /** With most parts unavailable, the probes may all fail; what is served must still be reached, and be regained. */
+    void servesAPartAgainOnceItIsAvailable()
+    {
+        InstancesUnderTest test;
+        std::set<std::string> refused;
+        for (const std::string& part : storeParts())
+            refused.insert(part);
+        test.pool_.store_.setRefusedParts(refused);
+        test.pool_.store_.setRefusingFeeds(true);
+        CPPUNIT_ASSERT(test.pool_.runUntil([&] { return !test.first_.isOwnPathUp() && !test.second_.isOwnPathUp(); }));
+        refused.erase(schedulerPart);
+        test.pool_.store_.setRefusedParts(refused);
+        test.pool_.runFor(450ms);
+        CPPUNIT_ASSERT(test.commitsIn(schedulerPart));
+    }
+
     void encodesBinaryValues()
     {
         RowTransaction transaction;
