soak: partial outages of the store, and the schedule that showed one

Cause: the stand-in's store could only be up or down as a whole, so the soak never met the outage behind the users' LOST on large deployments.

--- a/src/fescuecleat-soak/soakrun.cpp
+++ b/src/fescuecleat-soak/soakrun.cpp
@@ -32,7 +32,7 @@
     /** Values of the stand-in's faults that disturb nothing. */
     Json calmFaults()
     {
-        return { { "store", { { "mode", "up" }, { "commitDelayMs", 0 }, { "feedsSilent", false } } },
+        return { { "store", { { "mode", "up" }, { "commitDelayMs", 0 }, { "feedsSilent", false }, { "feedsRefused", false }, { "refusedParts", Json::array() } } },
             { "workers", { { "lostRequests", 0.0 }, { "lostAnswers", 0.0 }, { "lateRequests", 0.0 }, { "refusedStarts", 0.0 }, { "maxDelayMs", 3 } } } };
     }
 
--- a/src/fescuecleat-soak/soakschedule.cpp
+++ b/src/fescuecleat-soak/soakschedule.cpp
@@ -1,6 +1,7 @@
 #include "soakschedule.h"
 
 #include "base/overloaded.h"
+#include "node/storelayout.h"
 
 #include <algorithm>
 #include <array>
@@ -192,7 +193,7 @@
         {
             const Milliseconds duration = time(200, 3000);
             Json faults { { "mode", "up" } };
-            const int kind = below(7);
+            const int kind = below(8);
             if (kind < 3)
                 faults["mode"] = std::array<const char*, 3> { "silent", "refusing", "reset" }[static_cast<std::size_t>(kind)];
             if (kind == 3)
@@ -203,6 +204,15 @@
                 faults["holdBackCommits"] = between(1, 5);
             if (kind == 6)
                 faults["feedsSilent"] = true;
+            if (kind == 7) {
+                const int percent = between(10, 70);
+                faults["refusedParts"] = Json::array();
+                for (const std::string& part : storeParts()) {
+                    if (chance(percent))
+                        faults["refusedParts"].push_back(part);
+                }
+                faults["feedsRefused"] = chance(40);
+            }
             faults["dropHistory"] = chance(20);
             return { "store", std::move(faults), duration };
         }
--- a/src/standins/pool/checkedobject.cpp
+++ b/src/standins/pool/checkedobject.cpp
@@ -64,13 +64,13 @@
     return member->get<std::string>();
 }
 
-std::optional<std::vector<std::string>> CheckedObject::texts(const std::string& name)
+std::optional<std::vector<std::string>> CheckedObject::texts(const std::string& name, bool mayBeEmpty)
 {
     const Json* const member = find(name);
     if (member == nullptr)
         return std::nullopt;
-    if (!member->is_array() || member->empty())
-        refuse(name, "must be an array of texts that isn't empty");
+    if (!member->is_array() || (member->empty() && !mayBeEmpty))
+        refuse(name, mayBeEmpty ? "must be an array of texts" : "must be an array of texts that isn't empty");
     std::vector<std::string> result;
     for (const Json& entry : *member) {
         if (!entry.is_string())
--- a/src/standins/pool/checkedobject.h
+++ b/src/standins/pool/checkedobject.h
@@ -22,7 +22,7 @@
     std::optional<double> number(const std::string& name, double min, double max);
     std::optional<bool> boolean(const std::string& name);
     std::optional<std::string> text(const std::string& name);
-    std::optional<std::vector<std::string>> texts(const std::string& name);
+    std::optional<std::vector<std::string>> texts(const std::string& name, bool mayBeEmpty = false);
     std::optional<CheckedObject> object(const std::string& name);
     /** Throws that a member is invalid for this reason. */
     [[noreturn]] void refuse(const std::string& name, const std::string& reason) const;
--- a/src/standins/pool/platformfaults.cpp
+++ b/src/standins/pool/platformfaults.cpp
@@ -30,6 +30,8 @@
         faults.storeMode_ = readMode(object, faults.storeMode_);
         faults.commitDelay_ = std::chrono::milliseconds(object.integer("commitDelayMs", 0, maxDelayMs).value_or(wholeMilliseconds(faults.commitDelay_)));
         faults.areFeedsSilent_ = object.boolean("feedsSilent").value_or(faults.areFeedsSilent_);
+        faults.areFeedsRefused_ = object.boolean("feedsRefused").value_or(faults.areFeedsRefused_);
+        faults.refusedParts_ = object.texts("refusedParts", true).value_or(faults.refusedParts_);
         faults.answersToLose_ = static_cast<int>(object.integer("loseAnswers", 0, maxCalls).value_or(0));
         faults.commitsToHoldBack_ = static_cast<int>(object.integer("holdBackCommits", 0, maxCalls).value_or(0));
         faults.dropsHistory_ = object.boolean("dropHistory").value_or(false);
--- a/src/standins/pool/platformfaults.h
+++ b/src/standins/pool/platformfaults.h
@@ -4,6 +4,8 @@
 #include "poolmodel/modelworkers.h"
 
 #include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
 
 namespace fescuecleat {
 
@@ -23,6 +25,9 @@
     StoreMode storeMode_ = StoreMode::Up;
     Duration commitDelay_ {};
     bool areFeedsSilent_ = false;
+    bool areFeedsRefused_ = false;
+    /** Parts that are unavailable, while the others are served. */
+    std::vector<std::string> refusedParts_;
     DeliveryFaults delivery_;
     /** The following act once and don't stay. */
     int answersToLose_ = 0;
--- a/src/standins/pool/poolstandin.cpp
+++ b/src/standins/pool/poolstandin.cpp
@@ -141,6 +141,8 @@
     faults_ = faults;
     storeEndpoint_.setMode(faults.storeMode_);
     storeEndpoint_.setFeedsSilent(faults.areFeedsSilent_);
+    store_.setRefusingFeeds(faults.areFeedsRefused_);
+    store_.setRefusedParts({ faults.refusedParts_.begin(), faults.refusedParts_.end() });
     store_.setCommitDelay(faults.commitDelay_);
     if (faults.answersToLose_ > 0)
         store_.loseAnswers(faults.answersToLose_);
