Restore only jobs that have not ended, page by page

Cause: TableFollower handed all rows of the intake over in one callback, and PoolController decoded and restored each job that ever ran.

Change: a load hands over each page as it arrives; of ended jobs only the state is kept.

--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -82,9 +82,9 @@
               [this](const std::string& cause) { listener_.superseded_(cause); },
               [this](const std::string& job) { handleUnstorableRecord(job); } })
     , intake_(context.loop_, context.store_, context.clock_, context.log_, { intakeTable, intakeParts() }, intakePollWait,
-          { [this](const std::vector<StoredRow>& rows) {
-               for (const StoredRow& row : rows)
-                   handleIntakeRow(row);
+          { [this](const std::vector<StoredRow>&) {
+               if (!isReady_)
+                   context_.log_.write("scheduler.jobs_loaded", { { "epoch", epoch_ }, { "jobs", storedStates_.size() }, { "open", openJobs() } });
                // Workers are polled only now: before the jobs are loaded, their runs' ends would be those of unknown runs.
                if (!isReady_)
                    registry_.start();
@@ -95,7 +95,11 @@
                   handleIntakeRow(row);
                   requestPass();
               },
-              nullptr })
+              nullptr,
+              [this](const std::vector<StoredRow>& rows) {
+                  for (const StoredRow& row : rows)
+                      handleIntakeRow(row);
+              } })
     , registry_(context.loop_, context.store_, context.clock_, context.log_, { context.registryFormat_.table() }, registryPollWait,
           { [this](const std::vector<StoredRow>& rows) { handleRegistryReset(rows); }, [this](const StoredRow& row) { handleRegistryRow(row); }, nullptr })
     , recordsTimer_(context.loop_)
@@ -200,15 +204,30 @@
     const auto cancelled = jobOfCancelKey(row.key_);
     if (!cancelled)
         return addJob(row.key_, row);
-    if (!cancelled_.insert(*cancelled).second)
+    const auto stored = storedStates_.find(*cancelled);
+    const bool hasEnded = stored != storedStates_.end() && isFinal(stored->second);
+    if (hasEnded || !cancelled_.insert(*cancelled).second)
         return;
     context_.log_.write("job.cancel_seen", { { "job", *cancelled }, { "version", row.version_ } });
     scheduler_.cancelJob(*cancelled, bootTimeNow());
 }
 
+bool PoolController::skipEndedJob(const std::string& id)
+{
+    const auto record = records_.find(id);
+    if (record == records_.end() || !isFinal(record->second.state_))
+        return false;
+    const std::vector<UnitRecord>& units = record->second.units_;
+    if (std::any_of(units.begin(), units.end(), [](const UnitRecord& unit) { return !unit.placements_.empty(); }))
+        return false;
+    storedStates_[id] = record->second.state_;
+    records_.erase(record);
+    return true;
+}
+
 void PoolController::addJob(const std::string& id, const StoredRow& row)
 {
-    if (storedStates_.count(id) > 0)
+    if (storedStates_.count(id) > 0 || skipEndedJob(id))
         return;
     auto intake = decodeJobIntake(row.value_);
     if (!intake) {
--- a/src/libfescuecleat/node/poolcontroller.h
+++ b/src/libfescuecleat/node/poolcontroller.h
@@ -65,6 +65,8 @@
     void handleUnstorableRecord(const std::string& job);
     void handleIntakeRow(const StoredRow&);
     void addJob(const std::string& id, const StoredRow&);
+    /** Keeps only the state of a job that had ended before this instance took the lease; returns whether it had. */
+    bool skipEndedJob(const std::string& id);
     void handleRegistryRow(const StoredRow&);
     void handleRegistryReset(const std::vector<StoredRow>&);
     /** `isRestarted`: requests to a former incarnation may still reach this one. */
--- a/src/libfescuecleat/node/tablefollower.cpp
+++ b/src/libfescuecleat/node/tablefollower.cpp
@@ -45,7 +45,10 @@
         // The first page's version is kept: the feed then delivers all changes made while the other pages were read.
         if (version_ == 0)
             version_ = page->timestamp_.version_;
-        loadingRows_.insert(loadingRows_.end(), page->rows_.begin(), page->rows_.end());
+        if (listener_.page_)
+            listener_.page_(page->rows_);
+        else
+            loadingRows_.insert(loadingRows_.end(), page->rows_.begin(), page->rows_.end());
         if (page->hasMore_ && !page->rows_.empty()) {
             lastLoadedKey_ = page->rows_.back().key_;
             return readPage();
--- a/src/libfescuecleat/node/tablefollower.h
+++ b/src/libfescuecleat/node/tablefollower.h
@@ -35,7 +35,12 @@
         std::function<void(const std::vector<StoredRow>&)> reset_;
         std::function<void(const StoredRow&)> changed_;
         /** Called after each successful answer of the store. */
-        std::function<void()> contacted_;
+        std::function<void()> contacted_ = {};
+        /**
+         * If set, receives each page of a load as it arrives, and `reset_` gets no rows: other work of the
+         * event loop goes on between the pages of a large table.
+         */
+        std::function<void(const std::vector<StoredRow>&)> page_ = {};
     };
 
     TableFollower(boost::asio::io_context&, RowStore&, StoreClock&, JsonEventLog&, FollowedTable, Duration wait, Listener);
--- a/src/standins/poolmodel/fakerowstore.cpp
+++ b/src/standins/poolmodel/fakerowstore.cpp
@@ -133,8 +133,13 @@
         page.timestamp_ = timestamp();
         const auto& rows = tables_[range.table_];
         for (auto row = rows.lower_bound(range.from_); row != rows.end() && (range.to_.empty() || row->first < range.to_); ++row) {
-            if (parts_[{ range.table_, row->first }] == range.part_)
-                page.rows_.push_back(row->second);
+            if (parts_[{ range.table_, row->first }] != range.part_)
+                continue;
+            if (page.rows_.size() >= pageRows_) {
+                page.hasMore_ = true;
+                break;
+            }
+            page.rows_.push_back(row->second);
         }
         handler(std::move(page));
     });
--- a/src/standins/poolmodel/fakerowstore.h
+++ b/src/standins/poolmodel/fakerowstore.h
@@ -57,6 +57,8 @@
     void setWriteObserver(WriteObserver observer) { observer_ = std::move(observer); }
     /** Drops the oldest changes of a table that has more of them. */
     void setHistoryLimit(std::size_t changes) { historyLimit_ = changes; }
+    /** Reads return at most this many rows at once. */
+    void setPageRows(std::size_t rows) { pageRows_ = rows; }
     /** Drops the change history, so that followers must reload. */
     void dropHistory();
 
@@ -116,6 +118,7 @@
     bool isRefusing_ = false;
     std::size_t rowBytes_ = std::numeric_limits<std::size_t>::max();
     std::size_t largestRowBytes_ = 0;
+    std::size_t pageRows_ = std::numeric_limits<std::size_t>::max();
 };
 
 }
--- a/tests/node/poolcontrollertest.cpp
+++ b/tests/node/poolcontrollertest.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(pollsOfSilentWorkerSuitAnyIncarnation);
     CPPUNIT_TEST(showsNoStateThatACommitMayHaveReplaced);
     CPPUNIT_TEST(repeatsFailedReadOfRecordsBesideOtherEvents);
+    CPPUNIT_TEST(restoresOnlyJobsThatHaveNotEnded);
     CPPUNIT_TEST(largeJobStopsNoOther);
     CPPUNIT_TEST(givesUpJobWhoseRecordIsRejected);
     CPPUNIT_TEST_SUITE_END();
@@ -537,6 +538,25 @@
         CPPUNIT_ASSERT(pool.runUntil([&] { return pool.workers_.startCount(task()) == 1; }, 3s));
     }
 
+    /** Guards against a hand-over whose time and memory grow with all jobs that ever ran. */
+    void restoresOnlyJobsThatHaveNotEnded()
+    {
+        PoolFixture pool;
+        pool.store_.setPageRows(7);
+        pool.addWorker("w1");
+        for (int i = 10; i < 60; ++i) {
+            const std::string ended = "00000000000000" + std::to_string(i);
+            pool.submit(ended, oneTask());
+            pool.store_.put(JobRecorder::table, ended, encodePoolJobRecord({ PoolJobState::Completed, {} }), schedulerPart);
+        }
+        pool.submit(jobId, oneTask());
+        const auto scheduler = pool.scheduler("a");
+        CPPUNIT_ASSERT(pool.runUntil([&] { return pool.workers_.startCount(task()) == 1; }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), scheduler->controller()->state().jobs_.size());
+        CPPUNIT_ASSERT(scheduler->controller()->stateOf("0000000000000042") == PoolJobState::Completed);
+        CPPUNIT_ASSERT_EQUAL(1, pool.workers_.startsSeen());
+    }
+
     /** Guards against a large job's record that outgrows its row, is refused for ever and stops all scheduling. */
     void largeJobStopsNoOther()
     {
--- a/tests/node/storetest.cpp
+++ b/tests/node/storetest.cpp
@@ -3,6 +3,7 @@
 #include "node/storelayout.h"
 #include "node/tablefollower.h"
 
+#include <boost/asio/post.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace fescuecleat;
@@ -86,6 +87,7 @@
     CPPUNIT_TEST(startsAnnouncedJobWhileFeedIsSilent);
     CPPUNIT_TEST(reloadsAfterDroppedHistory);
     CPPUNIT_TEST(readsAllParts);
+    CPPUNIT_TEST(deliversPagesOfALoadSeparately);
     CPPUNIT_TEST(takesOverReleasedLease);
     CPPUNIT_TEST(keepsLeaseWhileAnswersAreLost);
     CPPUNIT_TEST(keepsLeaseAfterDelayedRenewal);
@@ -265,6 +267,36 @@
         CPPUNIT_ASSERT(keys == std::set<std::string>({ "a", "b" }));
     }
 
+    /** Guards against handling a large table in one go, during which the lease can't be renewed. */
+    void deliversPagesOfALoadSeparately()
+    {
+        PoolFixture pool;
+        pool.store_.setPageRows(10);
+        for (int i = 10; i < 45; ++i)
+            pool.store_.put("table", std::to_string(i), "value", i < 30 ? "x" : "y");
+        std::vector<std::size_t> pages;
+        int served = 0;
+        const std::function<void()> serve = [&] {
+            ++served;
+            boost::asio::post(pool.loop_, serve);
+        };
+        serve();
+        std::vector<int> servedBefore;
+        bool isReset = false;
+        TableFollower follower(pool.loop_, pool.store_, pool.clock_, pool.log_, { "table", { "x", "y" } }, 500ms,
+            { [&isReset](const std::vector<StoredRow>& rows) { isReset = rows.empty(); }, nullptr, nullptr,
+                [&](const std::vector<StoredRow>& rows) {
+                    pages.push_back(rows.size());
+                    servedBefore.push_back(served);
+                } });
+        follower.start();
+        CPPUNIT_ASSERT(pool.runUntil([&] { return follower.isLoaded(); }));
+        CPPUNIT_ASSERT(isReset);
+        CPPUNIT_ASSERT(pages == std::vector<std::size_t>({ 10, 10, 10, 5 }));
+        for (std::size_t i = 1; i < servedBefore.size(); ++i)
+            CPPUNIT_ASSERT(servedBefore[i] > servedBefore[i - 1]);
+    }
+
     /** A renewal whose answer is lost is recognised by the lease row. */
     void keepsLeaseWhileAnswersAreLost()
     {
