Answer submissions that are not UTF-8

Cause: the error body quotes the request, and encoding it throws.

Change: errorBody replaces such bytes.

Evidence: StoreTest::answersRequestThatIsNotUtf8 ends the test program with type_error 316 without the change.

--- a/src/libfescuecleat/node/jobapi.cpp
+++ b/src/libfescuecleat/node/jobapi.cpp
@@ -41,7 +41,8 @@
 
     std::string errorBody(const std::string& text)
     {
-        return nlohmann::json { { "error", text } }.dump();
+        // The text may quote bytes of the request, which need not be UTF-8.
+        return nlohmann::json { { "error", text } }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     }
 
 }
--- a/tests/node/poolfixture.cpp
+++ b/tests/node/poolfixture.cpp
@@ -30,8 +30,8 @@
 
 Result<PoolJobSpec> FakeCallerFormat::decodeJob(const std::string& body) const
 {
-    if (body == "bad")
-        return failure(ErrorKind::InvalidSyntax, "bad", "none");
+    if (body.rfind("bad", 0) == 0)
+        return failure(ErrorKind::InvalidSyntax, body, "none");
     PoolJobSpec spec;
     spec.steps_.push_back(oneTask());
     return spec;
--- a/tests/node/poolfixture.h
+++ b/tests/node/poolfixture.h
@@ -29,7 +29,7 @@
     OperatorChange decode(const StoredRow&) const override { return IgnoredRow {}; }
 };
 
-/** Accepts every body but "bad", and encodes states and counts as numbers. */
+/** Accepts every body that doesn't begin with "bad", and encodes states and counts as numbers. */
 class FakeCallerFormat : public CallerFormat {
 public:
     Result<PoolJobSpec> decodeJob(const std::string& body) const override;
--- a/tests/node/storetest.cpp
+++ b/tests/node/storetest.cpp
@@ -81,6 +81,7 @@
     CPPUNIT_TEST(refusesTooLargeJobAtOnce);
     CPPUNIT_TEST(repeatedSubmissionIsIdempotent);
     CPPUNIT_TEST(rejectsInvalidRequests);
+    CPPUNIT_TEST(answersRequestThatIsNotUtf8);
     CPPUNIT_TEST(cancelsOnlyKnownJobs);
     CPPUNIT_TEST(readsStateFromStore);
     CPPUNIT_TEST(announcesStoredRows);
@@ -171,6 +172,14 @@
         CPPUNIT_ASSERT_EQUAL(200, api.call("POST", "/keyed/" + std::string(jobId), "{}", "secret").status_);
     }
 
+    /** Guards against an exception by the encoding of an error that quotes such a request; it ended the process. */
+    void answersRequestThatIsNotUtf8()
+    {
+        PoolFixture pool;
+        JobApiUnderTest api(pool);
+        CPPUNIT_ASSERT_EQUAL(400, api.call("POST", path, "bad\xff\xfe").status_);
+    }
+
     void cancelsOnlyKnownJobs()
     {
         PoolFixture pool;
