--- a/tests/pool/recoverytest.cpp
+++ b/tests/pool/recoverytest.cpp
@@ -114,7 +114,7 @@
         addWorker(scheduler, "w1", 8);
         scheduler.addJob(jobId, spec, policy(), start, nullptr, start);
         std::int64_t sequence = 0;
-        for (int occurrence = 0; occurrence < 300; ++occurrence) {
+        for (std::int64_t occurrence = 0; occurrence < 300; ++occurrence) {
             const Time now = start + occurrence * 1s;
             finishAllStarts(scheduler, now, occurrence * 1000, sequence);
             finishAllStarts(scheduler, now + 1ms, occurrence * 1000, sequence);
