tests: reserve ports among all test processes

The tests of membership and of the node used fixed ports, deployments of the system tests blocks by process id, and the others drew free ones from the same range at the same time.

No assertion changed.

--- a/tests/membership/membershipservicetest.cpp
+++ b/tests/membership/membershipservicetest.cpp
@@ -1,5 +1,6 @@
 #include "membership/membershipservice.h"
 #include "membership/peercodec.h"
+#include "support/ports.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <string>
@@ -13,15 +14,12 @@
 
 using ServicePointer = std::unique_ptr<MembershipService>;
 
-/** Each test uses separate ports, as closed sockets may keep theirs occupied for a while. */
-constexpr unsigned short firstPort = 23710;
-
-Settings settingsOf(int index, unsigned short port)
+Settings settingsOf(int index)
 {
     Settings settings;
     settings.instance_ = InstanceId("e" + std::to_string(index));
     settings.dataCentre_ = DataCentreId("dc1");
-    settings.peerAddress_ = { "127.0.0.1", static_cast<unsigned short>(port + index) };
+    settings.peerAddress_ = test::freeAddress();
     return settings;
 }
 
@@ -64,7 +62,7 @@
 
     void refusesToListenBeyondLoopbackWithoutKeys()
     {
-        Settings settings = settingsOf(0, firstPort);
+        Settings settings = settingsOf(0);
         settings.peerAddress_.ip_ = "0.0.0.0";
         const auto service = MembershipService::start(settings, 1);
         CPPUNIT_ASSERT(!service);
@@ -73,7 +71,7 @@
 
     void findsPeersAndLosesThoseCutOff()
     {
-        const std::vector<Settings> all { settingsOf(0, firstPort), settingsOf(1, firstPort) };
+        const std::vector<Settings> all { settingsOf(0), settingsOf(1) };
         const std::vector<ServicePointer> services = startAll(all);
         LocalState state;
         state.leavingMinions_.insert(MinionId("m7"));
@@ -91,13 +89,13 @@
 
     void letsInOnlyHoldersOfTheKey()
     {
-        std::vector<Settings> all { settingsOf(4, firstPort), settingsOf(5, firstPort) };
+        std::vector<Settings> all { settingsOf(4), settingsOf(5) };
         setKeys(all[0]);
         all[1].peerPublicKey_ = all[0].peerPublicKey_;
         all[1].peerSecretKey_ = all[0].peerSecretKey_;
         const std::vector<ServicePointer> services = startAll(all);
         // The intruder knows the deployment's public key but connects with a key pair of its own.
-        Settings intruder = settingsOf(6, firstPort);
+        Settings intruder = settingsOf(6);
         setKeys(intruder);
         zmq::context_t context;
         zmq::socket_t socket(context, zmq::socket_type::push);
--- a/tests/node/storepathtest.cpp
+++ b/tests/node/storepathtest.cpp
@@ -3,6 +3,7 @@
 #include "node/peerrowstore.h"
 #include "node/poolfixture.h"
 #include "node/storelayout.h"
+#include "support/ports.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -107,7 +108,7 @@
 /** A peer on the loopback interface that serves or refuses store calls. */
 class PeerUnderTest {
 public:
-    PeerUnderTest(PoolFixture& pool, std::uint16_t port, bool isServing)
+    PeerUnderTest(PoolFixture& pool, bool isServing)
         : server_(pool.loop_, [this, &pool](const ServerRequest& request, const AsyncHttpServer::Respond& respond) {
             ++calls_;
             ServerResponse response;
@@ -116,7 +117,7 @@
                 return respond(std::move(response));
             PeerRowStore::serve(pool.store_, request.body_, respond);
         })
-        , endpoint_ { "127.0.0.1", port }
+        , endpoint_ { "127.0.0.1", test::freePort() }
         , isServing_(isServing)
     {
         CPPUNIT_ASSERT(server_.listen(endpoint_).has_value());
@@ -128,9 +129,6 @@
     bool isServing_;
 };
 
-/** First of the ports used here; other test programs don't use them. */
-constexpr std::uint16_t firstPort = 32110;
-
 const std::string binaryValue("\x00\xff\"{\n", 5);
 
 }
@@ -300,8 +298,8 @@
     {
         PoolFixture pool;
         pool.store_.put("table", "key", "value");
-        PeerUnderTest unreachable(pool, firstPort, false);
-        PeerUnderTest reachable(pool, firstPort + 1, true);
+        PeerUnderTest unreachable(pool, false);
+        PeerUnderTest reachable(pool, true);
         AsyncHttpClient client(pool.loop_);
         PeerRowStore peers(client);
         std::vector<SocketAddress> failed;
@@ -323,7 +321,7 @@
     {
         PoolFixture pool;
         pool.store_.put("table", "key", "theirs");
-        PeerUnderTest peer(pool, firstPort + 2, true);
+        PeerUnderTest peer(pool, true);
         AsyncHttpClient client(pool.loop_);
         PeerRowStore peers(client);
         peers.setDirectory({ [&] { return std::vector<SocketAddress> { peer.endpoint_ }; }, [](const SocketAddress&, bool) {} });
@@ -340,7 +338,7 @@
     void forwardsFeedThroughPeer()
     {
         PoolFixture pool;
-        PeerUnderTest peer(pool, firstPort + 3, true);
+        PeerUnderTest peer(pool, true);
         AsyncHttpClient client(pool.loop_);
         PeerRowStore peers(client);
         peers.setDirectory({ [&] { return std::vector<SocketAddress> { peer.endpoint_ }; }, [](const SocketAddress&, bool) {} });
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -1,6 +1,7 @@
 #include "support/deployment.h"
 
 #include "settings/address.h"
+#include "support/ports.h"
 
 #include <cstdlib>
 #include <filesystem>
@@ -13,15 +14,7 @@
 namespace {
 
     constexpr int portsPerDataCentre = 100;
-    constexpr int firstTestPort = 15'000;
-    constexpr int portBlockCount = 50;
-    constexpr int portsPerBlock = 300;
-
-    /** Derives the ports from the process id, so that tests that run at the same time rarely share any. */
-    unsigned short portsOfProcess()
-    {
-        return static_cast<unsigned short>(firstTestPort + getpid() % portBlockCount * portsPerBlock);
-    }
+    constexpr int platformPorts = 2;
 
     Address loopback(int port)
     {
@@ -46,7 +39,7 @@
 
 Deployment::Deployment(const DeploymentSize& size)
     : size_(size)
-    , firstPort_(portsOfProcess())
+    , firstPort_(freePort(platformPorts + size.dataCentres_ * portsPerDataCentre))
     , folder_(std::filesystem::temp_directory_path() / ("fescuecleat-test-" + std::to_string(getpid())))
     , organisationKey_(createKey())
     , operatorKey_(createKey())
@@ -71,7 +64,7 @@
 
 void Deployment::startDataCentre(int dataCentre)
 {
-    const int base = firstPort_ + 2 + dataCentre * portsPerDataCentre;
+    const int base = firstPort_ + platformPorts + dataCentre * portsPerDataCentre;
     const std::string dataCentreName = "dc-" + std::to_string(dataCentre);
     const std::string platformFaults = text(loopback(firstPort_ + 1));
     standins_.push_back(std::make_unique<Process>("fescuecleat-standin-worker",
@@ -236,22 +229,22 @@
 
 void Deployment::setMinionFaults(int dataCentre, const std::string& faults)
 {
-    post(loopback(firstPort_ + 3 + dataCentre * portsPerDataCentre), "/faults", "{\"faults\": " + faults + "}");
+    post(loopback(firstPort_ + platformPorts + 1 + dataCentre * portsPerDataCentre), "/faults", "{\"faults\": " + faults + "}");
 }
 
 std::vector<LogEntry> Deployment::workerLog(int dataCentre)
 {
-    return log(loopback(firstPort_ + 2 + dataCentre * portsPerDataCentre));
+    return log(loopback(firstPort_ + platformPorts + dataCentre * portsPerDataCentre));
 }
 
 std::vector<LogEntry> Deployment::minionLog(int dataCentre)
 {
-    return log(loopback(firstPort_ + 3 + dataCentre * portsPerDataCentre));
+    return log(loopback(firstPort_ + platformPorts + 1 + dataCentre * portsPerDataCentre));
 }
 
 Address Deployment::address(int dataCentre, int instance, int offset) const
 {
-    return loopback(firstPort_ + 2 + dataCentre * portsPerDataCentre + 60 + instance * 3 + offset);
+    return loopback(firstPort_ + platformPorts + dataCentre * portsPerDataCentre + 60 + instance * 3 + offset);
 }
 
 void Deployment::post(const Address& to, const std::string& path, const std::string& body)
