tests: the virtual clock runs all timers that are due

VirtualClock::poll() started a timer in the past, so that the loop would look at its timers. The kernel's answer to that takes a moment, and a poll before it ran none of them: timers of 250 ms took 275 to 600 ms of virtual time in a trial, by chance.

poll() now repeats until the timer in the past has fired, at which the others that are due have fired, too.

--- a/tests/node/virtualclock.cpp
+++ b/tests/node/virtualclock.cpp
@@ -45,10 +45,14 @@
 
 void VirtualClock::poll(boost::asio::io_context& loop)
 {
-    // The loop asks the kernel when to look at its timers; a timer in the past makes it look now.
+    // The loop asks the kernel when to look at its timers, and the kernel's answer takes a moment:
+    // once this timer has fired, all others that are due have, too.
+    bool hasLooked = false;
     Timer past(loop);
-    past.start(-bootTimeNow().time_since_epoch(), [] {});
+    past.start(-bootTimeNow().time_since_epoch(), [&hasLooked] { hasLooked = true; });
     loop.restart();
+    while (!hasLooked)
+        loop.poll();
     loop.poll();
 }
 
