An exception concerns only the request or row that caused it

The loop logs it and goes on; a lease holder abandons its lease, as the scheduler's state may be half updated. A request whose callback is dropped unused is answered 500. Rows of a followed table are delivered one by one, so that one that can't be handled concerns no other. TableFollower::Listener::page_ became loaded_ for that; its test counts the rows between other events in place of the pages and is as strict.

--- a/src/fescuecleat-poold/main.cpp
+++ b/src/fescuecleat-poold/main.cpp
@@ -1,5 +1,6 @@
 #include "callermessages.h"
 #include "net/asynchttpclient.h"
+#include "net/eventloop.h"
 #include "node/instance.h"
 #include "node/instancesettings.h"
 #include "operatorrows.h"
@@ -83,7 +84,7 @@
     }
     boost::asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
     awaitSignal(signals, instance, log, loop, path);
-    loop.run();
+    runEventLoop(loop, [&instance](const std::string& cause) { instance.handleException(cause); });
     return EXIT_SUCCESS;
 }
 
--- a/src/libfescuecleat/net/asynchttpserver.cpp
+++ b/src/libfescuecleat/net/asynchttpserver.cpp
@@ -1,8 +1,10 @@
 #include "net/asynchttpserver.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <utility>
 
 namespace fescuecleat {
 
@@ -67,6 +69,34 @@
 private:
     static constexpr std::size_t readChunkBytes = 4096;
 
+    /** The answer to a request. The client gets a 500 if it is dropped, as by an exception in the handler. */
+    class OwedAnswer {
+    public:
+        explicit OwedAnswer(std::shared_ptr<HttpSession> session)
+            : session_(std::move(session))
+        {
+        }
+        ~OwedAnswer()
+        {
+            if (!session_ || !*session_->alive_)
+                return;
+            asio::post(session_->stream_.get_executor(), [session = session_] {
+                session->answer({ 500, R"({"error":"internal error"})", {}, "application/json" });
+            });
+        }
+        OwedAnswer(const OwedAnswer&) = delete;
+        OwedAnswer& operator=(const OwedAnswer&) = delete;
+
+        void give(ServerResponse response)
+        {
+            if (const auto session = std::exchange(session_, nullptr))
+                session->answer(std::move(response));
+        }
+
+    private:
+        std::shared_ptr<HttpSession> session_;
+    };
+
     void readRequest()
     {
         isIdle_ = false;
@@ -103,14 +133,17 @@
             request.headers_.emplace_back(std::string(field.name_string()), std::string(field.value()));
         request.body_ = std::move(message.body());
         ++server_->requestsInProgress_;
-        server_->handler_(std::move(request), [self = shared_from_this()](ServerResponse response) {
-            if (!*self->alive_)
-                return;
-            --self->server_->requestsInProgress_;
-            if (response.status_ == 0)
-                return self->close();
-            self->write(std::move(response));
-        });
+        server_->handler_(std::move(request), [owed = std::make_shared<OwedAnswer>(shared_from_this())](ServerResponse response) { owed->give(std::move(response)); });
+    }
+
+    void answer(ServerResponse response)
+    {
+        if (!*alive_)
+            return;
+        --server_->requestsInProgress_;
+        if (response.status_ == 0)
+            return close();
+        write(std::move(response));
     }
 
     void write(ServerResponse answer)
--- a/src/libfescuecleat/net/asynchttpserver.h
+++ b/src/libfescuecleat/net/asynchttpserver.h
@@ -25,7 +25,10 @@
     std::size_t maxConnections_ = 3000;
 };
 
-/** HTTP server on one address. Answers malformed or oversized requests with a 4xx status. */
+/**
+ * HTTP server on one address. Answers malformed or oversized requests with a 4xx status, and
+ * requests whose handler drops the callback unused with 500.
+ */
 class AsyncHttpServer {
 public:
     using Respond = std::function<void(ServerResponse)>;
--- a/src/libfescuecleat/node/instance.cpp
+++ b/src/libfescuecleat/node/instance.cpp
@@ -162,6 +162,15 @@
     boost::asio::post(context_.loop_, [controller = std::shared_ptr<PoolController>(std::move(controller_))] {});
 }
 
+void Instance::handleException(const std::string& cause)
+{
+    ++exceptions_;
+    context_.log_.write("instance.exception", { { "cause", cause }, { "isScheduler", controller_ != nullptr } });
+    // Its handlers may not have completed; the next holder restores the state from the store.
+    if (controller_)
+        lease_.abandon("an exception: " + cause);
+}
+
 void Instance::stop(std::function<void()> done)
 {
     if (isStopping_)
@@ -244,6 +253,7 @@
     add("configuration_version", configuration_ ? configuration_->version_ : 0);
     add("is_scheduler", controller_ ? 1 : 0);
     add("store_own_path_up", store_.failover_.isOwnPathUp() ? 1 : 0);
+    add("exceptions_total", exceptions_);
     add("log_lines_dropped_total", context_.log_.droppedLines());
     if (controller_) {
         add("jobs_open", controller_->openJobs());
--- a/src/libfescuecleat/node/instance.h
+++ b/src/libfescuecleat/node/instance.h
@@ -35,6 +35,8 @@
     Result<void> start();
     /** Shuts down gracefully; calls `done` when all requests are answered or the stop limit is near. */
     void stop(std::function<void()> done);
+    /** An exception has left a handler of the event loop. */
+    void handleException(const std::string& cause);
 
 private:
     void resetOperatorRows(const std::vector<StoredRow>&);
@@ -70,6 +72,7 @@
     Timer logTimer_;
     Timer stopTimer_;
     bool isStopping_ = false;
+    std::uint64_t exceptions_ = 0;
 };
 
 }
--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -96,10 +96,7 @@
                   requestPass();
               },
               nullptr,
-              [this](const std::vector<StoredRow>& rows) {
-                  for (const StoredRow& row : rows)
-                      handleIntakeRow(row);
-              } })
+              [this](const StoredRow& row) { handleIntakeRow(row); } })
     , registry_(context.loop_, context.store_, context.clock_, context.log_, { context.registryFormat_.table() }, registryPollWait,
           { [this](const std::vector<StoredRow>& rows) { handleRegistryReset(rows); }, [this](const StoredRow& row) { handleRegistryRow(row); }, nullptr })
     , recordsTimer_(context.loop_)
--- a/src/libfescuecleat/node/tablefollower.cpp
+++ b/src/libfescuecleat/node/tablefollower.cpp
@@ -45,10 +45,12 @@
         // The first page's version is kept: the feed then delivers all changes made while the other pages were read.
         if (version_ == 0)
             version_ = page->timestamp_.version_;
-        if (listener_.page_)
-            listener_.page_(page->rows_);
-        else
+        if (listener_.loaded_) {
+            for (const StoredRow& row : page->rows_)
+                deliver(listener_.loaded_, row);
+        } else {
             loadingRows_.insert(loadingRows_.end(), page->rows_.begin(), page->rows_.end());
+        }
         if (page->hasMore_ && !page->rows_.empty()) {
             lastLoadedKey_ = page->rows_.back().key_;
             return readPage();
@@ -75,13 +77,22 @@
         for (const StoredRow& row : page->rows_) {
             version_ = std::max(version_, row.version_);
             if (listener_.changed_)
-                listener_.changed_(row);
+                deliver(listener_.changed_, row);
         }
         currentAsOf_ = std::max(currentAsOf_, page->timestamp_.askedAt_);
         handleSuccess(page->timestamp_);
     }));
 }
 
+void TableFollower::deliver(const std::function<void(const StoredRow&)>& callback, const StoredRow& row)
+{
+    try {
+        callback(row);
+    } catch (const std::exception& error) {
+        log_.write("row.exception", { { "table", table_.name_ }, { "key", row.key_ }, { "version", row.version_ }, { "cause", error.what() } });
+    }
+}
+
 void TableFollower::handleSuccess(const StoreTimestamp& timestamp)
 {
     clock_.observe(timestamp);
--- a/src/libfescuecleat/node/tablefollower.h
+++ b/src/libfescuecleat/node/tablefollower.h
@@ -37,10 +37,10 @@
         /** Called after each successful answer of the store. */
         std::function<void()> contacted_ = {};
         /**
-         * If set, receives each page of a load as it arrives, and `reset_` gets no rows: other work of the
+         * If set, receives the rows of a load as their pages arrive, and `reset_` gets none: other work of the
          * event loop goes on between the pages of a large table.
          */
-        std::function<void(const std::vector<StoredRow>&)> page_ = {};
+        std::function<void(const StoredRow&)> loaded_ = {};
     };
 
     TableFollower(boost::asio::io_context&, RowStore&, StoreClock&, JsonEventLog&, FollowedTable, Duration wait, Listener);
@@ -56,6 +56,8 @@
 private:
     void readPage();
     void followChanges();
+    /** Passes a row to a callback of the listener; an exception concerns only this row. */
+    void deliver(const std::function<void(const StoredRow&)>& callback, const StoredRow&);
     void handleFailure(const StoreFailure&);
     void handleSuccess(const StoreTimestamp&);
 
