--- a/src/libfescuecleat/node/instancesettings.cpp
+++ b/src/libfescuecleat/node/instancesettings.cpp
@@ -19,11 +19,15 @@
         return *parsed;
     }
 
-    Duration readSeconds(const Json& json, const char* name)
+    constexpr double maxSeconds = 3600;
+    /** Ended jobs are kept for 30 days at most. */
+    constexpr double maxEndedJobSeconds = 30 * 86400;
+
+    Duration readSeconds(const Json& json, const char* name, double max = maxSeconds)
     {
         const double seconds = json.at(name).get<double>();
-        if (!(seconds > 0) || seconds > 3600)
-            throw Json::other_error::create(500, std::string(name) + " must be above 0 and at most 3600 seconds", &json);
+        if (!(seconds > 0) || seconds > max)
+            throw Json::other_error::create(500, std::string(name) + " must be above 0 and at most " + std::to_string(static_cast<std::int64_t>(max)) + " seconds", &json);
         return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
     }
 
@@ -57,6 +61,8 @@
             settings.guaranteeLimit_ = readSeconds(json, "guaranteeLimitSeconds");
         if (json.contains("maxRequestDelaySeconds"))
             settings.maxRequestDelay_ = readSeconds(json, "maxRequestDelaySeconds");
+        if (json.contains("endedJobSeconds"))
+            settings.endedJobTime_ = readSeconds(json, "endedJobSeconds", maxEndedJobSeconds);
         settings.stopLimit_ = readSeconds(json, "stopLimitSeconds");
         return settings;
     } catch (const Json::exception& error) {
--- a/src/libfescuecleat/node/instancesettings.h
+++ b/src/libfescuecleat/node/instancesettings.h
@@ -32,6 +32,8 @@
     Duration guaranteeLimit_ = std::chrono::milliseconds(2700);
     /** Longest delay after which a worker may still execute a request that it left without an answer. */
     Duration maxRequestDelay_ = std::chrono::seconds(12);
+    /** Callers may ask for the state of an ended job for this long. */
+    Duration endedJobTime_ = std::chrono::seconds(120);
     /** Time between the stop signal and the kill. */
     Duration stopLimit_ {};
 };
--- a/src/libfescuecleat/node/jobrecorder.cpp
+++ b/src/libfescuecleat/node/jobrecorder.cpp
@@ -44,6 +44,13 @@
         order_.emplace(entry->second.first, job);
 }
 
+void JobRecorder::removeRecord(const std::string& job)
+{
+    storedRows_[job].try_emplace(job);
+    removals_.insert(job);
+    markChanged(job);
+}
+
 void JobRecorder::addToNextCommit(RowUpsert write)
 {
     for (RowUpsert& other : extraWrites_) {
@@ -129,7 +136,8 @@
 
 bool JobRecorder::addRecord(const std::string& job, std::uint64_t mark)
 {
-    const Rows rows = listener_.rows_(job);
+    const bool isRemoval = removals_.count(job) > 0;
+    const Rows rows = isRemoval ? Rows() : listener_.rows_(job);
     const Rows& stored = storedRows_[job];
     RecordChange change;
     const auto addChanges = [&] {
@@ -145,7 +153,7 @@
         }
         // Deleted last: by then the other rows say what a deleted one said.
         for (const auto& [key, value] : stored) {
-            if (rows.empty() || rows.count(key) > 0)
+            if ((rows.empty() && !isRemoval) || rows.count(key) > 0)
                 continue;
             if (!hasSpaceFor({ table, key, {} }))
                 return false;
@@ -199,6 +207,8 @@
             stored[key] = std::move(value);
         for (const std::string& key : change.deletions_)
             stored.erase(key);
+        if (stored.empty() && removals_.erase(job) > 0)
+            storedRows_.erase(job);
         if (change.storedMark_ > 0)
             noteStored(job, change.storedMark_);
     }
--- a/src/libfescuecleat/node/jobrecorder.h
+++ b/src/libfescuecleat/node/jobrecorder.h
@@ -46,6 +46,9 @@
     /** The job has ended and its record won't change any more. */
     void forget(const std::string& job) { storedRows_.erase(job); }
 
+    /** Removes all rows of the job's record with the next commit; the job must not change any more. */
+    void removeRecord(const std::string& job);
+
     /** Marks the job's record for the next commit. */
     void markChanged(const std::string& job);
     /** Whether the job has changed since its record was last encoded. */
@@ -122,6 +125,8 @@
     std::map<std::uint64_t, std::shared_ptr<Waiter>> readyWaiters_;
     /** The rows in the store of jobs that have not ended. */
     std::map<std::string, Rows> storedRows_;
+    /** Jobs whose records are to be removed. */
+    std::set<std::string> removals_;
 
     RowTransaction transaction_;
     std::size_t transactionBytes_ = 0;
--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -38,6 +38,8 @@
     /** Delay before starts are tried again that the lease didn't cover. */
     constexpr Duration deferredStartDelay = std::chrono::milliseconds(50);
     constexpr Duration minPassDelay = std::chrono::milliseconds(1);
+    /** Longest time from the encoding of a record until callers may see it, as an outage delays its commit. */
+    constexpr Duration maxRecordDelay = std::chrono::seconds(60);
 
     std::string describeState(PoolJobState state)
     {
@@ -81,14 +83,13 @@
           { [this](const std::string& job) { return recordRows(job); },
               [this](const std::string& cause) { listener_.superseded_(cause); },
               [this](const std::string& job) { handleUnstorableRecord(job); } })
+    , retention_(context.loop_, context.store_, context.log_, context.settings_.storeLimits_,
+          { [this](const std::string& job) { removeRecord(job); },
+              [this](const std::string& job, const std::vector<StoredRow>& laterRows) { handleJobRemoved(job, laterRows); } })
     , intake_(context.loop_, context.store_, context.clock_, context.log_, { intakeTable, intakeParts() }, intakePollWait,
           { [this](const std::vector<StoredRow>&) {
                if (!isReady_)
-                   context_.log_.write("scheduler.jobs_loaded", { { "epoch", epoch_ }, { "jobs", storedStates_.size() }, { "open", openJobs() } });
-               // Workers are polled only now: before the jobs are loaded, their runs' ends would be those of unknown runs.
-               if (!isReady_)
-                   registry_.start();
-               isReady_ = true;
+                   intakeLoaded();
                requestPass();
            },
               [this](const StoredRow& row) {
@@ -138,17 +139,18 @@
         context_.log_.write("record.unreadable", { { "job", job }, { "row", row.key_ }, { "version", row.version_ } });
         return;
     }
-    if (!isFinal(record.state_))
+    if (!isFinal(record.state_) || !JobRecordRows::isFirst(row.key_))
         recorder_.addStoredRow(job, row.key_, row.value_);
     records_[job] = std::move(record);
 }
 
 JobRecorder::Rows PoolController::recordRows(const std::string& job) const
 {
+    const std::int64_t nowMs = context_.clock_.earliestMs(bootTimeNow());
     const auto state = scheduler_.state().jobs_.find(job);
     if (state != scheduler_.state().jobs_.end() && unstorableJobs_.count(job) > 0)
-        return { { job, encodePoolJobRecord({ state->second.state_, {}, {} }) } };
-    return scheduler_.recordRows(job, context_.settings_.storeLimits_.maxValueBytes());
+        return { { job, encodePoolJobRecord({ state->second.state_, {}, {}, nowMs }) } };
+    return scheduler_.recordRows(job, context_.settings_.storeLimits_.maxValueBytes(), nowMs);
 }
 
 void PoolController::handleUnstorableRecord(const std::string& job)
@@ -165,6 +167,55 @@
     intake_.start();
 }
 
+void PoolController::intakeLoaded()
+{
+    context_.log_.write("scheduler.jobs_loaded", { { "epoch", epoch_ }, { "jobs", storedStates_.size() }, { "open", openJobs() } });
+    isReady_ = true;
+    removeOrphanedRecords();
+    retention_.start();
+    // Workers are polled only now: before the jobs are loaded, their runs' ends would be those of unknown runs.
+    registry_.start();
+}
+
+void PoolController::removeOrphanedRecords()
+{
+    for (auto record = records_.begin(); record != records_.end();) {
+        const auto& [job, stored] = *record;
+        if (retention_.hasRows(job) || !isFinal(stored.state_)) {
+            if (!retention_.hasRows(job))
+                context_.log_.write("record.orphaned", { { "job", job }, { "state", describeState(stored.state_) } });
+            ++record;
+            continue;
+        }
+        removeRecord(job);
+        record = records_.erase(record);
+    }
+}
+
+void PoolController::removeRecord(const std::string& job)
+{
+    recorder_.removeRecord(job);
+    recorder_.whenStored({ job }, [this, job] { retention_.recordRemoved(job); });
+    requestPass();
+}
+
+void PoolController::handleJobRemoved(const std::string& job, const std::vector<StoredRow>& laterRows)
+{
+    storedStates_.erase(job);
+    cancelled_.erase(job);
+    for (const StoredRow& row : laterRows)
+        handleIntakeRow(row);
+    if (!laterRows.empty())
+        requestPass();
+}
+
+Time PoolController::removableAt(std::int64_t endedMs) const
+{
+    const Time now = bootTimeNow();
+    const Time endedAt = endedMs == 0 ? now : std::min(now, context_.clock_.localTime(endedMs, now));
+    return endedAt + maxRecordDelay + context_.settings_.endedJobTime_;
+}
+
 void PoolController::setConfiguration(const PoolConfiguration& configuration)
 {
     std::map<std::string, std::int64_t> guarantees;
@@ -199,6 +250,8 @@
     if (row.isDeleted_)
         return;
     const auto cancelled = jobOfCancelKey(row.key_);
+    if (!retention_.addRow(cancelled.value_or(row.key_), row))
+        return;
     if (!cancelled)
         return addJob(row.key_, row);
     const auto stored = storedStates_.find(*cancelled);
@@ -218,6 +271,7 @@
     if (std::any_of(units.begin(), units.end(), [](const UnitRecord& unit) { return !unit.placements_.empty(); }))
         return false;
     storedStates_[id] = record->second.state_;
+    retention_.jobEnded(id, removableAt(record->second.endedMs_));
     records_.erase(record);
     return true;
 }
@@ -501,6 +555,7 @@
         payloads_.erase(job);
         unstorableJobs_.erase(job);
         recorder_.forget(job);
+        retention_.jobEnded(job, removableAt(0));
     }
 }
 
--- a/src/libfescuecleat/node/poolcontroller.h
+++ b/src/libfescuecleat/node/poolcontroller.h
@@ -2,6 +2,7 @@
 
 #include "net/timer.h"
 #include "node/jobrecorder.h"
+#include "node/jobretention.h"
 #include "node/lifetime.h"
 #include "node/nodecontext.h"
 #include "node/poolconfiguration.h"
@@ -61,6 +62,13 @@
     void loadRecords(const std::string& from);
     void addRecordRow(const StoredRow&);
     void recordsLoaded();
+    void intakeLoaded();
+    /** Removes records of ended jobs whose intake rows a former lease holder has removed. */
+    void removeOrphanedRecords();
+    void removeRecord(const std::string& job);
+    void handleJobRemoved(const std::string& job, const std::vector<StoredRow>& laterRows);
+    /** When nobody may ask any more for the state of a job that ended then by the store's clock; 0 stands for now. */
+    Time removableAt(std::int64_t endedMs) const;
     JobRecorder::Rows recordRows(const std::string& job) const;
     void handleUnstorableRecord(const std::string& job);
     void handleIntakeRow(const StoredRow&);
@@ -92,6 +100,7 @@
     Listener listener_;
     PoolScheduler scheduler_;
     JobRecorder recorder_;
+    JobRetention retention_;
     TableFollower intake_;
     TableFollower registry_;
     /** Repeats a failed read of the records. */
--- a/src/libfescuecleat/pool/jobrecordrows.cpp
+++ b/src/libfescuecleat/pool/jobrecordrows.cpp
@@ -76,7 +76,7 @@
     values_.clear();
     std::size_t largest = 0;
     for (auto& [row, tasks] : rows) {
-        std::string value = row == 0 ? encodePoolJobRecord({ record.state_, std::move(tasks.units_), std::move(tasks.done_.done_) }) : encodePoolJobTasks(tasks.units_, tasks.done_.done_);
+        std::string value = row == 0 ? encodePoolJobRecord({ record.state_, std::move(tasks.units_), std::move(tasks.done_.done_), record.endedMs_ }) : encodePoolJobTasks(tasks.units_, tasks.done_.done_);
         largest = std::max(largest, value.size());
         values_[rowKey(job, tasksPerRow, row)] = std::move(value);
     }
--- a/src/libfescuecleat/pool/pooljobrecord.cpp
+++ b/src/libfescuecleat/pool/pooljobrecord.cpp
@@ -88,6 +88,8 @@
 {
     Json json = encodeTasks(record.units_, record.done_);
     json["state"] = static_cast<int>(record.state_);
+    if (record.endedMs_ > 0)
+        json["endedMs"] = record.endedMs_;
     return dump(json);
 }
 
@@ -104,6 +106,7 @@
         if (state < static_cast<int>(PoolJobState::Queued) || state > static_cast<int>(PoolJobState::Cancelled))
             return false;
         record.state_ = static_cast<PoolJobState>(state);
+        record.endedMs_ = json.value("endedMs", std::int64_t(0));
         decodeTasks(json, record);
         return true;
     } catch (const Json::exception&) {
--- a/src/libfescuecleat/pool/pooljobrecord.h
+++ b/src/libfescuecleat/pool/pooljobrecord.h
@@ -52,6 +52,8 @@
     std::vector<UnitRecord> units_;
     /** The tasks that are done, in order. Empty once the job has ended. */
     std::vector<TaskRange> done_ = {};
+    /** When the job ended, by the store's clock; 0 if it hasn't, or in records of earlier versions. */
+    std::int64_t endedMs_ = 0;
 
     /** Adds done tasks that come after those added so far. */
     void addDone(TaskRange);
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -821,12 +821,14 @@
     return record;
 }
 
-std::map<std::string, std::string> PoolScheduler::recordRows(const std::string& id, std::size_t maxRowBytes) const
+std::map<std::string, std::string> PoolScheduler::recordRows(const std::string& id, std::size_t maxRowBytes, std::int64_t nowMs) const
 {
     const auto job = state_.jobs_.find(id);
     if (job == state_.jobs_.end())
         return {};
-    return JobRecordRows(id, record(id), TaskNumbering(job->second.spec_), maxRowBytes).values();
+    PoolJobRecord stored = record(id);
+    stored.endedMs_ = job->second.isOpen() ? 0 : nowMs;
+    return JobRecordRows(id, stored, TaskNumbering(job->second.spec_), maxRowBytes).values();
 }
 
 std::map<std::string, int> PoolScheduler::waitingJobs() const
--- a/src/libfescuecleat/pool/poolscheduler.h
+++ b/src/libfescuecleat/pool/poolscheduler.h
@@ -83,8 +83,11 @@
 
     Decisions takeDecisions();
     PoolJobRecord record(const std::string& job) const;
-    /** The rows of a job's record by key, each of at most `maxRowBytes` if possible (JobRecordRows). */
-    std::map<std::string, std::string> recordRows(const std::string& job, std::size_t maxRowBytes) const;
+    /**
+     * The rows of a job's record by key, each of at most `maxRowBytes` if possible (JobRecordRows).
+     * `nowMs`: time of the store's clock, kept in the record if the job has ended.
+     */
+    std::map<std::string, std::string> recordRows(const std::string& job, std::size_t maxRowBytes, std::int64_t nowMs = 0) const;
     const PoolState& state() const { return state_; }
     /** Number of accepted jobs per queue of which no task has started. Recurring jobs don't count. */
     std::map<std::string, int> waitingJobs() const;
--- a/src/standins/poolmodel/fakerowstore.cpp
+++ b/src/standins/poolmodel/fakerowstore.cpp
@@ -76,6 +76,11 @@
     return false;
 }
 
+bool FakeRowStore::isOfRejectedTable(const RowTransaction& transaction) const
+{
+    return std::any_of(transaction.expectations_.begin(), transaction.expectations_.end(), [this](const RowExpectation& expectation) { return expectation.table_ == rejectedTable_; });
+}
+
 void FakeRowStore::commit(RowTransaction transaction, Duration timeout, CommitHandler handler)
 {
     if (commitDelay_ > timeout) {
@@ -89,7 +94,7 @@
             return handler(failed(StoreFailureKind::Refused));
         if (isRefusing_ || isSilent_)
             return handler(failed(isSilent_ ? StoreFailureKind::OutcomeUnknown : StoreFailureKind::Refused));
-        if (isTooLarge(transaction))
+        if (isTooLarge(transaction) || isOfRejectedTable(transaction))
             return handler(failed(StoreFailureKind::Rejected));
         if (commitsToHoldBack_ > 0) {
             --commitsToHoldBack_;
--- a/src/standins/poolmodel/fakerowstore.h
+++ b/src/standins/poolmodel/fakerowstore.h
@@ -45,6 +45,8 @@
     void setRefusingWrites(bool refuses) { isRefusingWrites_ = refuses; }
     /** Rejects transactions with a value above this size, measured as it is sent. */
     void setRowBytes(std::size_t bytes) { rowBytes_ = bytes; }
+    /** Rejects transactions that concern this table; none if empty. */
+    void setRejectedTable(std::string table) { rejectedTable_ = std::move(table); }
     /** The size of the largest value written so far, measured as it is sent. */
     std::size_t largestRowBytes() const { return largestRowBytes_; }
     /** Neither applies nor answers calls while set. */
@@ -84,6 +86,7 @@
     };
 
     bool isTooLarge(const RowTransaction&);
+    bool isOfRejectedTable(const RowTransaction&) const;
     tl::expected<StoreTimestamp, StoreFailure> apply(const RowTransaction&);
     StoreTimestamp timestamp() const;
     std::vector<StoredRow> changesAfter(const std::string& table, std::uint64_t after) const;
@@ -118,6 +121,7 @@
     bool isRefusing_ = false;
     std::size_t rowBytes_ = std::numeric_limits<std::size_t>::max();
     std::size_t largestRowBytes_ = 0;
+    std::string rejectedTable_;
     std::size_t pageRows_ = std::numeric_limits<std::size_t>::max();
 };
 
