Entries of other services change nothing of ours

The cause is belief in what others say: any entry was a worker, any refused epoch proved a newer scheduler, any later entry on a machine proved that the worker before it had ended. Now only services that a configuration or a job names are used; a refused epoch makes the holder ask the store; an entry ends only a worker of its own service.

--- a/src/libfescuecleat/node/instance.cpp
+++ b/src/libfescuecleat/node/instance.cpp
@@ -149,7 +149,7 @@
 void Instance::leaseAcquired(const AcquiredLease& lease)
 {
     controller_ = std::make_unique<PoolController>(context_, lease,
-        PoolController::Listener { [this] { return lease_.isHeld(bootTimeNow()); }, [this](const std::string& cause) { lease_.abandon(cause); } });
+        PoolController::Listener { [this] { return lease_.isHeld(bootTimeNow()); }, [this](const std::string& cause) { lease_.abandon(cause); }, [this](const std::string& cause) { lease_.verify(cause); } });
     if (configuration_)
         controller_->setConfiguration(*configuration_);
     controller_->setClosedDataCentres(closedDataCentres_);
--- a/src/libfescuecleat/node/poolconfiguration.h
+++ b/src/libfescuecleat/node/poolconfiguration.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -38,6 +39,8 @@
 struct PoolConfiguration {
     std::uint64_t version_ = 0;
     std::vector<QueueConfiguration> queues_;
+    /** The services that the configuration names, also those without a queue. */
+    std::set<std::string> services_;
     std::vector<PoolOrganisationConfiguration> organisations_;
     std::uint32_t maxHeaderBytes_ = 16384;
     std::uint64_t maxBodyBytes_ = 262144;
--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -227,6 +227,7 @@
         services[queue.name_] = queue.service_;
     for (const std::string& queue : scheduler_.setQueueServices(configuration.version_, services))
         context_.log_.write("queue.moved", { { "queue", queue }, { "service", services.at(queue) }, { "configuration", configuration.version_ } });
+    addServices(configuration.services_);
     requestPass();
 }
 
@@ -294,6 +295,7 @@
         fields["restrictions"] = std::move(restrictions);
     context_.log_.write("job.seen", std::move(fields));
     storedStates_[id] = stored == nullptr ? PoolJobState::Queued : stored->state_;
+    addServices({ intake->policy_.service_ });
     payloads_[id] = intake->spec_.payload_;
     intake->spec_.payload_.clear();
     scheduler_.addJob(id, std::move(intake->spec_), intake->policy_, submittedAt, stored, now);
@@ -303,8 +305,27 @@
         records_.erase(record);
 }
 
+void PoolController::addServices(const std::set<std::string>& services)
+{
+    const std::size_t known = services_.size();
+    services_.insert(services.begin(), services.end());
+    if (services_.size() == known)
+        return;
+    for (const auto& [worker, row] : std::exchange(skippedWorkers_, {}))
+        handleRegistryRow(row);
+}
+
+void PoolController::skipWorker(const StoredRow& row, const std::string& service)
+{
+    if (skippedWorkers_.count(row.key_) == 0)
+        context_.log_.write("worker.skipped", { { "worker", row.key_ }, { "version", row.version_ }, { "service", service } });
+    skippedWorkers_[row.key_] = row;
+    scheduler_.delistWorker(row.key_);
+}
+
 void PoolController::handleRegistryReset(const std::vector<StoredRow>& rows)
 {
+    skippedWorkers_.clear();
     std::set<std::string> listed;
     for (const StoredRow& row : rows) {
         listed.insert(row.key_);
@@ -321,6 +342,8 @@
 void PoolController::handleRegistryRow(const StoredRow& row)
 {
     if (row.isDeleted_) {
+        if (skippedWorkers_.erase(row.key_) > 0)
+            return;
         context_.log_.write("worker.delisted", { { "worker", row.key_ }, { "version", row.version_ } });
         scheduler_.delistWorker(row.key_);
         return requestPass();
@@ -331,6 +354,9 @@
         scheduler_.delistWorker(row.key_);
         return requestPass();
     }
+    if (services_.count(info->service_) == 0)
+        return skipWorker(row, info->service_);
+    skippedWorkers_.erase(row.key_);
     const auto link = links_.find(row.key_);
     WorkerInfo current = *info;
     if (link != links_.end() && link->second->key().startedUnixMs_ > current.key_.startedUnixMs_) {
@@ -461,7 +487,7 @@
         scheduler_.stopConfirmed(run, bootTimeNow());
         requestPass();
     };
-    listener.superseded_ = [this](const std::string& cause) { listener_.superseded_(cause); };
+    listener.epochRefused_ = [this, id] { listener_.leaseDoubted_("worker " + id + " has accepted a higher epoch"); };
     return listener;
 }
 
--- a/src/libfescuecleat/node/poolcontroller.h
+++ b/src/libfescuecleat/node/poolcontroller.h
@@ -33,6 +33,8 @@
     struct Listener {
         std::function<bool()> isLeaseHeld_;
         std::function<void(const std::string& cause)> superseded_;
+        /** Something suggests that another instance has taken the lease; only the store can tell. */
+        std::function<void(const std::string& cause)> leaseDoubted_;
     };
 
     PoolController(const NodeContext&, const AcquiredLease&, Listener);
@@ -76,6 +78,10 @@
     /** Keeps only the state of a job that had ended before this instance took the lease; returns whether it had. */
     bool skipEndedJob(const std::string& id);
     void handleRegistryRow(const StoredRow&);
+    /** Uses workers of these services, too, which a configuration or a job names. */
+    void addServices(const std::set<std::string>&);
+    /** Entries of services that nothing names are those of other systems. */
+    void skipWorker(const StoredRow&, const std::string& service);
     void handleRegistryReset(const std::vector<StoredRow>&);
     /** `isRestarted`: requests to a former incarnation may still reach this one. */
     void openLink(const WorkerInfo&, bool isRestarted);
@@ -118,6 +124,10 @@
     std::set<std::string> unstorableJobs_;
     std::map<std::string, std::string> payloads_;
     std::map<std::string, PoolJobState> storedStates_;
+    /** The services that a configuration or a job has named in this term. */
+    std::set<std::string> services_;
+    /** Registry entries of other services, by worker. */
+    std::map<std::string, StoredRow> skippedWorkers_;
     std::map<std::string, std::unique_ptr<PoolWorkerLink>> links_;
     /** Links that are still to be opened, in batches. */
     std::deque<std::string> linksToOpen_;
--- a/src/libfescuecleat/node/poolschedulerlease.cpp
+++ b/src/libfescuecleat/node/poolschedulerlease.cpp
@@ -33,6 +33,8 @@
     constexpr Duration checkTimeout = std::chrono::milliseconds(400);
     /** The holder stops this long before its lease expires, to cover clock drift and requests in flight. */
     constexpr std::int64_t safetyMarginMs = 150;
+    /** Minimum time between two reads that verify the lease. */
+    constexpr Duration verificationInterval = std::chrono::milliseconds(2000);
     constexpr Duration leaseCheckInterval = std::chrono::milliseconds(100);
     constexpr Duration leasePollWait = std::chrono::milliseconds(1000);
     /** Range of the delays that keep candidates from trying at the same time. */
@@ -283,6 +285,21 @@
     loseLease(cause);
 }
 
+void PoolSchedulerLease::verify(const std::string& cause)
+{
+    const Time now = bootTimeNow();
+    if (!isHolder_ || now - verifiedAt_ < verificationInterval)
+        return;
+    verifiedAt_ = now;
+    log_.write("lease.doubted", { { "epoch", epoch_ }, { "cause", cause } });
+    store_.read({ leaseTable, schedulerPart, leaseKey, boundAfter(leaseKey) }, checkTimeout, lifetime_.guard([this](const tl::expected<RowPage, StoreFailure>& page) {
+        if (!page)
+            return; // the lease expires soon unless a renewal succeeds
+        for (const StoredRow& row : page->rows_)
+            observe(row);
+    }));
+}
+
 void PoolSchedulerLease::release(std::function<void()> done)
 {
     isStopping_ = true;
--- a/src/libfescuecleat/node/poolschedulerlease.h
+++ b/src/libfescuecleat/node/poolschedulerlease.h
@@ -56,6 +56,8 @@
     bool isHeld(Time now) const;
     /** Stops acting as the holder, because a newer scheduler was detected. */
     void abandon(const std::string& cause);
+    /** Asks the store soon whether another instance has taken the lease, for a reason that doesn't prove it. */
+    void verify(const std::string& cause);
 
     static constexpr const char* chainTable = "chain";
     static constexpr const char* chainKey = "pool";
@@ -88,6 +90,7 @@
     Timer renewalTimer_;
     Timer leaseCheckTimer_;
     Timer renewalCheckTimer_;
+    Time verifiedAt_ {};
     Lifetime lifetime_;
 
     std::optional<PoolLeaseRecord> lastSeen_;
--- a/src/libfescuecleat/node/poolworkerlink.cpp
+++ b/src/libfescuecleat/node/poolworkerlink.cpp
@@ -142,7 +142,7 @@
 void PoolWorkerLink::handlePollFailure(WorkerFailure failure, Time upUntil)
 {
     if (failure == WorkerFailure::StaleEpoch)
-        return listener_.superseded_("worker " + info_.key_.id_ + " has accepted a newer scheduler");
+        listener_.epochRefused_();
     if (std::exchange(isReachable_, false))
         listener_.fellSilent_(upUntil, workerFailureName(failure));
     checkLeaseExpiry();
@@ -202,12 +202,13 @@
         --requestsInFlight_;
         // What a former incarnation answered says nothing about this one.
         const bool isCurrent = key == info_.key_;
-        if (answer && isCurrent)
+        const bool isRefused = !answer && answer.error() == WorkerFailure::StaleEpoch;
+        if (answer && isCurrent) {
             listener_.startAnswered_(request.run_, *answer);
-        else if (!answer && answer.error() == WorkerFailure::StaleEpoch)
-            return listener_.superseded_("worker " + info_.key_.id_ + " has accepted a newer scheduler");
-        else {
-            if (answer || answer.error() != WorkerFailure::NotSent)
+        } else {
+            if (isRefused)
+                listener_.epochRefused_();
+            else if (answer || answer.error() != WorkerFailure::NotSent)
                 listener_.startUnanswered_(request.run_);
             retry(request);
         }
@@ -222,10 +223,10 @@
     ++requestsInFlight_;
     client_.stop(info_, request, requestTimeout, lifetime_.guard([this, request, key = info_.key_](const tl::expected<void, WorkerFailure>& answer) {
         --requestsInFlight_;
+        if (!answer && answer.error() == WorkerFailure::StaleEpoch)
+            listener_.epochRefused_();
         if (answer && key == info_.key_)
             listener_.stopConfirmed_(request.run_);
-        else if (!answer && answer.error() == WorkerFailure::StaleEpoch)
-            return listener_.superseded_("worker " + info_.key_.id_ + " has accepted a newer scheduler");
         else
             retry(request);
         sendRequests();
--- a/src/libfescuecleat/node/poolworkerlink.h
+++ b/src/libfescuecleat/node/poolworkerlink.h
@@ -48,7 +48,8 @@
         std::function<void(const RunId&, StartAnswer)> startAnswered_;
         std::function<void(const RunId&)> stopConfirmed_;
         std::function<bool(const RunId&)> isStopWanted_;
-        std::function<void(const std::string& cause)> superseded_;
+        /** The worker has accepted a higher epoch, of this pool's next scheduler or of another service's. */
+        std::function<void()> epochRefused_;
     };
 
     /** Limits and identity that the scheduler sets for its links. */
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -279,7 +279,9 @@
     // A machine runs one worker at a time, and a worker has one current incarnation.
     std::vector<WorkerKey> former;
     for (auto& [key, worker] : state_.workers_) {
-        const bool isSameMachine = !info.machine_.empty() && worker.info_.machine_ == info.machine_;
+        // Workers of services that share a machine live side by side; records don't name the service.
+        const bool isSameService = worker.info_.service_.empty() || worker.info_.service_ == info.service_;
+        const bool isSameMachine = !info.machine_.empty() && worker.info_.machine_ == info.machine_ && isSameService;
         if (key != info.key_ && (key.id_ == info.key_.id_ || isSameMachine) && key.startedUnixMs_ < info.key_.startedUnixMs_)
             former.push_back(key);
     }
--- a/tests/node/orderhistory.cpp
+++ b/tests/node/orderhistory.cpp
@@ -87,6 +87,7 @@
     queue.name_ = movingQueue;
     queue.service_ = otherService;
     configuration_.queues_.push_back(queue);
+    configuration_.services_ = { mainService, otherService };
     changeConfiguration();
     for (int i = 0; i < instanceCount; ++i) {
         instances_.push_back(nullptr);
--- a/tests/node/poolcontrollertest.cpp
+++ b/tests/node/poolcontrollertest.cpp
@@ -487,7 +487,8 @@
         std::unique_ptr<PoolController> controller;
         PoolSchedulerLease lease(pool.loop_, pool.store_, pool.clock_, pool.log_, "a", 1.0,
             { [&](const AcquiredLease& acquired) {
-                 controller = std::make_unique<PoolController>(pool.context_, acquired, PoolController::Listener { [&isHeld] { return isHeld; }, [](const std::string&) {} });
+                 controller = std::make_unique<PoolController>(pool.context_, acquired, PoolController::Listener { [&isHeld] { return isHeld; }, [](const std::string&) {}, [](const std::string&) {} });
+                 controller->setConfiguration(testConfiguration());
                  controller->start();
              },
                 [](const std::string&) {} });
--- a/tests/node/poolfixture.cpp
+++ b/tests/node/poolfixture.cpp
@@ -43,7 +43,8 @@
     , lease_(context.loop_, context.store_, context.clock_, context.log_, std::move(instance), 1.0,
           { [this](const AcquiredLease& lease) {
                controller_ = std::make_unique<PoolController>(context_, lease,
-                   PoolController::Listener { [this] { return lease_.isHeld(bootTimeNow()); }, [this](const std::string& cause) { lease_.abandon(cause); } });
+                   PoolController::Listener { [this] { return lease_.isHeld(bootTimeNow()); }, [this](const std::string& cause) { lease_.abandon(cause); }, [this](const std::string& cause) { lease_.verify(cause); } });
+               controller_->setConfiguration(testConfiguration());
                if (prepare_)
                    prepare_(*controller_);
                controller_->start();
@@ -110,6 +111,13 @@
     return record.state_;
 }
 
+PoolConfiguration testConfiguration()
+{
+    PoolConfiguration configuration;
+    configuration.services_ = { "service" };
+    return configuration;
+}
+
 StepSpec oneTask()
 {
     StepSpec step;
--- a/tests/node/poolfixture.h
+++ b/tests/node/poolfixture.h
@@ -83,6 +83,8 @@
     NodeContext context_ { loop_, settings_, log_, store_, workers_, operatorFormat_, registryFormat_, callerFormat_, clock_ };
 };
 
+/** Names the service of the fixture's workers. */
+PoolConfiguration testConfiguration();
 StepSpec oneTask();
 StepSpec gang(int tasks);
 constexpr const char* jobId = "00000000000000aa";
--- a/tests/pool/crashtest.cpp
+++ b/tests/pool/crashtest.cpp
@@ -122,8 +122,26 @@
     CPPUNIT_TEST(crashUnderTheFormerScheduler);
     CPPUNIT_TEST(startIsNotRepeatedToRestartedWorker);
     CPPUNIT_TEST(survivedStartClearsTheTask);
+    CPPUNIT_TEST(workerOfOtherServiceOnTheMachineEndsNothing);
     CPPUNIT_TEST_SUITE_END();
 
+    /** Guards against two runs of one task: a worker of another service that shares a machine was taken for the next one on it. */
+    void workerOfOtherServiceOnTheMachineEndsNothing()
+    {
+        CrashedScheduler scheduler;
+        scheduler.add("m1", 1, start);
+        scheduler.startTask(start);
+        WorkerInfo other = CrashedScheduler::worker("m2", 2);
+        other.service_ = "other";
+        scheduler.scheduler_.putWorker(other, start + 1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), scheduler.scheduler_.state().workers_.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), scheduler.scheduler_.state().runs_.size());
+        CPPUNIT_ASSERT_EQUAL(0, scheduler.crashes().total_);
+        scheduler.add("m3", 3, start + 2s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), scheduler.scheduler_.state().workers_.size());
+        CPPUNIT_ASSERT_EQUAL(1, scheduler.crashes().total_);
+    }
+
     /** Guards against starting a task again and again that crashes each worker. */
     void deadlyTaskIsGivenUp()
     {
