A gang's run counts as one attempt, however many members fail

A unit now remembers the run that it has counted last, in its record too, so that ends which arrive after a hand-over don't count again.

--- a/src/libfescuecleat/pool/jobrecordrows.cpp
+++ b/src/libfescuecleat/pool/jobrecordrows.cpp
@@ -26,7 +26,7 @@
     UnitRecord& unitIn(std::vector<UnitRecord>& units, const UnitRecord& unit)
     {
         if (units.empty() || units.back().occurrence_ != unit.occurrence_ || units.back().step_ != unit.step_ || units.back().index_ != unit.index_)
-            units.push_back({ unit.occurrence_, unit.step_, unit.index_, unit.lastRun_, unit.failures_, unit.isDone_, unit.checkpoint_, {}, {} });
+            units.push_back({ unit.occurrence_, unit.step_, unit.index_, unit.lastRun_, unit.failures_, unit.isDone_, unit.checkpoint_, {}, {}, unit.lastFailedRun_ });
         return units.back();
     }
 
--- a/src/libfescuecleat/pool/pooljobrecord.cpp
+++ b/src/libfescuecleat/pool/pooljobrecord.cpp
@@ -33,8 +33,10 @@
         for (const PlacementRecord& placement : unit.placements_)
             placements.push_back({ placement.index_, placement.worker_.id_, placement.worker_.startedUnixMs_, placement.machine_ });
         Json row { unit.occurrence_, unit.step_, unit.index_, unit.lastRun_, unit.failures_, unit.isDone_, unit.checkpoint_, std::move(placements) };
-        if (!unit.crashes_.empty())
+        if (!unit.crashes_.empty() || unit.lastFailedRun_ > 0)
             row.push_back(encodeCrashes(unit.crashes_));
+        if (unit.lastFailedRun_ > 0)
+            row.push_back(unit.lastFailedRun_);
         return row;
     }
 
@@ -47,6 +49,8 @@
             for (const Json& crash : row.at(8))
                 unit.crashes_.push_back(decodeCrash(crash));
         }
+        if (row.size() > 9)
+            unit.lastFailedRun_ = row.at(9);
         return unit;
     }
 
--- a/src/libfescuecleat/pool/pooljobrecord.h
+++ b/src/libfescuecleat/pool/pooljobrecord.h
@@ -37,6 +37,8 @@
     /** Tasks of the newest run that have not ended. */
     std::vector<PlacementRecord> placements_;
     std::vector<CrashRecord> crashes_;
+    /** The last run that counts as failed; members of a gang that fail in the same run count once. */
+    int lastFailedRun_ = 0;
 };
 
 /** Consecutive tasks of a job by their numbers (TaskNumbering). */
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -141,6 +141,7 @@
     WorkUnit& unit = job.units_[unitIndex];
     unit.lastRun_ = stored.lastRun_;
     unit.failures_ = stored.failures_;
+    unit.lastFailedRun_ = stored.lastFailedRun_;
     unit.checkpoint_ = stored.checkpoint_;
     for (const CrashRecord& crash : stored.crashes_)
         unit.crashes_[crash.index_] = crash.crashes_;
@@ -578,7 +579,7 @@
         noteHealthyRun(*job, taskRun);
     }
     if (reason == EndReason::Failed && unit.state_ != UnitState::Done)
-        recordFailure(*job, unit, taskRun, now);
+        recordFailure(*job, unit, run.number_, taskRun, now);
     state_.releaseRun(run, now);
     if (unit.state_ == UnitState::Done) {
         unblockReadyUnits(*job, now);
@@ -595,10 +596,14 @@
         state_.stopUnit(job, unit, cause, now);
 }
 
-void PoolScheduler::recordFailure(Job& job, WorkUnit& unit, const TaskRun& run, Time now)
+void PoolScheduler::recordFailure(Job& job, WorkUnit& unit, int number, const TaskRun& run, Time now)
 {
     unit.failedOn_.insert(run.worker_.id_);
     noteFailedRun(job, run, now);
+    // A gang fails as a whole, however many of its members do.
+    if (unit.lastFailedRun_ == number)
+        return;
+    unit.lastFailedRun_ = number;
     ++unit.failures_;
     if (job.step(unit).isLongRunning_ || unit.failures_ < job.policy_.maxAttempts_ || !job.isOpen())
         return;
@@ -808,7 +813,7 @@
         // What is done or belongs to an ended job never starts again; only its open runs are still to be ended.
         if (unit.lastRun_ == 0 || ((isDone || !job.isOpen()) && unit.openRuns_.empty()))
             continue;
-        UnitRecord stored { unit.occurrence_, unit.step_, unit.index_, unit.lastRun_, unit.failures_, isDone, unit.checkpoint_, {}, {} };
+        UnitRecord stored { unit.occurrence_, unit.step_, unit.index_, unit.lastRun_, unit.failures_, isDone, unit.checkpoint_, {}, {}, unit.lastFailedRun_ };
         for (const RunId& run : unit.openRuns_) {
             const auto entry = state_.runs_.find(run);
             if (entry == state_.runs_.end())
--- a/src/libfescuecleat/pool/poolscheduler.h
+++ b/src/libfescuecleat/pool/poolscheduler.h
@@ -120,7 +120,8 @@
     void clearOfCrashes(Job&, const RunId&, const TaskRun&, Time now);
     void giveUp(const RunId&, const std::string& cause, Time now);
     void abortRun(Job&, std::size_t unit, const std::string& cause, Time now);
-    void recordFailure(Job&, WorkUnit&, const TaskRun&, Time now);
+    /** Counts the failure of the unit's run `number` once. */
+    void recordFailure(Job&, WorkUnit&, int number, const TaskRun&, Time now);
     /** Blames the worker for a failed run unless the job seems to fail everywhere. */
     void noteFailedRun(Job&, const TaskRun&, Time now);
     /** Takes back the blame on workers for the failures of a job. */
--- a/src/libfescuecleat/pool/workunit.h
+++ b/src/libfescuecleat/pool/workunit.h
@@ -31,6 +31,8 @@
     UnitState state_ = UnitState::Blocked;
     int lastRun_ = 0;
     int failures_ = 0;
+    /** The last run that is counted in them. */
+    int lastFailedRun_ = 0;
     /** The newest run can no longer succeed; its remaining tasks are being stopped. */
     bool isRunAborted_ = false;
     std::string checkpoint_;
--- a/tests/pool/recoverytest.cpp
+++ b/tests/pool/recoverytest.cpp
@@ -58,6 +58,8 @@
     CPPUNIT_TEST(restoresFromSeveralRows);
     CPPUNIT_TEST(restoresGangFromSeveralRows);
     CPPUNIT_TEST(abortsGangWithRowsOfTwoRuns);
+    CPPUNIT_TEST(gangFailsOncePerRun);
+    CPPUNIT_TEST(gangFailsOncePerRunAcrossHandOver);
     CPPUNIT_TEST_SUITE_END();
 
     /** Only some tasks of a step had started when the scheduler failed; the others have no record. */
@@ -202,9 +204,62 @@
         }
     }
 
+    /** Guards against a job that is given up at its first failure: each member of a gang counted as an attempt. */
+    void gangFailsOncePerRun()
+    {
+        PoolScheduler scheduler = startedGang();
+        for (int run = 1; run <= policy().maxAttempts_; ++run) {
+            CPPUNIT_ASSERT(scheduler.state().jobs_.at(jobId).isOpen());
+            reportFailures(scheduler, run, 0, gangTasks, run * gangTasks);
+            CPPUNIT_ASSERT_EQUAL(run, scheduler.state().jobs_.at(jobId).units_.front().failures_);
+            startAll(scheduler, start + run * 1min);
+        }
+        CPPUNIT_ASSERT(scheduler.state().jobs_.at(jobId).state_ == PoolJobState::Failed);
+    }
+
+    void gangFailsOncePerRunAcrossHandOver()
+    {
+        PoolScheduler scheduler = startedGang();
+        reportFailures(scheduler, 1, 0, 1, 0);
+        const PoolJobRecord record = decode(scheduler.recordRows(jobId, smallRowBytes));
+        PoolScheduler next;
+        addWorker(next, "w1", gangTasks);
+        next.addJob(jobId, jobWithGang(), policy(), start, &record, start);
+        reportFailures(next, 1, 1, gangTasks, 0);
+        CPPUNIT_ASSERT_EQUAL(1, next.state().jobs_.at(jobId).units_.front().failures_);
+        CPPUNIT_ASSERT(next.state().runs_.empty());
+    }
+
 private:
     static constexpr int gangTasks = 40;
 
+    static PoolScheduler startedGang()
+    {
+        PoolScheduler scheduler;
+        addWorker(scheduler, "w1", gangTasks);
+        scheduler.addJob(jobId, jobWithGang(), policy(), start, nullptr, start);
+        startAll(scheduler, start);
+        return scheduler;
+    }
+
+    static void startAll(PoolScheduler& scheduler, Time now)
+    {
+        scheduler.schedule(now, 0);
+        for (const StartDecision& decision : scheduler.takeDecisions().starts_) {
+            scheduler.beginStart(decision.run_, now);
+            scheduler.startAnswered(decision.run_, StartAnswer::Accepted, now);
+        }
+    }
+
+    /** The worker reports that these members of the gang have failed. */
+    static void reportFailures(PoolScheduler& scheduler, int run, int first, int end, std::int64_t sequence)
+    {
+        PoolWorkerReport report;
+        for (int index = first; index < end; ++index)
+            report.ended_.push_back({ ++sequence, { { jobId, 0, 0, index }, run }, EndReason::Failed, {} });
+        scheduler.report({ "w1", 1 }, report, start + run * 1s, start + run * 1s);
+    }
+
     static PoolJobSpec jobWithGang()
     {
         PoolJobSpec spec = jobWithSteps(gangTasks, 1);
