Cancelled is cancelled, also before the submission arrives

A caller gave up a submission without an answer and cancelled the job at another instance, which answered 410.

The cancel row is now stored for an unknown job as well, and the job is cancelled when its submission arrives. Such rows are removed like those of ended jobs; they hold their time for that. Rows with an empty key or an empty id, which MalformedBytesTest draws, are ignored.

--- a/src/libfescuecleat/node/jobapi.cpp
+++ b/src/libfescuecleat/node/jobapi.cpp
@@ -39,6 +39,12 @@
         return host.substr(0, host.find(':'));
     }
 
+    /** Whether the rows of a job's intake include its own, not only its cancellation. */
+    bool hasJob(const std::vector<StoredRow>& rows, const std::string& job)
+    {
+        return !rows.empty() && rows.front().key_ == job;
+    }
+
     std::string errorBody(const std::string& text)
     {
         // The text may quote bytes of the request, which need not be UTF-8.
@@ -209,6 +215,8 @@
 void JobApi::statusFromIntake(const CallPointer& call)
 {
     readIntake(call, [this, call](const std::vector<StoredRow>& rows) {
+        if (!hasJob(rows, call->job_))
+            return answer(call, 410, errorBody("no such job"), "no such job");
         answer(call, 200, context_.callerFormat_.encodeState(rows.size() > 1 ? PoolJobState::Cancelled : PoolJobState::Queued), "from the intake");
     });
 }
@@ -219,8 +227,6 @@
     context_.store_.read({ intakeTable, intakePartOf(call->job_), call->job_, boundAfter(cancelKey(call->job_)) }, limit, lifetime_.guard([this, call, handleRows](const tl::expected<RowPage, StoreFailure>& page) {
         if (!page)
             return retryOrRefuse(call, [this, call, handleRows] { readIntake(call, handleRows); });
-        if (page->rows_.empty())
-            return answer(call, 410, errorBody("no such job"), "no such job");
         handleRows(page->rows_);
     }));
 }
@@ -230,7 +236,10 @@
     readIntake(call, [this, call](const std::vector<StoredRow>& rows) {
         if (rows.size() > 1)
             return answer(call, 200, "{}", "already cancelled");
-        sendCancellation(call, rows.front().version_);
+        if (!rows.empty() && !hasJob(rows, call->job_))
+            return answer(call, 410, errorBody("no such job"), "already cancelled");
+        // The submission of an unknown job may still be under way, so the cancellation is stored all the same.
+        sendCancellation(call, rows.empty() ? 0 : rows.front().version_);
     });
 }
 
@@ -239,13 +248,17 @@
     RowTransaction transaction;
     transaction.part_ = intakePartOf(call->job_);
     transaction.expectations_.push_back({ intakeTable, call->job_, jobVersion });
-    transaction.writes_.push_back({ intakeTable, cancelKey(call->job_), "{}" });
+    const std::string row = encodeCancellation(context_.clock_.earliestMs(bootTimeNow()));
+    transaction.writes_.push_back({ intakeTable, cancelKey(call->job_), row });
     const Duration limit = std::min(storeCallTimeout, remaining(call->deadline_, bootTimeNow()));
-    context_.store_.commit(std::move(transaction), limit, lifetime_.guard([this, call](const tl::expected<StoreTimestamp, StoreFailure>& outcome) {
+    context_.store_.commit(std::move(transaction), limit, lifetime_.guard([this, call, jobVersion, row](const tl::expected<StoreTimestamp, StoreFailure>& outcome) {
         if (!outcome)
             return handleCancellationFailure(call);
-        answer(call, 200, "{}", "stored");
-        dependencies_.notifyScheduler_({ cancelKey(call->job_), "{}", outcome->version_, false });
+        if (jobVersion == 0)
+            answer(call, 410, errorBody("no such job"), "stored for a later submission");
+        else
+            answer(call, 200, "{}", "stored");
+        dependencies_.notifyScheduler_({ cancelKey(call->job_), row, outcome->version_, false });
     }));
 }
 
--- a/src/libfescuecleat/node/jobintake.cpp
+++ b/src/libfescuecleat/node/jobintake.cpp
@@ -1,5 +1,6 @@
 #include "node/jobintake.h"
 
+#include <algorithm>
 #include <cctype>
 #include <nlohmann/json.hpp>
 
@@ -84,11 +85,24 @@
 
 std::optional<std::string> jobOfCancelKey(const std::string& key)
 {
-    if (key.empty() || key.back() != cancelSuffix)
+    if (key.size() < 2 || key.back() != cancelSuffix)
         return std::nullopt;
     return key.substr(0, key.size() - 1);
 }
 
+std::string encodeCancellation(std::int64_t atMs)
+{
+    return Json { { "atMs", atMs } }.dump();
+}
+
+std::int64_t cancelledAtMs(const std::string& text)
+{
+    const Json json = Json::parse(text, nullptr, false);
+    if (!json.is_object() || !json.contains("atMs") || !json["atMs"].is_number_integer())
+        return 0;
+    return std::max<std::int64_t>(0, json["atMs"].get<std::int64_t>());
+}
+
 std::string encodeJobIntake(const JobIntake& intake)
 {
     const JobPolicy& policy = intake.policy_;
--- a/src/libfescuecleat/node/jobintake.h
+++ b/src/libfescuecleat/node/jobintake.h
@@ -31,6 +31,11 @@
 /** The job that a cancel row belongs to; nothing if the key isn't that of a cancel row. */
 std::optional<std::string> jobOfCancelKey(const std::string& key);
 
+/** Encodes a cancel row; `atMs` is the time of the cancellation by the store's clock. */
+std::string encodeCancellation(std::int64_t atMs);
+/** The time of the cancellation; 0 if the row doesn't tell. */
+std::int64_t cancelledAtMs(const std::string& text);
+
 std::string encodeJobIntake(const JobIntake&);
 /** Returns nothing if the text is malformed. */
 std::optional<JobIntake> decodeJobIntake(const std::string& text);
--- a/src/libfescuecleat/node/jobretention.cpp
+++ b/src/libfescuecleat/node/jobretention.cpp
@@ -46,6 +46,8 @@
         return false;
     }
     IntakeRows& rows = rows_[job];
+    if (!isCancellation && rows.job_ == 0)
+        keep(job); // it was cancelled ahead, and ends only now
     std::uint64_t& version = isCancellation ? rows.cancellation_ : rows.job_;
     version = std::max(version, row.version_);
     return true;
@@ -53,10 +55,28 @@
 
 void JobRetention::jobEnded(const std::string& job, Time removableAt)
 {
+    keep(job);
+    rows_[job].removableAt_ = removableAt;
     due_.emplace(removableAt, job);
     reviewAfter(remaining(removableAt, bootTimeNow()));
 }
 
+void JobRetention::keep(const std::string& job)
+{
+    due_.erase({ rows_[job].removableAt_, job });
+    uncollect(intakePartOf(job), job);
+}
+
+void JobRetention::uncollect(const std::string& part, const std::string& job)
+{
+    const auto collected = collected_.find(part);
+    if (collected == collected_.end() || collected->second.jobs_.erase(job) == 0)
+        return;
+    --collectedCount_;
+    if (collected->second.jobs_.empty())
+        collected_.erase(collected);
+}
+
 void JobRetention::start()
 {
     isStarted_ = true;
@@ -121,7 +141,8 @@
         const IntakeRows& rows = rows_[job];
         transaction.expectations_.push_back({ intakeTable, job, rows.job_ });
         transaction.expectations_.push_back({ intakeTable, cancelKey(job), rows.cancellation_ });
-        transaction.deletions_.push_back({ intakeTable, job });
+        if (rows.job_ > 0)
+            transaction.deletions_.push_back({ intakeTable, job });
         if (rows.cancellation_ > 0)
             transaction.deletions_.push_back({ intakeTable, cancelKey(job) });
         removing_.push_back(job);
@@ -153,28 +174,32 @@
     for (const std::string& job : jobs) {
         if (!isCollected(part, job))
             continue;
-        const auto current = versions.find(job);
-        if (current == versions.end() || current->second != rows_[job].job_) {
+        const auto versionOf = [&versions](const std::string& key) {
+            const auto row = versions.find(key);
+            return row == versions.end() ? 0 : row->second;
+        };
+        IntakeRows& known = rows_[job];
+        const std::uint64_t cancellation = versionOf(cancelKey(job));
+        const bool isCancelledAhead = known.job_ == 0;
+        if (isCancelledAhead && versionOf(job) > 0)
+            keep(job); // its submission has arrived
+        else if (isCancelledAhead ? cancellation == 0 : versionOf(job) != known.job_)
             intakeRemoved(part, job); // by an earlier attempt, whose answer was lost, or by a former lease holder
-            continue;
-        }
-        const auto cancellation = versions.find(cancelKey(job));
-        rows_[job].cancellation_ = cancellation == versions.end() ? 0 : cancellation->second;
+        else
+            known.cancellation_ = cancellation;
     }
 }
 
 void JobRetention::handleFailure(const std::string& part, const std::vector<std::string>& jobs, const StoreFailure& failure)
 {
     log_.write("retention.removal_failed", { { "part", part }, { "jobs", jobs.size() }, { "cause", storeFailureName(failure.kind_) }, { "detail", failure.message_ } });
-    Collected& collected = collected_[part];
-    collected.retryAt_ = bootTimeNow() + retryDelay;
+    if (const auto collected = collected_.find(part); collected != collected_.end())
+        collected->second.retryAt_ = bootTimeNow() + retryDelay;
     if (failure.kind_ != StoreFailureKind::Rejected)
         return;
     // Sending the same again can't succeed; the next lease holder tries once more.
     for (const std::string& job : jobs)
-        collectedCount_ -= collected.jobs_.erase(job);
-    if (collected.jobs_.empty())
-        collected_.erase(part);
+        uncollect(part, job);
 }
 
 bool JobRetention::isCollected(const std::string& part, const std::string& job) const
@@ -187,15 +212,14 @@
 {
     if (!isCollected(part, job))
         return;
-    const auto collected = collected_.find(part);
-    collected->second.jobs_.erase(job);
-    --collectedCount_;
-    if (collected->second.jobs_.empty())
-        collected_.erase(collected);
+    uncollect(part, job);
     const IntakeRows rows = rows_[job];
     rows_.erase(job);
     removed_[job] = { std::max(rows.job_, rows.cancellation_), false, {} };
-    listener_.removeRecord_(job);
+    if (rows.job_ == 0)
+        recordRemoved(job); // it never had one
+    else
+        listener_.removeRecord_(job);
 }
 
 void JobRetention::recordRemoved(const std::string& job)
--- a/src/libfescuecleat/node/jobretention.h
+++ b/src/libfescuecleat/node/jobretention.h
@@ -39,7 +39,7 @@
     bool addRow(const std::string& job, const StoredRow&);
     /** Whether the intake has rows of this job. */
     bool hasRows(const std::string& job) const { return rows_.count(job) > 0; }
-    /** The job has ended, and its rows may be removed at this time. */
+    /** The job has ended, or is only known to be cancelled, and its rows may be removed at this time. */
     void jobEnded(const std::string& job, Time removableAt);
     void recordRemoved(const std::string& job);
 
@@ -49,11 +49,12 @@
     std::size_t endedJobs() const { return due_.size() + collectedCount_; }
 
 private:
-    /** Versions of a job's rows in the intake. */
+    /** Versions of a job's rows in the intake; 0 for a row that it doesn't have. */
     struct IntakeRows {
+        /** A job that was cancelled before its submission arrived has none. */
         std::uint64_t job_ = 0;
-        /** 0 if the job isn't cancelled. */
         std::uint64_t cancellation_ = 0;
+        Time removableAt_ {};
     };
     /** Jobs of one part whose rows may be removed. */
     struct Collected {
@@ -82,6 +83,9 @@
     /** The job's intake rows are removed. */
     void intakeRemoved(const std::string& part, const std::string& job);
     bool isCollected(const std::string& part, const std::string& job) const;
+    /** Keeps the rows of a job. */
+    void keep(const std::string& job);
+    void uncollect(const std::string& part, const std::string& job);
     void forgetOldRemovals(Time now);
     void reviewAfter(Duration);
 
--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -248,7 +248,7 @@
 
 void PoolController::handleIntakeRow(const StoredRow& row)
 {
-    if (row.isDeleted_)
+    if (row.isDeleted_ || row.key_.empty())
         return;
     const auto cancelled = jobOfCancelKey(row.key_);
     if (!retention_.addRow(cancelled.value_or(row.key_), row))
@@ -260,6 +260,9 @@
     if (hasEnded || !cancelled_.insert(*cancelled).second)
         return;
     context_.log_.write("job.cancel_seen", { { "job", *cancelled }, { "version", row.version_ } });
+    // The submission may still be under way; the job is then cancelled as soon as it arrives.
+    if (stored == storedStates_.end())
+        retention_.jobEnded(*cancelled, removableAt(cancelledAtMs(row.value_)));
     scheduler_.cancelJob(*cancelled, bootTimeNow());
 }
 
--- a/tests/node/jobretentiontest.cpp
+++ b/tests/node/jobretentiontest.cpp
@@ -96,6 +96,8 @@
     CPPUNIT_TEST(newJobAfterLostAnswerIsKept);
     CPPUNIT_TEST(removesCancellationSeenByTheStoreOnly);
     CPPUNIT_TEST(ignoresStaleRowOfRemovedJob);
+    CPPUNIT_TEST(removesCancellationOfUnknownJob);
+    CPPUNIT_TEST(keepsJobThatWasCancelledAhead);
     CPPUNIT_TEST(keepsStateForItsTime);
     CPPUNIT_TEST(handOverDoesNotProlongRetention);
     CPPUNIT_TEST(removesOrphanedRecords);
@@ -246,6 +248,38 @@
         CPPUNIT_ASSERT(!test.retention_.addRow(jobId, stale));
     }
 
+    /** Guards against a row for each id that was ever cancelled in vain. */
+    void removesCancellationOfUnknownJob()
+    {
+        RetentionUnderTest test;
+        test.put(jobId, cancelKey(jobId));
+        test.retention_.jobEnded(jobId, bootTimeNow());
+        test.retention_.start();
+        test.runFor(collection);
+        CPPUNIT_ASSERT(!test.isStored(cancelKey(jobId)));
+        CPPUNIT_ASSERT(test.recordsToRemove_.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), test.removed_.size());
+    }
+
+    /** A submission that arrives after its cancellation is kept for as long as any ended job. */
+    void keepsJobThatWasCancelledAhead()
+    {
+        for (const bool isRowSeen : { true, false }) {
+            RetentionUnderTest test;
+            test.put(jobId, cancelKey(jobId));
+            test.retention_.jobEnded(jobId, bootTimeNow());
+            test.retention_.start();
+            test.runFor(30s);
+            test.put(jobId, jobId, isRowSeen);
+            test.runFor(collection * 2);
+            CPPUNIT_ASSERT(test.isStored(jobId) && test.isStored(cancelKey(jobId)));
+            test.retention_.addRow(jobId, { jobId, "value", test.lastVersion(), false });
+            test.retention_.jobEnded(jobId, bootTimeNow());
+            test.runFor(collection);
+            CPPUNIT_ASSERT(!test.isStored(jobId) && !test.isStored(cancelKey(jobId)));
+        }
+    }
+
     void keepsStateForItsTime()
     {
         VirtualPool virtualPool;
