tests: three findings of the linter

A constant local that is returned, a vector filled in a loop and a product in the narrower type.

RecoveryTest (9) and MalformedBytesTest (3) pass, the linter is clean on these files.

--- a/tests/node/malformedbytestest.cpp
+++ b/tests/node/malformedbytestest.cpp
@@ -79,7 +79,7 @@
         PoolFixture pool;
         pool.addWorker("w1");
         const auto scheduler = pool.scheduler("a");
-        const auto configuration = std::make_shared<PoolConfiguration>(testConfiguration());
+        auto configuration = std::make_shared<PoolConfiguration>(testConfiguration());
         configuration->organisations_.push_back({ "org", { "secret" }, 0 });
         for (const char* prefix : { "/public/", "/keyed/" }) {
             QueueConfiguration queue;
@@ -89,7 +89,7 @@
             queue.isPublic_ = queue.prefix_ == "/public/";
             configuration->queues_.push_back(queue);
         }
-        JobApi api(pool.context_, { [configuration] { return configuration; }, [] { return true; }, [&scheduler] { return scheduler->controller(); }, [&scheduler](const StoredRow& row) {
+        JobApi api(pool.context_, { [&configuration] { return configuration; }, [] { return true; }, [&scheduler] { return scheduler->controller(); }, [&scheduler](const StoredRow& row) {
                                        if (scheduler->controller() != nullptr)
                                            scheduler->controller()->handleStoredIntake(row); } });
         Mutator mutator;
--- a/tests/node/storetest.cpp
+++ b/tests/node/storetest.cpp
@@ -318,6 +318,7 @@
         CPPUNIT_ASSERT(isReset);
         // Other events are served between any two pages.
         std::vector<int> pages;
+        pages.reserve(rowsByServed.size());
         for (const auto& [events, rows] : rowsByServed)
             pages.push_back(rows);
         CPPUNIT_ASSERT(pages == std::vector<int>({ 10, 10, 10, 5 }));
--- a/tests/pool/recoverytest.cpp
+++ b/tests/pool/recoverytest.cpp
@@ -210,7 +210,7 @@
         PoolScheduler scheduler = startedGang();
         for (int run = 1; run <= policy().maxAttempts_; ++run) {
             CPPUNIT_ASSERT(scheduler.state().jobs_.at(jobId).isOpen());
-            reportFailures(scheduler, run, 0, gangTasks, run * gangTasks);
+            reportFailures(scheduler, run, 0, gangTasks, std::int64_t(run) * gangTasks);
             CPPUNIT_ASSERT_EQUAL(run, scheduler.state().jobs_.at(jobId).units_.front().failures_);
             startAll(scheduler, start + run * 1min);
         }
