tests: malformed requests reach what they are to test

The controller's part in removing the cancel row of an unknown job had no test: cancelRowOfUnknownJobIsRemovedInTime fails without it, and without the time in the row. The tests of JobRetention that hadn't been shown to fail do so: the record before the intake rows, unbounded transactions, no retention time, a record removed that never was.

--- a/tests/node/jobretentiontest.cpp
+++ b/tests/node/jobretentiontest.cpp
@@ -102,6 +102,7 @@
     CPPUNIT_TEST(handOverDoesNotProlongRetention);
     CPPUNIT_TEST(removesOrphanedRecords);
     CPPUNIT_TEST(runsNewJobWithTheIdOfARemovedOne);
+    CPPUNIT_TEST(cancelRowOfUnknownJobIsRemovedInTime);
     CPPUNIT_TEST_SUITE_END();
 
     void removesIntakeThenRecord()
@@ -335,6 +336,22 @@
         CPPUNIT_ASSERT(!pool.store_.value(JobRecorder::table, std::string(jobId) + ".7.000000000001"));
     }
 
+    /** Guards against a row for each id that was ever cancelled in vain: its time counts from the cancellation, also across hand-overs. */
+    void cancelRowOfUnknownJobIsRemovedInTime()
+    {
+        VirtualPool virtualPool;
+        PoolFixture& pool = virtualPool.pool_;
+        pool.settings_.endedJobTime_ = 100s;
+        auto scheduler = pool.scheduler("a");
+        virtualPool.runFor(1s);
+        pool.store_.put(intakeTable, cancelKey(jobId), encodeCancellation(wholeMilliseconds(bootTimeNow().time_since_epoch())), intakePartOf(jobId));
+        virtualPool.runFor(155s);
+        CPPUNIT_ASSERT(pool.store_.value(intakeTable, cancelKey(jobId)).has_value());
+        scheduler = pool.scheduler("b");
+        virtualPool.runFor(collection + 10s);
+        CPPUNIT_ASSERT(!pool.store_.value(intakeTable, cancelKey(jobId)));
+    }
+
     void runsNewJobWithTheIdOfARemovedOne()
     {
         VirtualPool virtualPool;
--- a/tests/node/malformedbytestest.cpp
+++ b/tests/node/malformedbytestest.cpp
@@ -97,11 +97,15 @@
         unsigned answers = 0;
         for (unsigned round = 0; round < rounds_; ++round) {
             ServerRequest request;
-            request.method_ = mutator.mutate(mutator.pick({ "GET", "POST", "DELETE", "PUT" }));
-            request.path_ = mutator.mutate(mutator.pick({ "/public/", "/keyed/", "/public/00000000000000AB", "/keyed/00000000000000ab", "/public/00000000000000cd?x" }));
-            request.host_ = mutator.mutate("host:80");
-            request.authorization_ = mutator.mutate("secret");
-            request.body_ = mutator.mutate(mutator.pick({ "{}", "bad", R"({"spec":"x","steps":[{"count":1}]})" }));
+            request.method_ = mutator.pick({ "GET", "POST", "DELETE", "PUT" });
+            request.path_ = mutator.pick({ "/public/", "/keyed/", "/public/00000000000000AB", "/keyed/00000000000000ab", "/public/00000000000000cd?x" });
+            request.host_ = "host:80";
+            request.authorization_ = "secret";
+            request.body_ = mutator.pick({ "{}", "bad", R"({"spec":"x","steps":[{"count":1}]})" });
+            // One field at a time: a request that is malformed elsewhere is refused before the others are looked at.
+            const std::vector<std::string*> fields { &request.method_, &request.path_, &request.host_, &request.authorization_, &request.body_ };
+            std::string& field = *fields[mutator.below(fields.size())];
+            field = mutator.mutate(field);
             int answersOfRequest = 0;
             api.handle(request, [&](const ServerResponse& response) {
                 ++answersOfRequest;
