--- a/benchmarks/poolpassbench.cpp
+++ b/benchmarks/poolpassbench.cpp
@@ -80,7 +80,7 @@
             if (it == runs.end())
                 it = runs.begin();
             const Job& job = scheduler_.state().jobs_.at(it->first.task_.job_);
-            const std::set<RunId> ended = job.units_[it->second.unit_].openRuns_;
+            const std::set<RunId> ended = job.unit(it->second.unit_).openRuns_;
             for (const RunId& run : ended)
                 report(run, EndReason::Done);
             for (const RunId& run : ended)
--- a/src/libfescuecleat/pool/crashreview.cpp
+++ b/src/libfescuecleat/pool/crashreview.cpp
@@ -112,7 +112,8 @@
             continue;
         startingJobs.insert(run.run_.task_.job_);
         const Job* const job = state_.findJob(run.run_.task_.job_);
-        hasProbe = hasProbe || (job != nullptr && job->units_[run.unit_].isSuspect());
+        const WorkUnit* const unit = job == nullptr ? nullptr : job->progress_.find(run.unit_);
+        hasProbe = hasProbe || (unit != nullptr && unit->isSuspect());
     }
     if (startingJobs.empty() || crash.hasOtherCause_)
         state_.unrelatedCrashesUntil_ = now_ + unrelatedCrashMemory;
@@ -123,7 +124,10 @@
         // A suspected task explains the crash, so those at work beside it are not to blame.
         if (job == nullptr || !job->isOpen() || (run.hasSurvivedStart_ && hasProbe))
             continue;
-        TaskCrashes& crashes = job->units_[run.unit_].crashes_[task.index_];
+        WorkUnit* const unit = job->progress_.find(run.unit_);
+        if (unit == nullptr)
+            continue; // another run of it has ended well since
+        TaskCrashes& crashes = unit->crashes_[task.index_];
         // A run whose start may still be executed moves with its worker from one incarnation to the next.
         if (!run.isConfirmed_ && run.run_.number_ <= crashes.lastRun_)
             continue;
--- a/src/libfescuecleat/pool/decisions.h
+++ b/src/libfescuecleat/pool/decisions.h
@@ -3,9 +3,9 @@
 #include "base/time.h"
 #include "pool/taskcrashes.h"
 #include "pool/taskid.h"
+#include "pool/unitid.h"
 #include "pool/workerinfo.h"
 
-#include <cstddef>
 #include <set>
 #include <string>
 #include <vector>
@@ -36,8 +36,7 @@
 /** A run that a worker may have been executing when it crashed. */
 struct InterruptedRun {
     RunId run_;
-    /** Index of the unit in Job::units_. */
-    std::size_t unit_ = 0;
+    UnitId unit_;
     Time startedAt_ {};
     /** The worker has shown that it had received the start. */
     bool isConfirmed_ = false;
--- a/src/libfescuecleat/pool/healthreview.cpp
+++ b/src/libfescuecleat/pool/healthreview.cpp
@@ -104,7 +104,7 @@
 void HealthReview::restartIfFaster(const SlowUnit& slow)
 {
     Job& job = *slow.job_;
-    const WorkUnit& unit = job.units_[slow.unit_];
+    const WorkUnit& unit = job.unit(slow.unit_);
     if (!job.isOpen() || unit.isRunAborted_ || unit.state_ != UnitState::Active || job.step(unit).maxUnavailable_ > 0)
         return;
     const StepSpec& step = job.step(unit);
@@ -146,7 +146,7 @@
             const Job* job = state_.findJob(id.task_.job_);
             if (job == nullptr || run.phase_ != RunPhase::Running)
                 continue;
-            const StepSpec& step = job->step(job->units_[run.unit_]);
+            const StepSpec& step = job->step(job->unit(run.unit_));
             const Duration left = worker.leavesAt_ - now_;
             const bool mayFinish = !step.isLongRunning_ && remainingOnWorker(run, step) < left + typicalDrainOverrun;
             const bool waitsForMargin = step.savesProgress_ && left > drainMargin;
@@ -156,7 +156,7 @@
     }
     for (const UnitKey& key : leavingUnits) {
         Job* job = state_.findJob(key.first);
-        if (job->isOpen() && !job->units_[key.second].isRunAborted_)
+        if (job->isOpen() && !job->unit(key.second).isRunAborted_)
             state_.stopUnit(*job, key.second, "its worker leaves", now_);
     }
 }
--- a/src/libfescuecleat/pool/healthreview.h
+++ b/src/libfescuecleat/pool/healthreview.h
@@ -2,7 +2,6 @@
 
 #include "pool/poolstate.h"
 
-#include <cstddef>
 #include <map>
 #include <set>
 #include <string>
@@ -22,13 +21,13 @@
     void run();
 
 private:
-    using UnitKey = std::pair<std::string, std::size_t>;
+    using UnitKey = std::pair<std::string, UnitId>;
 
     using RunIterator = std::map<RunId, TaskRun>::const_iterator;
 
     struct SlowUnit {
         Job* job_;
-        std::size_t unit_;
+        UnitId unit_;
         /** Median speed of the step's runs, in percent per second. */
         double medianSpeed_;
     };
--- a/src/libfescuecleat/pool/job.cpp
+++ b/src/libfescuecleat/pool/job.cpp
@@ -40,26 +40,11 @@
 
 TaskCrashes Job::crashesOf(const TaskId& task) const
 {
-    for (const WorkUnit& unit : units_) {
-        const auto crashes = unit.crashes_.find(task.index_);
-        if (unit.occurrence_ == task.occurrence_ && unit.step_ == task.step_ && crashes != unit.crashes_.end())
-            return crashes->second;
-    }
-    return {};
-}
-
-std::size_t Job::stepEnd(std::size_t first) const
-{
-    std::size_t end = first + 1;
-    while (end < units_.size() && units_[end].step_ == units_[first].step_ && units_[end].occurrence_ == units_[first].occurrence_)
-        ++end;
-    return end;
-}
-
-void Job::setUnitState(WorkUnit& unit, UnitState state)
-{
-    waitingUnits_ += (state == UnitState::Waiting ? 1 : 0) - (unit.state_ == UnitState::Waiting ? 1 : 0);
-    unit.state_ = state;
+    const WorkUnit* const unit = progress_.find(progress_.unitOf(task));
+    if (unit == nullptr)
+        return {};
+    const auto crashes = unit->crashes_.find(task.index_);
+    return crashes == unit->crashes_.end() ? TaskCrashes {} : crashes->second;
 }
 
 void Job::computeTargets()
--- a/src/libfescuecleat/pool/job.h
+++ b/src/libfescuecleat/pool/job.h
@@ -4,36 +4,37 @@
 #include "pool/jobpolicy.h"
 #include "pool/pooljobspec.h"
 #include "pool/pooljobstate.h"
-#include "pool/workunit.h"
+#include "pool/workprogress.h"
 
 #include <set>
 #include <string>
-#include <vector>
 
 namespace fescuecleat {
 
-/** A job with its units of work. */
+/** A job with its progress. */
 struct Job {
     std::string id_;
     PoolJobSpec spec_;
     JobPolicy policy_;
     Time submittedAt_ {};
     PoolJobState state_ = PoolJobState::Queued;
-    std::vector<WorkUnit> units_;
-    /** Number of occurrences whose units have been created. */
-    int openedOccurrences_ = 0;
+    WorkProgress progress_;
     /** Workers on which runs failed. */
     std::set<WorkerKey> failedOn_;
     /** A run has progressed or succeeded. */
     bool hasHealthyRun_ = false;
-    /** Number of units in state Waiting. */
-    int waitingUnits_ = 0;
     /** Latest completion that still earns full credit. */
     Time targetCompletion_ {};
     /** A completion after this time earns no credit. */
     Time creditExpiry_ {};
 
-    const StepSpec& step(const WorkUnit& unit) const { return spec_.steps_[static_cast<std::size_t>(unit.step_)]; }
+    const StepSpec& step(int index) const { return spec_.steps_[static_cast<std::size_t>(index)]; }
+    const StepSpec& step(const WorkUnit& unit) const { return step(unit.step_); }
+    /** How often the steps run. */
+    int occurrences() const { return spec_.isTimed() ? spec_.occurrences_ : 1; }
+    /** A unit that has started and is not done, or still has runs. */
+    WorkUnit& unit(const UnitId& id) { return *progress_.find(id); }
+    const WorkUnit& unit(const UnitId& id) const { return *progress_.find(id); }
     /** The job seems to fail on all workers: it has failed on several and no run was healthy. */
     bool isSuspect() const;
     /** Crashes of workers under one of its tasks. */
@@ -43,9 +44,6 @@
     Duration criticalPath() const;
     /** Accelerators that the widest step uses at once. */
     std::int64_t peakAccelerators() const;
-    /** Index after the last unit of the step and occurrence of `first`; such units are adjacent. */
-    std::size_t stepEnd(std::size_t first) const;
-    void setUnitState(WorkUnit&, UnitState);
     /** Computes the times that depend on the job's submission, specification and policy. */
     void computeTargets();
 };
--- a/src/libfescuecleat/pool/pooljobspec.h
+++ b/src/libfescuecleat/pool/pooljobspec.h
@@ -66,6 +66,8 @@
     std::int64_t periodMs_ = 0;
 
     bool isTimed() const { return occurrences_ > 0; }
+    /** Number of occurrences that are due at a time. */
+    int occurrencesDueAt(std::int64_t unixMs) const;
     std::int64_t dueUnixMs(int occurrence) const { return firstDueUnixMs_ + occurrence * periodMs_; }
 };
 
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -4,7 +4,6 @@
 #include "pool/healthreview.h"
 #include "pool/jobrecordrows.h"
 #include "pool/schedulingpass.h"
-#include "pool/tasknumbering.h"
 
 #include <algorithm>
 #include <tuple>
@@ -40,6 +39,7 @@
     job.spec_ = std::move(spec);
     job.policy_ = std::move(policy);
     job.submittedAt_ = submittedAt;
+    job.progress_ = WorkProgress(job.spec_);
     job.computeTargets();
     followQueue(job);
     Job& added = state_.jobs_.emplace(id, std::move(job)).first->second;
@@ -48,7 +48,7 @@
     if (record != nullptr)
         restore(added, *record, now);
     else if (!added.spec_.isTimed())
-        openOccurrence(added, 0, now);
+        added.progress_.open(1, now);
 }
 
 std::set<std::string> PoolScheduler::setQueueServices(std::uint64_t version, std::map<std::string, std::string> services)
@@ -75,51 +75,30 @@
 void PoolScheduler::restore(Job& job, const PoolJobRecord& record, Time now)
 {
     job.state_ = record.state_;
-    const TaskNumbering numbering(job.spec_);
-    int occurrences = job.spec_.isTimed() ? 0 : 1;
-    for (const UnitRecord& unit : record.units_)
-        occurrences = std::max(occurrences, unit.occurrence_ + 1);
-    for (const TaskRange& range : record.done_)
-        occurrences = std::max(occurrences, static_cast<int>(range.last_ / std::max<std::int64_t>(1, numbering.tasksPerOccurrence())) + 1);
-    for (int occurrence = 0; occurrence < occurrences; ++occurrence)
-        openOccurrence(job, occurrence, now);
-    restoreDoneUnits(job, record.done_, numbering);
-    for (const auto& [unit, stored] : unitRecords(job, record))
+    const std::map<UnitId, UnitRecord> units = unitRecords(job, record);
+    job.progress_.restoreDone(record.done_, job.occurrences(), now);
+    int started = job.spec_.isTimed() ? job.progress_.doneOccurrencesEnd() : 1;
+    for (const auto& [unit, stored] : units)
+        started = std::max(started, unit.occurrence_ + 1);
+    job.progress_.open(started, now);
+    for (const auto& [unit, stored] : units)
         restoreUnit(job, unit, stored, now);
-    if (isFinal(job.state_)) {
-        for (std::size_t i = 0; i < job.units_.size(); ++i) {
-            if (job.units_[i].state_ == UnitState::Active)
-                state_.stopUnit(job, i, "the job has ended", now);
-        }
-        return;
+    if (!isFinal(job.state_))
+        return completeIfDone(job);
+    for (const UnitId& unit : job.progress_.unitsWithRuns()) {
+        if (job.unit(unit).state_ == UnitState::Active)
+            state_.stopUnit(job, unit, "the job has ended", now);
     }
-    unblockReadyUnits(job, now);
-    completeIfDone(job);
 }
 
-void PoolScheduler::restoreDoneUnits(Job& job, std::vector<TaskRange> done, const TaskNumbering& numbering)
+std::map<UnitId, UnitRecord> PoolScheduler::unitRecords(const Job& job, const PoolJobRecord& record)
 {
-    const auto isBefore = [](const TaskRange& left, const TaskRange& right) { return left.first_ < right.first_; };
-    std::sort(done.begin(), done.end(), isBefore);
-    for (WorkUnit& unit : job.units_) {
-        const std::int64_t number = numbering.number(unit.occurrence_, unit.step_, unit.index_);
-        const auto next = std::upper_bound(done.begin(), done.end(), TaskRange { number, number }, isBefore);
-        if (next != done.begin() && number <= std::prev(next)->last_)
-            job.setUnitState(unit, UnitState::Done);
-    }
-}
-
-std::map<std::size_t, UnitRecord> PoolScheduler::unitRecords(const Job& job, const PoolJobRecord& record)
-{
-    std::map<std::tuple<int, int, int>, std::size_t> units;
-    for (std::size_t i = 0; i < job.units_.size(); ++i)
-        units[{ job.units_[i].occurrence_, job.units_[i].step_, job.units_[i].index_ }] = i;
-    std::map<std::size_t, UnitRecord> result;
+    std::map<UnitId, UnitRecord> result;
     for (const UnitRecord& stored : record.units_) {
-        const auto unit = units.find({ stored.occurrence_, stored.step_, stored.index_ });
-        if (unit == units.end())
+        const UnitId unit { stored.occurrence_, stored.step_, stored.index_ };
+        if (!job.progress_.contains(unit, job.occurrences()))
             continue;
-        const auto [entry, isNew] = result.emplace(unit->second, stored);
+        const auto [entry, isNew] = result.emplace(unit, stored);
         if (isNew)
             continue;
         // A gang has an entry in the row of each of its members. After a failover between two commits, some may be of an earlier run.
@@ -136,17 +115,16 @@
     return result;
 }
 
-void PoolScheduler::restoreUnit(Job& job, std::size_t unitIndex, const UnitRecord& stored, Time now)
+void PoolScheduler::restoreUnit(Job& job, const UnitId& id, const UnitRecord& stored, Time now)
 {
-    WorkUnit& unit = job.units_[unitIndex];
+    const bool isDone = stored.isDone_ || job.progress_.isDone(id);
+    WorkUnit& unit = job.progress_.start(id);
     unit.lastRun_ = stored.lastRun_;
     unit.failures_ = stored.failures_;
     unit.lastFailedRun_ = stored.lastFailedRun_;
     unit.checkpoint_ = stored.checkpoint_;
     for (const CrashRecord& crash : stored.crashes_)
         unit.crashes_[crash.index_] = crash.crashes_;
-    const bool isDone = stored.isDone_ || unit.state_ == UnitState::Done;
-    job.setUnitState(unit, isDone ? UnitState::Done : UnitState::Waiting);
     const Resources allocation = job.step(unit).allocation();
     std::size_t placed = 0;
     for (const PlacementRecord& placement : stored.placements_) {
@@ -164,7 +142,7 @@
         taskRun.worker_ = placement.worker_;
         taskRun.phase_ = RunPhase::Starting;
         taskRun.resources_ = allocation;
-        taskRun.unit_ = unitIndex;
+        taskRun.unit_ = id;
         taskRun.startedAt_ = now;
         // Fencing: the worker rejects requests of the former lease holder that are still in flight.
         taskRun.acknowledgedAt_ = now;
@@ -172,68 +150,21 @@
         unansweredStarts_.emplace_back(now, run);
         ++placed;
     }
-    if (placed == 0 || isDone)
+    if (isDone) {
+        job.progress_.setState(id, UnitState::Done, now);
+        return job.progress_.dropDone(id);
+    }
+    if (placed == 0)
         return;
-    job.setUnitState(unit, UnitState::Active);
+    job.progress_.setState(id, UnitState::Active, now);
     unit.startedAt_ = now;
     if (static_cast<int>(placed) < unit.taskCount_)
-        abortRun(job, unitIndex, "part of the gang had ended", now);
-}
-
-void PoolScheduler::openOccurrence(Job& job, int occurrence, Time now)
-{
-    for (std::size_t step = 0; step < job.spec_.steps_.size(); ++step) {
-        const StepSpec& spec = job.spec_.steps_[step];
-        WorkUnit unit;
-        unit.occurrence_ = occurrence;
-        unit.step_ = static_cast<int>(step);
-        unit.waitingSince_ = now;
-        if (spec.isGang_ && spec.taskCount_ > 1) {
-            unit.taskCount_ = spec.taskCount_;
-            job.units_.push_back(unit);
-            continue;
-        }
-        for (int index = 0; index < spec.taskCount_; ++index) {
-            unit.index_ = index;
-            job.units_.push_back(unit);
-        }
-    }
-    job.openedOccurrences_ = std::max(job.openedOccurrences_, occurrence + 1);
-    unblockReadyUnits(job, now);
-}
-
-void PoolScheduler::unblockReadyUnits(Job& job, Time now)
-{
-    const auto isStepDone = [&job](int occurrence, int step) {
-        for (const WorkUnit& unit : job.units_) {
-            if (unit.occurrence_ == occurrence && unit.step_ == step && unit.state_ != UnitState::Done)
-                return false;
-        }
-        return true;
-    };
-    for (std::size_t first = 0, end = 0; first < job.units_.size(); first = end) {
-        end = job.stepEnd(first);
-        // After a failover, some units of a step may have a record and others none.
-        const auto begin = job.units_.begin() + static_cast<std::ptrdiff_t>(first);
-        const auto isBlocked = [](const WorkUnit& unit) { return unit.state_ == UnitState::Blocked; };
-        if (std::none_of(begin, begin + static_cast<std::ptrdiff_t>(end - first), isBlocked))
-            continue;
-        bool isReady = true;
-        for (const int dependency : job.step(job.units_[first]).after_)
-            isReady = isReady && isStepDone(job.units_[first].occurrence_, dependency);
-        for (std::size_t i = first; isReady && i < end; ++i) {
-            if (!isBlocked(job.units_[i]))
-                continue;
-            job.setUnitState(job.units_[i], UnitState::Waiting);
-            job.units_[i].waitingSince_ = now;
-        }
-    }
+        abortRun(job, id, "part of the gang had ended", now);
 }
 
 void PoolScheduler::openDueOccurrences(Job& job, std::int64_t unixMs, Time now)
 {
-    while (job.openedOccurrences_ < job.spec_.occurrences_ && job.spec_.dueUnixMs(job.openedOccurrences_) <= unixMs)
-        openOccurrence(job, job.openedOccurrences_, now);
+    job.progress_.open(job.spec_.occurrencesDueAt(unixMs), now);
 }
 
 void PoolScheduler::cancelJob(const std::string& id, Time now)
@@ -247,10 +178,8 @@
 void PoolScheduler::endJob(Job& job, PoolJobState state, const std::string& cause, Time now)
 {
     job.state_ = state;
-    for (std::size_t i = 0; i < job.units_.size(); ++i) {
-        if (!job.units_[i].openRuns_.empty())
-            state_.stopUnit(job, i, cause, now);
-    }
+    for (const UnitId& unit : job.progress_.unitsWithRuns())
+        state_.stopUnit(job, unit, cause, now);
     state_.decisions_.changedJobs_.insert(job.id_);
 }
 
@@ -264,12 +193,8 @@
 bool PoolScheduler::forgetJob(const std::string& id)
 {
     const Job* job = state_.findJob(id);
-    if (job == nullptr || job->isOpen() || state_.decisions_.changedJobs_.count(id) > 0)
+    if (job == nullptr || job->isOpen() || state_.decisions_.changedJobs_.count(id) > 0 || !job->progress_.unitsWithRuns().empty())
         return false;
-    for (const WorkUnit& unit : job->units_) {
-        if (!unit.openRuns_.empty())
-            return false;
-    }
     state_.jobs_.erase(id);
     timedJobs_.erase(id);
     return true;
@@ -315,7 +240,7 @@
     const auto job = state_.jobs_.find(run.task_.job_);
     if (!worker.isDescribed_ || job == state_.jobs_.end())
         return false;
-    const StepSpec& step = job->second.step(job->second.units_[taskRun.unit_]);
+    const StepSpec& step = job->second.step(taskRun.unit_.step_);
     if (!isEligible(worker.info_, step, job->second.policy_.service_) || !worker.info_.capacity_.contains(worker.used_ + worker.unrecorded_))
         return false;
     if (step.maxTasksPerWorker_ == 0)
@@ -377,7 +302,7 @@
     for (const RunId& id : std::set<RunId>(worker->startingRuns_)) {
         TaskRun& run = state_.runs_.at(id);
         const Job* const job = state_.findJob(id.task_.job_);
-        if (job != nullptr && state_.isAtWorkSince(job->units_[run.unit_], upUntil - minHealthyRunTime))
+        if (job != nullptr && state_.isAtWorkSince(job->unit(run.unit_), upUntil - minHealthyRunTime))
             state_.noteSurvivedStart(id, run);
     }
     state_.noteSilence(*worker, now);
@@ -515,11 +440,11 @@
         Job* job = state_.findJob(reported.run_.task_.job_);
         if (job == nullptr)
             continue;
-        if (!run.hasSurvivedStart_ && state_.isAtWorkSince(job->units_[run.unit_], requestedAt - minHealthyRunTime))
+        if (!run.hasSurvivedStart_ && state_.isAtWorkSince(job->unit(run.unit_), requestedAt - minHealthyRunTime))
             state_.noteSurvivedStart(reported.run_, run);
         clearOfCrashes(*job, reported.run_, run, requestedAt);
         if (!reported.checkpoint_.empty())
-            job->units_[run.unit_].checkpoint_ = reported.checkpoint_;
+            job->unit(run.unit_).checkpoint_ = reported.checkpoint_;
         if (run.phase_ == RunPhase::Running && reported.percentDone_ > 0 && run.startedAt_ + minHealthyRunTime < now)
             noteHealthyRun(*job, run);
     }
@@ -544,7 +469,7 @@
 
 void PoolScheduler::clearOfCrashes(Job& job, const RunId& run, const TaskRun& taskRun, Time now)
 {
-    WorkUnit& unit = job.units_[taskRun.unit_];
+    WorkUnit& unit = job.unit(taskRun.unit_);
     const auto crashes = unit.crashes_.find(run.task_.index_);
     if (crashes == unit.crashes_.end() || !taskRun.hasSurvivedStart_ || !state_.isAtWorkSince(unit, now - crashes->second.longestRun_))
         return;
@@ -570,29 +495,28 @@
     Job* job = state_.findJob(run.task_.job_);
     if (job == nullptr)
         return state_.releaseRun(run, now);
-    WorkUnit& unit = job->units_[taskRun.unit_];
+    WorkUnit& unit = job->unit(taskRun.unit_);
     if (!checkpoint.empty())
         unit.checkpoint_ = checkpoint;
     const bool isLongRunning = job->step(unit).isLongRunning_;
     if (reason == EndReason::Done && !isLongRunning) {
-        job->setUnitState(unit, UnitState::Done);
+        job->progress_.setState(taskRun.unit_, UnitState::Done, now);
         noteHealthyRun(*job, taskRun);
     }
-    if (reason == EndReason::Failed && unit.state_ != UnitState::Done)
+    const bool isDone = unit.state_ == UnitState::Done;
+    if (reason == EndReason::Failed && !isDone)
         recordFailure(*job, unit, run.number_, taskRun, now);
     state_.releaseRun(run, now);
-    if (unit.state_ == UnitState::Done) {
-        unblockReadyUnits(*job, now);
-        completeIfDone(*job);
-        return;
-    }
+    // A done unit is dropped with its last run.
+    if (isDone)
+        return completeIfDone(*job);
     if (job->isOpen() && !unit.openRuns_.empty())
         abortRun(*job, taskRun.unit_, "another task of the gang ended", now);
 }
 
-void PoolScheduler::abortRun(Job& job, std::size_t unit, const std::string& cause, Time now)
+void PoolScheduler::abortRun(Job& job, const UnitId& unit, const std::string& cause, Time now)
 {
-    if (!job.units_[unit].isRunAborted_)
+    if (!job.unit(unit).isRunAborted_)
         state_.stopUnit(job, unit, cause, now);
 }
 
@@ -643,15 +567,8 @@
 
 void PoolScheduler::completeIfDone(Job& job)
 {
-    if (!job.isOpen())
-        return;
-    const int occurrences = job.spec_.isTimed() ? job.spec_.occurrences_ : 1;
-    if (job.openedOccurrences_ < occurrences)
+    if (!job.isOpen() || !job.progress_.areDone(job.occurrences()))
         return;
-    for (const WorkUnit& unit : job.units_) {
-        if (unit.state_ != UnitState::Done)
-            return;
-    }
     job.state_ = PoolJobState::Completed;
     state_.decisions_.changedJobs_.insert(job.id_);
 }
@@ -716,7 +633,7 @@
     if (answer == StartAnswer::Refused && taskRun.phase_ == RunPhase::Starting) {
         Job* job = state_.findJob(run.task_.job_);
         if (job != nullptr) {
-            job->units_[taskRun.unit_].retryAt_ = now + refusalBackoff;
+            job->unit(taskRun.unit_).retryAt_ = now + refusalBackoff;
             retryTimes_.push_back(now + refusalBackoff);
         }
         if (!taskRun.mayStartLate_ || job == nullptr)
@@ -746,7 +663,7 @@
 
 void PoolScheduler::abortStalledStarts(Time now)
 {
-    std::vector<std::pair<std::string, std::size_t>> stalled;
+    std::vector<std::pair<std::string, UnitId>> stalled;
     while (!unansweredStarts_.empty() && unansweredStarts_.front().first + startTimeout < now) {
         const auto entry = state_.runs_.find(unansweredStarts_.front().second);
         if (entry != state_.runs_.end() && entry->second.phase_ == RunPhase::Starting)
@@ -781,9 +698,9 @@
     Time wake = now + maxScheduleInterval;
     for (const std::string& id : timedJobs_) {
         const Job& job = state_.jobs_.at(id);
-        if (!job.isOpen() || job.openedOccurrences_ >= job.spec_.occurrences_)
+        if (!job.isOpen() || job.progress_.openedOccurrences() >= job.spec_.occurrences_)
             continue;
-        const std::int64_t left = std::max<std::int64_t>(1, job.spec_.dueUnixMs(job.openedOccurrences_) - unixMs);
+        const std::int64_t left = std::max<std::int64_t>(1, job.spec_.dueUnixMs(job.progress_.openedOccurrences()) - unixMs);
         wake = std::min<Time>(wake, now + std::chrono::milliseconds(std::min<std::int64_t>(left, 1000)));
     }
     const auto retry = std::upper_bound(retryTimes_.begin(), retryTimes_.end(), now);
@@ -802,14 +719,14 @@
     if (found == state_.jobs_.end())
         return record;
     const Job& job = found->second;
-    const TaskNumbering numbering(job.spec_);
     record.state_ = job.state_;
-    for (const WorkUnit& unit : job.units_) {
+    if (job.isOpen()) {
+        for (const TaskRange& range : job.progress_.doneTasks())
+            record.addDone(range);
+    }
+    for (const WorkUnit* started : job.progress_.started()) {
+        const WorkUnit& unit = *started;
         const bool isDone = unit.state_ == UnitState::Done;
-        if (isDone && job.isOpen()) {
-            const std::int64_t first = numbering.number(unit.occurrence_, unit.step_, unit.index_);
-            record.addDone({ first, first + unit.taskCount_ - 1 });
-        }
         // What is done or belongs to an ended job never starts again; only its open runs are still to be ended.
         if (unit.lastRun_ == 0 || ((isDone || !job.isOpen()) && unit.openRuns_.empty()))
             continue;
@@ -835,7 +752,7 @@
         return {};
     PoolJobRecord stored = record(id);
     stored.endedMs_ = job->second.isOpen() ? 0 : nowMs;
-    return JobRecordRows(id, stored, TaskNumbering(job->second.spec_), maxRowBytes).values();
+    return JobRecordRows(id, stored, job->second.progress_.numbering(), maxRowBytes).values();
 }
 
 std::map<std::string, int> PoolScheduler::waitingJobs() const
--- a/src/libfescuecleat/pool/poolscheduler.h
+++ b/src/libfescuecleat/pool/poolscheduler.h
@@ -3,7 +3,6 @@
 #include "pool/pooljobrecord.h"
 #include "pool/poolstate.h"
 #include "pool/poolworkerreport.h"
-#include "pool/tasknumbering.h"
 
 #include <cstdint>
 #include <deque>
@@ -96,13 +95,10 @@
     /** Takes the service of the job's queue if the configuration is newer than the one that the job has it from; returns whether it has changed. */
     bool followQueue(Job&) const;
     void openDueOccurrences(Job&, std::int64_t unixMs, Time now);
-    void openOccurrence(Job&, int occurrence, Time now);
-    void unblockReadyUnits(Job&, Time now);
     void restore(Job&, const PoolJobRecord&, Time now);
-    static void restoreDoneUnits(Job&, std::vector<TaskRange> done, const TaskNumbering&);
-    /** The entries of a record by the indexes of their units. */
-    static std::map<std::size_t, UnitRecord> unitRecords(const Job&, const PoolJobRecord&);
-    void restoreUnit(Job&, std::size_t unit, const UnitRecord&, Time now);
+    /** The entries of a record by their units. */
+    static std::map<UnitId, UnitRecord> unitRecords(const Job&, const PoolJobRecord&);
+    void restoreUnit(Job&, const UnitId&, const UnitRecord&, Time now);
     void applyEnd(const RunId&, EndReason, const std::string& checkpoint, Time now);
     /** Whether the worker, with all that it may run, is one that the run may start on. */
     bool isSuitable(const PoolWorkerState&, const RunId&, const TaskRun&) const;
@@ -119,7 +115,7 @@
     /** Forgets the crashes under a task whose run has outlived them. */
     void clearOfCrashes(Job&, const RunId&, const TaskRun&, Time now);
     void giveUp(const RunId&, const std::string& cause, Time now);
-    void abortRun(Job&, std::size_t unit, const std::string& cause, Time now);
+    void abortRun(Job&, const UnitId&, const std::string& cause, Time now);
     /** Counts the failure of the unit's run `number` once. */
     void recordFailure(Job&, WorkUnit&, int number, const TaskRun&, Time now);
     /** Blames the worker for a failed run unless the job seems to fail everywhere. */
--- a/src/libfescuecleat/pool/poolstate.cpp
+++ b/src/libfescuecleat/pool/poolstate.cpp
@@ -51,12 +51,12 @@
     });
 }
 
-void PoolState::place(Job& job, std::size_t unitIndex, const std::vector<PoolWorkerState*>& workers, Time now)
+void PoolState::place(Job& job, const UnitId& id, const std::vector<PoolWorkerState*>& workers, Time now)
 {
-    WorkUnit& unit = job.units_[unitIndex];
+    WorkUnit& unit = job.progress_.start(id);
     const Resources allocation = job.step(unit).allocation();
     ++unit.lastRun_;
-    job.setUnitState(unit, UnitState::Active);
+    job.progress_.setState(id, UnitState::Active, now);
     unit.isRunAborted_ = false;
     unit.startedAt_ = now;
     for (std::size_t i = 0; i < workers.size(); ++i) {
@@ -66,7 +66,7 @@
         taskRun.worker_ = workers[i]->info_.key_;
         workers[i]->health_.runStarted(now);
         taskRun.resources_ = allocation;
-        taskRun.unit_ = unitIndex;
+        taskRun.unit_ = id;
         taskRun.startedAt_ = now;
         addRun(run, taskRun, job);
         decisions_.starts_.push_back({ run, taskRun.worker_, unit.checkpoint_ });
@@ -83,10 +83,10 @@
     worker.runs_.insert(run);
     if (!taskRun.hasSurvivedStart_) {
         worker.startingRuns_.insert(run);
-        if (job.units_[taskRun.unit_].isSuspect())
+        if (job.unit(taskRun.unit_).isSuspect())
             worker.probes_.insert(run);
     }
-    job.units_[taskRun.unit_].openRuns_.insert(run);
+    job.unit(taskRun.unit_).openRuns_.insert(run);
     if (job.policy_.priority_ == 0)
         urgentAccelerators_ += taskRun.resources_.accelerators_;
     runs_.emplace(run, taskRun);
@@ -127,7 +127,7 @@
     move(current, true);
     current.runs_.insert(run);
     current.startingRuns_.insert(run);
-    if (job != nullptr && job->units_[taskRun.unit_].isSuspect())
+    if (job != nullptr && job->unit(taskRun.unit_).isSuspect())
         current.probes_.insert(run);
     if (taskRun.phase_ == RunPhase::Stopping) {
         // The new incarnation doesn't know of a stop that the former one confirmed.
@@ -138,9 +138,9 @@
     decisions_.changedJobs_.insert(run.task_.job_);
 }
 
-void PoolState::stopUnit(Job& job, std::size_t unitIndex, const std::string& cause, Time now)
+void PoolState::stopUnit(Job& job, const UnitId& id, const std::string& cause, Time now)
 {
-    WorkUnit& unit = job.units_[unitIndex];
+    WorkUnit& unit = job.unit(id);
     unit.isRunAborted_ = true;
     for (const RunId& run : std::set<RunId>(unit.openRuns_)) {
         const auto entry = runs_.find(run);
@@ -176,12 +176,13 @@
         return;
     if (job->policy_.priority_ == 0)
         urgentAccelerators_ -= taskRun.resources_.accelerators_;
-    WorkUnit& unit = job->units_[taskRun.unit_];
+    WorkUnit& unit = job->unit(taskRun.unit_);
     unit.openRuns_.erase(run);
     if (unit.openRuns_.empty() && unit.state_ == UnitState::Active) {
-        job->setUnitState(unit, UnitState::Waiting);
+        job->progress_.setState(taskRun.unit_, UnitState::Waiting, now);
         unit.waitingSince_ = now;
     }
+    job->progress_.dropDone(taskRun.unit_);
     decisions_.changedJobs_.insert(job->id_);
 }
 
--- a/src/libfescuecleat/pool/preemption.cpp
+++ b/src/libfescuecleat/pool/preemption.cpp
@@ -31,7 +31,7 @@
     // Runs are ordered by job, so each job is looked up once.
     Job* job = nullptr;
     int rank = 0;
-    std::unordered_map<std::size_t, std::size_t> victimOfUnit;
+    std::unordered_map<const WorkUnit*, std::size_t> victimOfUnit;
     for (const auto& [id, run] : state.runs_) {
         if (job == nullptr || job->id_ != id.task_.job_) {
             job = state.findJob(id.task_.job_);
@@ -40,10 +40,10 @@
             rank = rankOf_(*job);
             victimOfUnit.clear();
         }
-        const WorkUnit& unit = job->units_[run.unit_];
+        const WorkUnit& unit = job->unit(run.unit_);
         if (rank == 0 || run.phase_ == RunPhase::Stopping || unit.state_ != UnitState::Active || job->step(unit).maxUnavailable_ > 0)
             continue;
-        const auto [known, isNew] = victimOfUnit.emplace(run.unit_, victims_.size());
+        const auto [known, isNew] = victimOfUnit.emplace(&unit, victims_.size());
         if (isNew)
             victims_.push_back({ job, run.unit_, rank, std::max(0.0, seconds(now_ - unit.startedAt_)), {} });
         Victim& victim = victims_[known->second];
@@ -55,7 +55,7 @@
     for (std::size_t i = 0; i < victims_.size(); ++i) {
         allVictims_[i] = i;
         Victim& victim = victims_[i];
-        const WorkUnit& unit = victim.job_->units_[victim.unit_];
+        const WorkUnit& unit = victim.job_->unit(victim.unit_);
         const StepSpec& step = victim.job_->step(unit);
         // So far, the cost is the progress in seconds.
         const double lostSeconds = step.savesProgress_ ? restartSeconds : victim.cost_;
--- a/src/libfescuecleat/pool/preemption.h
+++ b/src/libfescuecleat/pool/preemption.h
@@ -19,7 +19,7 @@
     /** A running unit that may be stopped. */
     struct Victim {
         Job* job_;
-        std::size_t unit_;
+        UnitId unit_;
         int rank_;
         /** Work lost if it is stopped, in core-seconds. */
         double cost_;
--- a/src/libfescuecleat/pool/schedulingpass.cpp
+++ b/src/libfescuecleat/pool/schedulingpass.cpp
@@ -47,32 +47,82 @@
 {
     selectGuaranteedJobs();
     reserveHeadroom();
-    const auto maxReservations = static_cast<int>(std::ceil(maxReservedRackShare * static_cast<double>(view_.racks().size())));
-    int reservations = 0;
-    for (const Candidate& candidate : candidates()) {
-        const std::optional<PlacementRequest> unplaced = placeUnits(candidate);
-        const bool isGang = candidate.job_->units_[candidate.firstUnit_].isGang();
-        if (unplaced && isGang && candidate.rank_ >= Ordinary && !candidate.isExpired_ && reservations < maxReservations) {
-            view_.reserveRack(*unplaced);
-            ++reservations;
+    for (const Candidate& candidate : candidates())
+        placeCandidate(candidate);
+}
+
+void SchedulingPass::placeCandidate(const Candidate& candidate)
+{
+    const WorkProgress& progress = candidate.job_->progress_;
+    // Steps with waiting units by the next occurrence that has some, so that earlier occurrences come first.
+    std::set<std::pair<int, int>> queue;
+    std::set<int> exhaustedSteps;
+    const auto enqueue = [&](int index, int firstOccurrence) {
+        const StepProgress& step = progress.step(index);
+        const std::int64_t from = step.unitsOf(firstOccurrence).first_;
+        const auto next = exhaustedSteps.count(index) > 0 ? step.firstRestarting(from) : step.firstWaiting(from);
+        if (next)
+            queue.emplace(step.occurrenceOf(*next), index);
+    };
+    for (const int step : candidate.steps_)
+        enqueue(step, 0);
+    while (!queue.empty()) {
+        const auto [occurrence, step] = *queue.begin();
+        queue.erase(queue.begin());
+        if (const auto unplaced = placeUnits(candidate, step, occurrence)) {
+            const bool isRackReserved = reserveRack(candidate, unplaced->request_);
+            if (unplaced->outcome_ == Outcome::Unplaced && unplaced->isTypical_ && !isRackReserved)
+                exhaustedSteps.insert(step);
         }
+        enqueue(step, occurrence + 1);
     }
 }
 
-std::optional<PlacementRequest> SchedulingPass::placeUnits(const Candidate& candidate)
+bool SchedulingPass::reserveRack(const Candidate& candidate, const PlacementRequest& request)
+{
+    const auto maxReservations = static_cast<int>(std::ceil(maxReservedRackShare * static_cast<double>(view_.racks().size())));
+    if (request.taskCount_ == 1 || candidate.rank_ < Ordinary || candidate.isExpired_ || reservedRacks_ >= maxReservations)
+        return false;
+    view_.reserveRack(request);
+    ++reservedRacks_;
+    return true;
+}
+
+std::optional<SchedulingPass::UnplacedUnit> SchedulingPass::placeUnits(const Candidate& candidate, int stepIndex, int occurrence)
 {
-    for (std::size_t i = candidate.firstUnit_; i < candidate.endUnit_; ++i) {
-        const WorkUnit& unit = candidate.job_->units_[i];
-        if (!isWaiting(*candidate.job_, unit))
+    const Job& job = *candidate.job_;
+    const StepProgress& step = job.progress_.step(stepIndex);
+    const Interval units = step.unitsOf(occurrence);
+    const bool hasWorkerLimit = job.step(stepIndex).maxTasksPerWorker_ > 0;
+    std::map<WorkerKey, int> placed;
+    if (hasWorkerLimit) {
+        const auto end = step.started().upper_bound(units.last_);
+        for (auto started = step.started().lower_bound(units.first_); started != end; ++started)
+            countPlacedTasks(started->second, placed);
+    }
+    for (auto number = step.firstWaiting(units.first_); number && *number <= units.last_; number = step.firstWaiting(*number + 1)) {
+        const WorkUnit* const started = step.find(*number);
+        const UnitId unit = step.idOf(*number);
+        if ((started != nullptr && started->retryAt_ > now_) || isActiveWithoutRecord(job, unit))
             continue;
-        PlacementRequest request = placementRequest(candidate, unit);
+        PlacementRequest request = placementRequest(candidate, unit, started);
+        request.placedTasks_ = placed;
+        const Outcome outcome = place(candidate, unit, request);
         // The step's tasks have the same requirements: if one doesn't fit, the others don't either.
-        if (!place(candidate, i, request))
-            return request;
+        if (outcome != Outcome::Placed)
+            return UnplacedUnit { std::move(request), outcome, started == nullptr && placed.empty() };
+        if (hasWorkerLimit)
+            countPlacedTasks(job.unit(unit), placed);
     }
     return std::nullopt;
 }
 
+void SchedulingPass::countPlacedTasks(const WorkUnit& unit, std::map<WorkerKey, int>& placed) const
+{
+    for (const RunId& run : unit.openRuns_)
+        ++placed[state_.runs_.at(run).worker_];
+}
+
 void SchedulingPass::selectGuaranteedJobs()
 {
     std::map<std::string, std::vector<const Job*>> urgent;
@@ -117,17 +167,15 @@
 {
     std::vector<Candidate> result;
     for (auto& [id, job] : state_.jobs_) {
-        if (!job.isOpen() || job.waitingUnits_ == 0)
+        if (!job.isOpen() || !job.progress_.hasWaiting())
             continue;
+        std::map<Time, std::vector<int>> stepsByLatestStart;
+        for (const int step : job.progress_.waitingSteps())
+            stepsByLatestStart[job.targetCompletion_ - job.step(step).estimate_].push_back(step);
         const int rank = rankOf(job);
         const bool isExpired = now_ > job.creditExpiry_;
-        for (std::size_t first = 0, end = 0; first < job.units_.size(); first = end) {
-            end = job.stepEnd(first);
-            const auto waiting = std::find_if(job.units_.begin() + static_cast<std::ptrdiff_t>(first), job.units_.begin() + static_cast<std::ptrdiff_t>(end), [this, &job = job](const WorkUnit& unit) { return isWaiting(job, unit); });
-            const auto index = static_cast<std::size_t>(waiting - job.units_.begin());
-            if (index < end)
-                result.push_back({ &job, index, end, rank, isExpired, job.targetCompletion_ - job.step(*waiting).estimate_ });
-        }
+        for (auto& [latestStart, steps] : stepsByLatestStart)
+            result.push_back({ &job, std::move(steps), rank, isExpired, latestStart });
     }
     const auto order = [this](const Candidate& candidate) {
         // A job that is late anyway waits for those that can still be in time. Guaranteed ones keep their turn.
@@ -138,36 +186,32 @@
     return result;
 }
 
-bool SchedulingPass::isActiveWithoutRecord(const Job& job, const WorkUnit& unit) const
+bool SchedulingPass::isActiveWithoutRecord(const Job& job, const UnitId& unit) const
 {
     if (unrecordedTasks_.empty())
         return false;
     // The index of a gang's unit is below those of its tasks.
     const TaskId first { job.id_, unit.occurrence_, unit.step_, unit.index_ };
     const auto found = unrecordedTasks_.lower_bound(first);
-    return found != unrecordedTasks_.end() && (unit.isGang() ? areOfOneStep(*found, first) : *found == first);
+    return found != unrecordedTasks_.end() && (unit.index_ < 0 ? areOfOneStep(*found, first) : *found == first);
 }
 
-PlacementRequest SchedulingPass::placementRequest(const Candidate& candidate, const WorkUnit& unit) const
+PlacementRequest SchedulingPass::placementRequest(const Candidate& candidate, const UnitId& unit, const WorkUnit* started) const
 {
+    const Job& job = *candidate.job_;
     PlacementRequest request;
-    request.step_ = &candidate.job_->step(unit);
-    request.service_ = &candidate.job_->policy_.service_;
-    request.task_ = { candidate.job_->id_, unit.occurrence_, unit.step_, unit.index_ };
-    request.taskCount_ = unit.taskCount_;
-    request.avoidedWorkers_ = &unit.failedOn_;
-    for (const auto& [index, crashes] : unit.crashes_)
-        request.avoidedMachines_.insert(crashes.machines_.begin(), crashes.machines_.end());
-    request.isProbe_ = unit.isSuspect() && now_ < unit.waitingSince_ + maxProbeWait;
-    if (request.step_->maxTasksPerWorker_ > 0) {
-        for (const WorkUnit& other : candidate.job_->units_) {
-            if (other.occurrence_ != unit.occurrence_ || other.step_ != unit.step_)
-                continue;
-            for (const RunId& run : other.openRuns_)
-                ++request.placedTasks_[state_.runs_.at(run).worker_];
-        }
+    request.step_ = &job.step(unit.step_);
+    request.service_ = &job.policy_.service_;
+    request.task_ = { job.id_, unit.occurrence_, unit.step_, unit.index_ };
+    request.taskCount_ = job.progress_.step(unit.step_).taskCount();
+    const Time waitingSince = started == nullptr ? job.progress_.readySince(unit) : started->waitingSince_;
+    if (started != nullptr) {
+        request.avoidedWorkers_ = &started->failedOn_;
+        for (const auto& [index, crashes] : started->crashes_)
+            request.avoidedMachines_.insert(crashes.machines_.begin(), crashes.machines_.end());
+        request.isProbe_ = started->isSuspect() && now_ < waitingSince + maxProbeWait;
     }
-    request.maySpanRacks_ = !shouldWaitForRack(candidate, unit, request);
+    request.maySpanRacks_ = !shouldWaitForRack(candidate, waitingSince, request);
     // Tasks that save their progress leave the headroom at almost no cost.
     request.mayUseHeadroom_ = candidate.rank_ <= Urgent || request.step_->savesProgress_ || (!candidate.isExpired_ && candidate.latestStart_ - headroomStartMargin < now_);
     // The headroom is chosen whatever the workers are, and an expired unit has no time at which it takes it anyway.
@@ -176,31 +220,31 @@
     return request;
 }
 
-bool SchedulingPass::shouldWaitForRack(const Candidate& candidate, const WorkUnit& unit, const PlacementRequest& request) const
+bool SchedulingPass::shouldWaitForRack(const Candidate& candidate, Time waitingSince, const PlacementRequest& request) const
 {
     if (!request.step_->wantsOneRack_ || !view_.fitsEmptyRack(request))
         return false;
-    const Time timeoutAt = unit.waitingSince_ + std::chrono::duration_cast<Duration>(state_.guaranteeLimit_ * rackWaitShare);
+    const Time timeoutAt = waitingSince + std::chrono::duration_cast<Duration>(state_.guaranteeLimit_ * rackWaitShare);
     return now_ < (candidate.rank_ == Guaranteed ? std::min(timeoutAt, candidate.latestStart_) : candidate.latestStart_);
 }
 
-bool SchedulingPass::place(const Candidate& candidate, std::size_t unit, const PlacementRequest& request)
+SchedulingPass::Outcome SchedulingPass::place(const Candidate& candidate, const UnitId& unit, const PlacementRequest& request)
 {
     const Resources allocation = request.step_->allocation();
     if (const auto placement = view_.find(request, CapacityKind::Free)) {
         view_.reserve(*placement, allocation);
         state_.place(*candidate.job_, unit, *placement, now_);
-        return true;
+        return Outcome::Placed;
     }
     if (const auto placement = view_.find(request, CapacityKind::Projected)) {
         view_.reserve(*placement, allocation);
-        return false;
+        return Outcome::Reserved;
     }
-    if (candidate.rank_ <= Urgent && preempt(candidate, request)) {
-        if (const auto placement = view_.find(request, CapacityKind::Projected))
-            view_.reserve(*placement, allocation);
-    }
-    return false;
+    if (candidate.rank_ > Urgent || !preempt(candidate, request))
+        return Outcome::Unplaced;
+    if (const auto placement = view_.find(request, CapacityKind::Projected))
+        view_.reserve(*placement, allocation);
+    return Outcome::Reserved;
 }
 
 bool SchedulingPass::preempt(const Candidate& candidate, const PlacementRequest& request)
--- a/src/libfescuecleat/pool/schedulingpass.h
+++ b/src/libfescuecleat/pool/schedulingpass.h
@@ -26,11 +26,10 @@
         Ordinary = 2,
     };
 
-    /** The waiting units of one step and occurrence. */
+    /** The waiting units of steps of a job that have the same latest start, in all occurrences. */
     struct Candidate {
         Job* job_;
-        std::size_t firstUnit_;
-        std::size_t endUnit_;
+        std::vector<int> steps_;
         int rank_;
         /** Completing the job no longer earns any credit. */
         bool isExpired_;
@@ -42,14 +41,34 @@
     void reserveHeadroom();
     int rankOf(const Job&) const;
     std::vector<Candidate> candidates() const;
-    bool isWaiting(const Job& job, const WorkUnit& unit) const { return unit.state_ == UnitState::Waiting && unit.retryAt_ <= now_ && !isActiveWithoutRecord(job, unit); }
-    bool isActiveWithoutRecord(const Job&, const WorkUnit&) const;
-    PlacementRequest placementRequest(const Candidate&, const WorkUnit&) const;
-    bool shouldWaitForRack(const Candidate&, const WorkUnit&, const PlacementRequest&) const;
-    /** Places the candidate's units until one doesn't fit; returns the request of that one. */
-    std::optional<PlacementRequest> placeUnits(const Candidate&);
-    bool place(const Candidate&, std::size_t unit, const PlacementRequest&);
+    /** What became of a unit that waits. */
+    enum class Outcome {
+        Placed,
+        /** Capacity is reserved for it that other tasks are about to leave. */
+        Reserved,
+        Unplaced,
+    };
+
+    /** The first unit of a step that couldn't be placed in an occurrence. */
+    struct UnplacedUnit {
+        PlacementRequest request_;
+        Outcome outcome_;
+        /** The units of later occurrences that never started can't be placed either. */
+        bool isTypical_;
+    };
+
+    bool isActiveWithoutRecord(const Job&, const UnitId&) const;
+    /** `started`: the unit, if it has started before. */
+    PlacementRequest placementRequest(const Candidate&, const UnitId&, const WorkUnit* started) const;
+    /** Adds the unit's runs to the number of tasks on each worker. */
+    void countPlacedTasks(const WorkUnit&, std::map<WorkerKey, int>& placed) const;
+    bool shouldWaitForRack(const Candidate&, Time waitingSince, const PlacementRequest&) const;
+    void placeCandidate(const Candidate&);
+    /** Places the step's units of one occurrence until one doesn't fit. */
+    std::optional<UnplacedUnit> placeUnits(const Candidate&, int step, int occurrence);
+    Outcome place(const Candidate&, const UnitId&, const PlacementRequest&);
     bool preempt(const Candidate&, const PlacementRequest&);
+    bool reserveRack(const Candidate&, const PlacementRequest&);
 
     PoolState& state_;
     Time now_;
@@ -57,6 +76,7 @@
     /** Built when first needed. */
     std::optional<Preemption> preemption_;
     std::set<std::string> guaranteedJobs_;
+    int reservedRacks_ = 0;
     /** Tasks of runs that workers report and the scheduler has no record of; they are being stopped. */
     std::set<TaskId> unrecordedTasks_;
 };
--- /dev/null
+++ b/src/libfescuecleat/pool/stepprogress.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "pool/intervalset.h"
+#include "pool/pooljobspec.h"
+#include "pool/workunit.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace fescuecleat {
+
+/**
+ * Progress of one step of a job in all occurrences. Its units have numbers, occurrence by
+ * occurrence. Only units that have started and are not done take memory each; the others
+ * are intervals of numbers.
+ */
+class StepProgress {
+public:
+    StepProgress(const StepSpec&, int step);
+
+    std::int64_t numberOf(const UnitId&) const;
+    UnitId idOf(std::int64_t number) const;
+    int occurrenceOf(std::int64_t number) const { return static_cast<int>(number / unitsPerOccurrence_); }
+    /** The numbers of the units of these occurrences. */
+    Interval unitsOf(int firstOccurrence, int lastOccurrence) const;
+    Interval unitsOf(int occurrence) const { return unitsOf(occurrence, occurrence); }
+    /** Index of the unit; -1 for a gang. */
+    UnitId unitOf(int occurrence, int taskIndex) const { return { occurrence, step_, isGang_ ? -1 : taskIndex }; }
+
+    /** Units that have started and aren't done, and those that are but still have runs. */
+    const std::map<std::int64_t, WorkUnit>& started() const { return started_; }
+    WorkUnit* find(std::int64_t number);
+    const WorkUnit* find(std::int64_t number) const;
+    bool isDone(const Interval& numbers) const { return done_.containsAll(numbers); }
+    bool hasWaiting() const { return !unstarted_.isEmpty() || !waiting_.empty(); }
+    /** The first waiting unit from `number` on, whether it has started before or not. */
+    std::optional<std::int64_t> firstWaiting(std::int64_t number) const;
+    /** The first waiting unit from `number` on that has started before. */
+    std::optional<std::int64_t> firstRestarting(std::int64_t number) const;
+
+    /** Lets units start that depended on others. */
+    void unblock(const Interval& numbers);
+    /** Returns the unit, which is from now on known by itself. */
+    WorkUnit& start(std::int64_t number, Time waitingSince);
+    void setState(std::int64_t number, UnitState);
+    void setDone(const Interval& numbers);
+    /** Removes a done unit without runs from those that are known by themselves. */
+    void dropDone(std::int64_t number);
+    /** Forgets which units of an occurrence are done, as the occurrence is. */
+    void forgetDone(int occurrence) { done_.erase(unitsOf(occurrence)); }
+
+    /** The tasks that are done, in order. */
+    std::vector<Interval> doneUnits() const { return done_.intervals(); }
+    /** The occurrences that are done, except those that were forgotten. */
+    std::vector<Interval> doneOccurrences() const;
+    /** Indexes of the tasks of a unit; for a gang, these are all of its members. */
+    int taskCount() const { return isGang_ ? taskCount_ : 1; }
+
+private:
+    int step_;
+    int taskCount_;
+    bool isGang_;
+    std::int64_t unitsPerOccurrence_;
+    /** Waiting units that have never started. */
+    IntervalSet unstarted_;
+    IntervalSet done_;
+    std::map<std::int64_t, WorkUnit> started_;
+    /** Units in `started_` that are in state Waiting. */
+    std::set<std::int64_t> waiting_;
+};
+
+}
--- a/src/libfescuecleat/pool/tasknumbering.cpp
+++ b/src/libfescuecleat/pool/tasknumbering.cpp
@@ -17,4 +17,10 @@
     return occurrence * tasksPerOccurrence_ + firstOfStep_.at(static_cast<std::size_t>(step)) + std::max(index, 0);
 }
 
+int TaskNumbering::stepOf(std::int64_t task) const
+{
+    const auto next = std::upper_bound(firstOfStep_.begin(), firstOfStep_.end(), task);
+    return static_cast<int>(next - firstOfStep_.begin()) - 1;
+}
+
 }
--- a/src/libfescuecleat/pool/tasknumbering.h
+++ b/src/libfescuecleat/pool/tasknumbering.h
@@ -10,10 +10,13 @@
 /** Numbers all tasks of a job: occurrence by occurrence, step by step, index by index. */
 class TaskNumbering {
 public:
+    TaskNumbering() = default;
     explicit TaskNumbering(const PoolJobSpec&);
 
     /** `index` is that of the task; that of a gang, which is negative, gives its first task. */
     std::int64_t number(int occurrence, int step, int index) const;
+    /** The step of a task by its number within its occurrence, which must be valid. */
+    int stepOf(std::int64_t task) const;
     std::int64_t tasksPerOccurrence() const { return tasksPerOccurrence_; }
 
 private:
--- a/src/libfescuecleat/pool/taskrun.h
+++ b/src/libfescuecleat/pool/taskrun.h
@@ -2,9 +2,9 @@
 
 #include "base/time.h"
 #include "pool/resources.h"
+#include "pool/unitid.h"
 #include "pool/workerinfo.h"
 
-#include <cstddef>
 #include <optional>
 
 namespace fescuecleat {
@@ -23,8 +23,7 @@
     WorkerKey worker_;
     RunPhase phase_ = RunPhase::Recording;
     Resources resources_;
-    /** Index of the unit in Job::units_. */
-    std::size_t unit_ = 0;
+    UnitId unit_;
     /**
      * When the worker acknowledged the run or its stop. If a report that was requested
      * later doesn't list the run, it has ended.
--- /dev/null
+++ b/src/libfescuecleat/pool/workprogress.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "pool/pooljobrecord.h"
+#include "pool/pooljobspec.h"
+#include "pool/stepprogress.h"
+#include "pool/taskid.h"
+#include "pool/tasknumbering.h"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace fescuecleat {
+
+/**
+ * Which units of a job wait, have started and are done. What it costs in time and memory
+ * depends on the units that have started, not on those that the job declares.
+ */
+class WorkProgress {
+public:
+    WorkProgress() = default;
+    explicit WorkProgress(const PoolJobSpec&);
+
+    const TaskNumbering& numbering() const { return numbering_; }
+    /** Number of occurrences that are due. */
+    int openedOccurrences() const { return openedOccurrences_; }
+    /** Opens all occurrences before `end`. */
+    void open(int end, Time now);
+    /** The end of the occurrences of which tasks are done. */
+    int doneOccurrencesEnd() const;
+    bool areDone(int occurrences) const { return occurrences == 0 || doneOccurrences_.containsAll({ 0, occurrences - 1 }); }
+
+    bool hasWaiting() const { return !waitingSteps_.empty(); }
+    /** Steps with waiting units. */
+    const std::set<int>& waitingSteps() const { return waitingSteps_; }
+    const StepProgress& step(int index) const { return steps_.at(static_cast<std::size_t>(index)); }
+    /** The unit that the task belongs to. */
+    UnitId unitOf(const TaskId& task) const { return step(task.step_).unitOf(task.occurrence_, task.index_); }
+    /** Whether the job has such a unit in its first `occurrences` occurrences. */
+    bool contains(const UnitId&, int occurrences) const;
+    /** A unit that has started; nothing if it never has, or is done and has no runs. */
+    WorkUnit* find(const UnitId&);
+    const WorkUnit* find(const UnitId&) const;
+    /** The units that have runs, in order. */
+    std::vector<UnitId> unitsWithRuns() const;
+    /** The units that are known by themselves, in order. */
+    std::vector<const WorkUnit*> started() const;
+    bool isDone(const UnitId&) const;
+    /** Since when a unit that has never started may start. */
+    Time readySince(const UnitId&) const;
+
+    /** Returns a unit that is about to start, or has started before. */
+    WorkUnit& start(const UnitId&);
+    /** Sets the state of a unit that has started; the last one of a step that is done unblocks those that depend on it. */
+    void setState(const UnitId&, UnitState, Time now);
+    void dropDone(const UnitId&);
+
+    /** The tasks that are done, in order. */
+    std::vector<TaskRange> doneTasks() const;
+    /** Marks tasks as done that a record names, of the first `occurrences` occurrences. */
+    void restoreDone(const std::vector<TaskRange>&, int occurrences, Time now);
+
+private:
+    void unblock(int step, const Interval& units);
+    void stepDone(int occurrence, int step, Time now);
+    void occurrenceDone(int occurrence);
+    /** Marks tasks of one occurrence as done; `tasks` are their numbers within it. */
+    void setTasksDone(int occurrence, Interval tasks);
+    /** Finds the steps and occurrences that are done, from the units that are. */
+    void findDoneSteps(Time now);
+    /** Adds the step to those with waiting units, or removes it. */
+    void updateWaiting(int step);
+
+    std::vector<StepProgress> steps_;
+    /** For each step, those that it depends on, and those that depend on it. */
+    std::vector<std::vector<int>> dependencies_;
+    std::vector<std::vector<int>> dependents_;
+    TaskNumbering numbering_;
+    int openedOccurrences_ = 0;
+    /** When occurrences were opened, by the first of those opened together. */
+    std::map<int, Time> openedAt_;
+    IntervalSet doneOccurrences_;
+    /** When steps were done, in the occurrences of which others are not. */
+    std::map<int, std::map<int, Time>> doneSteps_;
+    std::set<int> waitingSteps_;
+};
+
+}
--- a/src/libfescuecleat/pool/workunit.h
+++ b/src/libfescuecleat/pool/workunit.h
@@ -3,6 +3,7 @@
 #include "base/time.h"
 #include "pool/taskcrashes.h"
 #include "pool/taskid.h"
+#include "pool/unitid.h"
 #include "pool/workerinfo.h"
 
 #include <algorithm>
@@ -13,8 +14,6 @@
 namespace fescuecleat {
 
 enum class UnitState {
-    /** A step that it depends on has not finished. */
-    Blocked,
     Waiting,
     /** A run is being recorded, started, executed or stopped. */
     Active,
@@ -28,7 +27,7 @@
     /** Index of the task; -1 for a gang. */
     int index_ = -1;
     int taskCount_ = 1;
-    UnitState state_ = UnitState::Blocked;
+    UnitState state_ = UnitState::Waiting;
     int lastRun_ = 0;
     int failures_ = 0;
     /** The last run that is counted in them. */
@@ -53,6 +52,7 @@
     {
         return std::any_of(crashes_.begin(), crashes_.end(), [](const auto& entry) { return entry.second.areSuspicious(); });
     }
+    UnitId id() const { return { occurrence_, step_, index_ }; }
     bool isGang() const { return index_ < 0; }
 };
 
--- /dev/null
+++ b/tests/pool/declaredsizetest.cpp
@@ -0,0 +1,217 @@
+#include "pool/allocations.h"
+#include "pool/jobrecordrows.h"
+#include "pool/poolscheduler.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace fescuecleat;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char* largeJob = "00000000000000aa";
+constexpr const char* smallJob = "00000000000000bb";
+constexpr Time start { 1000s };
+constexpr std::int64_t nowUnixMs = 1700000000000;
+constexpr std::int64_t minuteMs = 60000;
+constexpr int maxSteps = 256;
+constexpr int maxTasks = 10000;
+constexpr int maxOccurrences = 100000;
+constexpr std::size_t rowBytes = 49152;
+
+PoolJobSpec job(int steps, int tasksPerStep)
+{
+    StepSpec step;
+    step.taskCount_ = tasksPerStep;
+    step.resources_ = { 1000, 1000, 1 };
+    step.estimate_ = 1s;
+    PoolJobSpec spec;
+    spec.steps_.assign(static_cast<std::size_t>(steps), step);
+    return spec;
+}
+
+PoolJobSpec chain(int steps, int tasksPerStep)
+{
+    PoolJobSpec spec = job(steps, tasksPerStep);
+    for (int step = 1; step < steps; ++step)
+        spec.steps_[static_cast<std::size_t>(step)].after_ = { step - 1 };
+    return spec;
+}
+
+/** All times have passed. */
+PoolJobSpec repeated(PoolJobSpec spec, int occurrences, std::int64_t periodMs)
+{
+    spec.occurrences_ = occurrences;
+    spec.periodMs_ = periodMs;
+    spec.firstDueUnixMs_ = nowUnixMs - occurrences * periodMs;
+    return spec;
+}
+
+/** A scheduler with one worker of eight accelerators, which completes what it starts. */
+class CompletingWorker {
+public:
+    CompletingWorker()
+    {
+        WorkerInfo info;
+        info.key_ = { "w1", 1 };
+        info.service_ = "service";
+        info.rack_ = "r0";
+        info.capacity_ = { 64000, 64000, 8 };
+        scheduler_.putWorker(info, now_);
+        scheduler_.setReachable(info.key_);
+    }
+
+    void add(const std::string& id, const PoolJobSpec& spec, int priority = 1, const PoolJobRecord* record = nullptr)
+    {
+        JobPolicy policy;
+        policy.service_ = "service";
+        policy.maxAttempts_ = 3;
+        policy.priority_ = priority;
+        scheduler_.addJob(id, spec, policy, now_, record, now_);
+    }
+
+    /** Starts what there is room for. */
+    std::vector<RunId> startAll()
+    {
+        now_ += 1s;
+        scheduler_.schedule(now_, nowUnixMs);
+        std::vector<RunId> started;
+        for (const StartDecision& decision : scheduler_.takeDecisions().starts_) {
+            scheduler_.beginStart(decision.run_, now_);
+            scheduler_.startAnswered(decision.run_, StartAnswer::Accepted, now_);
+            started.push_back(decision.run_);
+        }
+        return started;
+    }
+
+    void complete(const std::vector<RunId>& runs)
+    {
+        PoolWorkerReport report;
+        for (const RunId& run : runs)
+            report.ended_.push_back({ ++sequence_, run, EndReason::Done, {} });
+        scheduler_.report({ "w1", 1 }, report, now_, now_);
+    }
+
+    /** Runs all that there is room for to its end; returns the runs. */
+    std::vector<RunId> runOnce()
+    {
+        const std::vector<RunId> runs = startAll();
+        complete(runs);
+        return runs;
+    }
+
+    PoolJobRecord storedRecord(const std::string& id) const
+    {
+        PoolJobRecord record;
+        for (const auto& [key, value] : scheduler_.recordRows(id, rowBytes))
+            CPPUNIT_ASSERT(JobRecordRows::decode(key, value, record));
+        return record;
+    }
+
+    PoolScheduler scheduler_;
+    Time now_ = start;
+
+private:
+    std::int64_t sequence_ = 0;
+};
+
+/** Bytes that a job costs from its submission over its first starts and ends to its restoring by the next scheduler. */
+std::size_t cost(const PoolJobSpec& spec)
+{
+    const std::size_t before = allocatedBytes();
+    CompletingWorker worker;
+    worker.add(largeJob, spec);
+    worker.runOnce();
+    const std::vector<RunId> running = worker.startAll();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(8), running.size());
+    CompletingWorker next;
+    const PoolJobRecord record = worker.storedRecord(largeJob);
+    next.add(largeJob, spec, 1, &record);
+    next.complete(running);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(8), next.startAll().size());
+    return allocatedBytes() - before;
+}
+
+}
+
+/** Guards against schedulers that stand still over one caller's valid job: their work and memory grew with all tasks and times that it declares. */
+class DeclaredSizeTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(DeclaredSizeTest);
+    CPPUNIT_TEST(costDoesNotGrowWithTasks);
+    CPPUNIT_TEST(costDoesNotGrowWithOccurrences);
+    CPPUNIT_TEST(passedTimesDelayNoOtherJob);
+    CPPUNIT_TEST(manyTasksDelayNoOtherJob);
+    CPPUNIT_TEST(chainRunsStepByStep);
+    CPPUNIT_TEST(nextHolderContinuesLongSchedule);
+    CPPUNIT_TEST_SUITE_END();
+
+    void costDoesNotGrowWithTasks()
+    {
+        for (const int steps : { 1, maxSteps }) {
+            CPPUNIT_ASSERT(cost(job(steps, maxTasks)) < 2 * cost(job(steps, 100)));
+            CPPUNIT_ASSERT(cost(chain(steps, maxTasks)) < 2 * cost(chain(steps, 100)));
+        }
+    }
+
+    void costDoesNotGrowWithOccurrences()
+    {
+        for (const std::int64_t periodMs : { std::int64_t(0), std::int64_t(1), minuteMs }) {
+            CPPUNIT_ASSERT(cost(repeated(job(1, 1), maxOccurrences, periodMs)) < 2 * cost(repeated(job(1, 1), 100, periodMs)));
+            CPPUNIT_ASSERT(cost(repeated(job(maxSteps, maxTasks), maxOccurrences, periodMs)) < 2 * cost(repeated(job(maxSteps, 100), 100, periodMs)));
+        }
+    }
+
+    void passedTimesDelayNoOtherJob()
+    {
+        CompletingWorker worker;
+        worker.add(largeJob, repeated(job(1, 1), maxOccurrences, minuteMs));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(8), worker.runOnce().size());
+        worker.add(smallJob, job(1, 1), 0);
+        const std::vector<RunId> next = worker.runOnce();
+        CPPUNIT_ASSERT_EQUAL(std::string(smallJob), next.at(0).task_.job_);
+        for (int i = 1; i < 8; ++i)
+            CPPUNIT_ASSERT_EQUAL(7 + i, next.at(static_cast<std::size_t>(i)).task_.occurrence_);
+        CPPUNIT_ASSERT(worker.scheduler_.state().jobs_.at(smallJob).state_ == PoolJobState::Completed);
+    }
+
+    void manyTasksDelayNoOtherJob()
+    {
+        CompletingWorker worker;
+        worker.add(largeJob, job(maxSteps, maxTasks));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(8), worker.runOnce().size());
+        worker.add(smallJob, job(1, 1), 0);
+        CPPUNIT_ASSERT_EQUAL(std::string(smallJob), worker.runOnce().at(0).task_.job_);
+    }
+
+    void chainRunsStepByStep()
+    {
+        constexpr int tasks = 8;
+        CompletingWorker worker;
+        worker.add(largeJob, chain(maxSteps, tasks));
+        for (int step = 0; step < maxSteps; ++step) {
+            for (const RunId& run : worker.runOnce())
+                CPPUNIT_ASSERT_EQUAL(step, run.task_.step_);
+        }
+        CPPUNIT_ASSERT(worker.scheduler_.state().jobs_.at(largeJob).state_ == PoolJobState::Completed);
+    }
+
+    /** The next holder must neither repeat what is done nor open the occurrences one by one. */
+    void nextHolderContinuesLongSchedule()
+    {
+        const PoolJobSpec spec = repeated(chain(2, 3), maxOccurrences, minuteMs);
+        PoolJobRecord record;
+        record.state_ = PoolJobState::Running;
+        constexpr std::int64_t doneOccurrences = maxOccurrences - 1;
+        record.done_.push_back({ 0, doneOccurrences * 6 - 1 });
+        CompletingWorker worker;
+        worker.add(largeJob, spec, 1, &record);
+        const std::vector<RunId> first = worker.runOnce();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), first.size());
+        for (const RunId& run : first)
+            CPPUNIT_ASSERT_EQUAL(int(doneOccurrences), run.task_.occurrence_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), worker.runOnce().size());
+        CPPUNIT_ASSERT(worker.scheduler_.state().jobs_.at(largeJob).state_ == PoolJobState::Completed);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DeclaredSizeTest);
--- a/tests/pool/recoverytest.cpp
+++ b/tests/pool/recoverytest.cpp
@@ -164,9 +164,10 @@
         next.addJob(jobId, jobWithSteps(200, 1), policy(), start, &record, start);
         const Job& job = next.state().jobs_.at(jobId);
         for (int index = 0; index < 200; ++index) {
-            const WorkUnit& unit = job.units_.at(static_cast<std::size_t>(index));
-            CPPUNIT_ASSERT(unit.state_ == (index % 3 == 0 ? UnitState::Done : UnitState::Active));
-            CPPUNIT_ASSERT(index % 3 == 0 || unit.checkpoint_ == "c" + std::to_string(index));
+            CPPUNIT_ASSERT_EQUAL(index % 3 == 0, job.progress_.isDone({ 0, 0, index }));
+            const WorkUnit* const unit = job.progress_.find({ 0, 0, index });
+            CPPUNIT_ASSERT_EQUAL(index % 3 != 0, unit != nullptr && unit->state_ == UnitState::Active);
+            CPPUNIT_ASSERT(unit == nullptr || unit->checkpoint_ == "c" + std::to_string(index));
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t(133), next.state().runs_.size());
     }
@@ -211,7 +212,7 @@
         for (int run = 1; run <= policy().maxAttempts_; ++run) {
             CPPUNIT_ASSERT(scheduler.state().jobs_.at(jobId).isOpen());
             reportFailures(scheduler, run, 0, gangTasks, std::int64_t(run) * gangTasks);
-            CPPUNIT_ASSERT_EQUAL(run, scheduler.state().jobs_.at(jobId).units_.front().failures_);
+            CPPUNIT_ASSERT_EQUAL(run, scheduler.state().jobs_.at(jobId).unit({ 0, 0, -1 }).failures_);
             startAll(scheduler, start + run * 1min);
         }
         CPPUNIT_ASSERT(scheduler.state().jobs_.at(jobId).state_ == PoolJobState::Failed);
@@ -226,7 +227,7 @@
         addWorker(next, "w1", gangTasks);
         next.addJob(jobId, jobWithGang(), policy(), start, &record, start);
         reportFailures(next, 1, 1, gangTasks, 0);
-        CPPUNIT_ASSERT_EQUAL(1, next.state().jobs_.at(jobId).units_.front().failures_);
+        CPPUNIT_ASSERT_EQUAL(1, next.state().jobs_.at(jobId).unit({ 0, 0, -1 }).failures_);
         CPPUNIT_ASSERT(next.state().runs_.empty());
     }
 
