pool: open occurrences in quick succession together

Callers saw: a schedule with a time each millisecond made the scheduler busy for as long as it lasted.

Cause: the next pass was due with the next time, and a pass looks at all workers.

Change: a job's occurrences are opened at most every 20 ms; a time that comes alone is met as before. This delays starts only of times that follow within 20 ms on others.

--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -25,6 +25,8 @@
     constexpr Duration stopRetryInterval = std::chrono::milliseconds(1000);
     /** Workers report about once a second, so more frequent reviews would see no new data. */
     constexpr Duration reviewInterval = std::chrono::milliseconds(250);
+    /** Occurrences that are due in quick succession are opened together, so that a job's period doesn't set the rate of passes. */
+    constexpr Duration minOpeningInterval = std::chrono::milliseconds(20);
     /** Limit of the time between two schedule() calls, for checks that depend on time alone. */
     constexpr Duration maxScheduleInterval = std::chrono::seconds(1);
 
@@ -701,7 +703,8 @@
         if (!job.isOpen() || job.progress_.openedOccurrences() >= job.spec_.occurrences_)
             continue;
         const std::int64_t left = std::max<std::int64_t>(1, job.spec_.dueUnixMs(job.progress_.openedOccurrences()) - unixMs);
-        wake = std::min<Time>(wake, now + std::chrono::milliseconds(std::min<std::int64_t>(left, 1000)));
+        const Time dueAt = now + std::chrono::milliseconds(std::min<std::int64_t>(left, 1000));
+        wake = std::min(wake, std::max(dueAt, job.progress_.lastOpenedAt() + minOpeningInterval));
     }
     const auto retry = std::upper_bound(retryTimes_.begin(), retryTimes_.end(), now);
     return retry == retryTimes_.end() ? wake : std::min(wake, *retry);
--- a/src/libfescuecleat/pool/workprogress.h
+++ b/src/libfescuecleat/pool/workprogress.h
@@ -29,6 +29,8 @@
     /** The end of the occurrences of which tasks are done. */
     int doneOccurrencesEnd() const;
     bool areDone(int occurrences) const { return occurrences == 0 || doneOccurrences_.containsAll({ 0, occurrences - 1 }); }
+    /** When the last occurrences were opened. */
+    Time lastOpenedAt() const { return openedAt_.empty() ? Time {} : openedAt_.rbegin()->second; }
 
     bool hasWaiting() const { return !waitingSteps_.empty(); }
     /** Steps with waiting units. */
--- a/tests/pool/declaredsizetest.cpp
+++ b/tests/pool/declaredsizetest.cpp
@@ -143,6 +143,7 @@
     CPPUNIT_TEST(manyTasksDelayNoOtherJob);
     CPPUNIT_TEST(chainRunsStepByStep);
     CPPUNIT_TEST(nextHolderContinuesLongSchedule);
+    CPPUNIT_TEST(denseScheduleDoesNotSetRateOfPasses);
     CPPUNIT_TEST_SUITE_END();
 
     void costDoesNotGrowWithTasks()
@@ -212,6 +213,18 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), worker.runOnce().size());
         CPPUNIT_ASSERT(worker.scheduler_.state().jobs_.at(largeJob).state_ == PoolJobState::Completed);
     }
+
+    void denseScheduleDoesNotSetRateOfPasses()
+    {
+        CompletingWorker worker;
+        PoolJobSpec spec = repeated(job(1, 1), maxOccurrences, 1);
+        spec.firstDueUnixMs_ = nowUnixMs;
+        worker.add(largeJob, spec);
+        worker.scheduler_.schedule(worker.now_, nowUnixMs);
+        CPPUNIT_ASSERT(worker.scheduler_.nextWake(worker.now_, nowUnixMs) >= worker.now_ + 20ms);
+        // A time that comes alone is met.
+        CPPUNIT_ASSERT(worker.scheduler_.nextWake(worker.now_ + 1s, nowUnixMs) <= worker.now_ + 1s + 1ms);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DeclaredSizeTest);
