node: skip stored jobs that cannot run

Cause: tasks are numbered across all occurrences of a job, and a stored job was not checked before; a row of another writer could make the numbers overflow.

Change: decodeJobIntake refuses jobs without steps or tasks, with dependencies that are not earlier steps, and with more tasks or later times than there are numbers; the scheduler logs job.unreadable as for any other such row. Callers' jobs are limited far below that already (CallerMessages).

--- a/src/libfescuecleat/node/jobintake.cpp
+++ b/src/libfescuecleat/node/jobintake.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace fescuecleat {
@@ -63,6 +64,23 @@
         return step;
     }
 
+    /** Whether steps have tasks and depend on earlier ones only, and all tasks and times are numbers in range. */
+    bool isRunnable(const PoolJobSpec& spec)
+    {
+        std::int64_t tasks = 0;
+        for (std::size_t i = 0; i < spec.steps_.size(); ++i) {
+            const StepSpec& step = spec.steps_[i];
+            const auto isEarlier = [i](int dependency) { return dependency >= 0 && static_cast<std::size_t>(dependency) < i; };
+            if (step.taskCount_ < 1 || !std::all_of(step.after_.begin(), step.after_.end(), isEarlier))
+                return false;
+            tasks += step.taskCount_;
+        }
+        constexpr std::int64_t max = std::numeric_limits<std::int64_t>::max();
+        const std::int64_t occurrences = std::max(1, spec.occurrences_);
+        const bool areTimesValid = spec.firstDueUnixMs_ >= 0 && spec.periodMs_ >= 0 && spec.periodMs_ <= (max - spec.firstDueUnixMs_) / occurrences;
+        return spec.occurrences_ >= 0 && tasks > 0 && tasks <= max / occurrences && areTimesValid;
+    }
+
 }
 
 std::string intakePartOf(const std::string& job)
@@ -146,6 +164,8 @@
             intake.spec_.firstDueUnixMs_ = json["times"].at(1);
             intake.spec_.periodMs_ = json["times"].at(2);
         }
+        if (!isRunnable(intake.spec_))
+            return std::nullopt;
         return intake;
     } catch (const Json::exception&) {
         return std::nullopt;
