pool: start tasks in portions

Cause: a pass starts all that fits. The number of tasks that fit has no bound where a task needs next to nothing, and the holder can't renew its lease meanwhile.

Change: a pass ends after it has started 500 tasks, and the next one follows at once, with what has come meanwhile in its order.

Tests: startsTasksInPortions fails without the limit. The tick of VirtualPool repeats passes as the controller does; no check of it has changed.

--- a/benchmarks/poolshapes.cpp
+++ b/benchmarks/poolshapes.cpp
@@ -81,13 +81,15 @@
             measure([&, key = worker] { scheduler_.report({ key, 1 }, report, now_, now_); });
         }
         running_.clear();
-        measure([this] { scheduler_.schedule(now_, unixMs); });
-        for (const StartDecision& decision : scheduler_.takeDecisions().starts_) {
-            scheduler_.beginStart(decision.run_, now_);
-            scheduler_.startAnswered(decision.run_, StartAnswer::Accepted, now_);
-            running_[decision.worker_.id_].push_back(decision.run_);
-            ++started_;
-        }
+        do {
+            measure([this] { scheduler_.schedule(now_, unixMs); });
+            for (const StartDecision& decision : scheduler_.takeDecisions().starts_) {
+                scheduler_.beginStart(decision.run_, now_);
+                scheduler_.startAnswered(decision.run_, StartAnswer::Accepted, now_);
+                running_[decision.worker_.id_].push_back(decision.run_);
+                ++started_;
+            }
+        } while (scheduler_.nextWake(now_, unixMs) == now_);
         measure([this] { rows_ = scheduler_.recordRows(jobId, rowBytes); });
     }
 
--- a/src/libfescuecleat/pool/placementview.cpp
+++ b/src/libfescuecleat/pool/placementview.cpp
@@ -244,8 +244,18 @@
     unplaceableProjected_.clear();
 }
 
-void PlacementView::reserveHeadroom(std::size_t workers)
+void PlacementView::reserveHeadroom(std::size_t workers, const std::set<WorkerKey>& preferred)
 {
+    const auto mark = [&workers](WorkerEntry& entry) {
+        if (entry.isHeadroom_ || !entry.worker_->runs_.empty() || entry.isAvoided_)
+            return;
+        entry.isHeadroom_ = true;
+        --workers;
+    };
+    for (WorkerEntry& entry : entries_) {
+        if (workers > 0 && preferred.count(entry.worker_->info_.key_) > 0)
+            mark(entry);
+    }
     std::vector<std::pair<std::int64_t, const Rack*>> racks;
     racks.reserve(racks_.size());
     for (const Rack& rack : racks_)
@@ -255,15 +265,21 @@
         for (const std::size_t index : rack->workers_) {
             if (workers == 0)
                 return;
-            WorkerEntry& entry = entries_[index];
-            if (!entry.worker_->runs_.empty() || entry.isAvoided_)
-                continue;
-            entry.isHeadroom_ = true;
-            --workers;
+            mark(entries_[index]);
         }
     }
 }
 
+std::set<WorkerKey> PlacementView::headroom() const
+{
+    std::set<WorkerKey> result;
+    for (const WorkerEntry& entry : entries_) {
+        if (entry.isHeadroom_)
+            result.insert(entry.worker_->info_.key_);
+    }
+    return result;
+}
+
 void PlacementView::reserveRack(const PlacementRequest& request)
 {
     const Rack* best = nullptr;
--- a/src/libfescuecleat/pool/placementview.h
+++ b/src/libfescuecleat/pool/placementview.h
@@ -55,8 +55,10 @@
     void reserve(const Placement&, const Resources& each);
     /** Adds resources of a run that is to be stopped. */
     void addProjected(const PoolWorkerState*, const Resources&);
-    /** Marks up to `workers` idle workers, starting with the emptiest racks, as headroom. */
-    void reserveHeadroom(std::size_t workers);
+    /** Marks up to `workers` idle workers as headroom: those of `preferred`, then others, starting with the emptiest racks. */
+    void reserveHeadroom(std::size_t workers, const std::set<WorkerKey>& preferred);
+    /** The workers that are marked as headroom. */
+    std::set<WorkerKey> headroom() const;
     /** Reserves capacity in the rack that can hold most of the request, so that units placed later in the pass leave it free. */
     void reserveRack(const PlacementRequest&);
 
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -692,11 +692,13 @@
     }
     while (!retryTimes_.empty() && retryTimes_.front() <= now)
         retryTimes_.pop_front();
-    SchedulingPass(state_, now).run();
+    isPassComplete_ = SchedulingPass(state_, now).run();
 }
 
 Time PoolScheduler::nextWake(Time now, std::int64_t unixMs) const
 {
+    if (!isPassComplete_)
+        return now;
     Time wake = now + maxScheduleInterval;
     for (const std::string& id : timedJobs_) {
         const Job& job = state_.jobs_.at(id);
--- a/src/libfescuecleat/pool/poolscheduler.h
+++ b/src/libfescuecleat/pool/poolscheduler.h
@@ -132,6 +132,8 @@
     std::uint64_t configurationVersion_ = 0;
     std::map<std::string, std::string> queueServices_;
     Time nextReviewAt_ {};
+    /** The last pass has looked at all waiting units. */
+    bool isPassComplete_ = true;
     /** Jobs with scheduled occurrences. */
     std::set<std::string> timedJobs_;
     /** Ends of the backoffs after refused starts, in order. */
--- a/src/libfescuecleat/pool/poolstate.h
+++ b/src/libfescuecleat/pool/poolstate.h
@@ -32,6 +32,8 @@
     /** Jobs within their organisation's guarantee must start within this time. */
     Duration guaranteeLimit_ = std::chrono::milliseconds(2700);
     UrgentDemand urgentDemand_;
+    /** The headroom of a pass that ended early, for the one that continues it. */
+    std::set<WorkerKey> headroom_;
     /** Accelerators held by the runs of urgent jobs. */
     std::int64_t urgentAccelerators_ = 0;
     /** Silences of workers that had not announced to leave, oldest first. */
--- a/src/libfescuecleat/pool/schedulingpass.cpp
+++ b/src/libfescuecleat/pool/schedulingpass.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <tuple>
+#include <utility>
 
 namespace fescuecleat {
 
@@ -22,6 +23,8 @@
     constexpr Duration maxProbeWait = std::chrono::seconds(2);
     /** Share of the racks that may be reserved for waiting gangs. */
     constexpr double maxReservedRackShare = 0.2;
+    /** A pass ends after it has started so many tasks, so that the lease is renewed and callers are answered before the next one. */
+    constexpr int maxStartsPerPass = 500;
 
     /** Estimated work of a request's tasks, in core-seconds. */
     double workOf(const PlacementRequest& request)
@@ -43,12 +46,23 @@
     }
 }
 
-void SchedulingPass::run()
+bool SchedulingPass::run()
 {
     selectGuaranteedJobs();
     reserveHeadroom();
-    for (const Candidate& candidate : candidates())
+    for (const Candidate& candidate : candidates()) {
         placeCandidate(candidate);
+        if (hasStartedEnough()) {
+            state_.headroom_ = view_.headroom();
+            return false;
+        }
+    }
+    return true;
+}
+
+bool SchedulingPass::hasStartedEnough() const
+{
+    return startedTasks_ >= maxStartsPerPass;
 }
 
 void SchedulingPass::placeCandidate(const Candidate& candidate)
@@ -66,7 +80,7 @@
     };
     for (const int step : candidate.steps_)
         enqueue(step, 0);
-    while (!queue.empty()) {
+    while (!queue.empty() && !hasStartedEnough()) {
         const auto [occurrence, step] = *queue.begin();
         queue.erase(queue.begin());
         if (const auto unplaced = placeUnits(candidate, step, occurrence)) {
@@ -100,7 +114,7 @@
         for (auto started = step.started().lower_bound(units.first_); started != end; ++started)
             countPlacedTasks(started->second, placed);
     }
-    for (auto number = step.firstWaiting(units.first_); number && *number <= units.last_; number = step.firstWaiting(*number + 1)) {
+    for (auto number = step.firstWaiting(units.first_); number && *number <= units.last_ && !hasStartedEnough(); number = step.firstWaiting(*number + 1)) {
         const WorkUnit* const started = step.find(*number);
         const UnitId unit = step.idOf(*number);
         if ((started != nullptr && started->retryAt_ > now_) || isActiveWithoutRecord(job, unit))
@@ -153,7 +167,7 @@
     const std::int64_t perWorker = view_.maxWorkerAccelerators();
     const auto rise = static_cast<std::size_t>((state_.urgentDemand_.expectedRise() + perWorker - 1) / perWorker);
     const auto maxWorkers = static_cast<std::size_t>(maxHeadroomShare * static_cast<double>(state_.workers_.size()));
-    view_.reserveHeadroom(std::min(rise + baseHeadroomWorkers, maxWorkers));
+    view_.reserveHeadroom(std::min(rise + baseHeadroomWorkers, maxWorkers), std::exchange(state_.headroom_, {}));
 }
 
 int SchedulingPass::rankOf(const Job& job) const
@@ -234,6 +248,7 @@
     if (const auto placement = view_.find(request, CapacityKind::Free)) {
         view_.reserve(*placement, allocation);
         state_.place(*candidate.job_, unit, *placement, now_);
+        startedTasks_ += request.taskCount_;
         return Outcome::Placed;
     }
     if (const auto placement = view_.find(request, CapacityKind::Projected)) {
--- a/src/libfescuecleat/pool/schedulingpass.h
+++ b/src/libfescuecleat/pool/schedulingpass.h
@@ -16,7 +16,8 @@
 public:
     SchedulingPass(PoolState&, Time now);
 
-    void run();
+    /** Returns false if units are left that have not been looked at, as the pass has started many tasks. */
+    bool run();
 
 private:
     /** Lower values are placed first. Ranks up to Urgent may preempt higher values. */
@@ -63,6 +64,7 @@
     /** Adds the unit's runs to the number of tasks on each worker. */
     void countPlacedTasks(const WorkUnit&, std::map<WorkerKey, int>& placed) const;
     bool shouldWaitForRack(const Candidate&, Time waitingSince, const PlacementRequest&) const;
+    bool hasStartedEnough() const;
     void placeCandidate(const Candidate&);
     /** Places the step's units of one occurrence until one doesn't fit. */
     std::optional<UnplacedUnit> placeUnits(const Candidate&, int step, int occurrence);
@@ -77,6 +79,7 @@
     std::optional<Preemption> preemption_;
     std::set<std::string> guaranteedJobs_;
     int reservedRacks_ = 0;
+    int startedTasks_ = 0;
     /** Tasks of runs that workers report and the scheduler has no record of; they are being stopped. */
     std::set<TaskId> unrecordedTasks_;
 };
--- a/tests/pool/declaredsizetest.cpp
+++ b/tests/pool/declaredsizetest.cpp
@@ -144,6 +144,7 @@
     CPPUNIT_TEST(chainRunsStepByStep);
     CPPUNIT_TEST(nextHolderContinuesLongSchedule);
     CPPUNIT_TEST(denseScheduleDoesNotSetRateOfPasses);
+    CPPUNIT_TEST(startsTasksInPortions);
     CPPUNIT_TEST_SUITE_END();
 
     void costDoesNotGrowWithTasks()
@@ -225,6 +226,29 @@
         // A time that comes alone is met.
         CPPUNIT_ASSERT(worker.scheduler_.nextWake(worker.now_ + 1s, nowUnixMs) <= worker.now_ + 1s + 1ms);
     }
+
+    /** Guards against a lease that expires while all tasks start that fit, of a job whose tasks need next to nothing. */
+    void startsTasksInPortions()
+    {
+        CompletingWorker worker;
+        PoolJobSpec spec = job(1, 3000);
+        spec.steps_.front().resources_ = { 1, 1, 0 };
+        worker.add(largeJob, spec);
+        std::size_t started = 0;
+        for (int pass = 0; started < 3000; ++pass) {
+            CPPUNIT_ASSERT(pass < 100);
+            const std::size_t starts = worker.startAll().size();
+            CPPUNIT_ASSERT(starts > 0 && starts <= 500);
+            started += starts;
+            // The next pass follows at once, after what has come meanwhile.
+            CPPUNIT_ASSERT_EQUAL(started < 3000, worker.scheduler_.nextWake(worker.now_, nowUnixMs) == worker.now_);
+            if (pass == 1) {
+                worker.add(smallJob, job(1, 1), 0);
+                CPPUNIT_ASSERT_EQUAL(std::string(smallJob), worker.startAll().at(0).task_.job_);
+                started += 499;
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DeclaredSizeTest);
--- a/tests/pool/virtualpool.cpp
+++ b/tests/pool/virtualpool.cpp
@@ -181,8 +181,10 @@
         if (!worker.ended_.empty() || now_ - worker.lastReport_ >= reportInterval)
             report(worker);
     }
-    scheduler_.schedule(now_, 0);
-    applyDecisions();
+    do {
+        scheduler_.schedule(now_, 0);
+        applyDecisions();
+    } while (scheduler_.nextWake(now_, 0) <= now_);
     checkInvariants();
     for (const auto& [id, at] : submittedAt_) {
         const Job* job = scheduler_.state().jobs_.count(id) > 0 ? &scheduler_.state().jobs_.at(id) : nullptr;
