pool: look at each member of a starting gang once

A gang of 10,000 tasks that need next to nothing would have stopped the scheduler as soon as it was at work.

Cause: whether a gang is at work is asked for each of its runs in a report, and each answer walked through all of its runs.

Change: a unit remembers up to which of its runs are known to be at work; a new, ended, stopped or moved run starts the walk anew. A step with a limit per worker no longer copies the numbers of placed tasks for each of its tasks.

Test: largeGangIsAtWorkOnceAllAre holds before as well, as no test asserts a time; the benchmark shows the fault.

--- a/benchmarks/poolshapes.cpp
+++ b/benchmarks/poolshapes.cpp
@@ -62,6 +62,27 @@
         }
     }
 
+    /** Starts a gang, and has all workers report it twice: as just started, and as at work for a while. */
+    void runGang(int tasks)
+    {
+        PoolJobSpec spec = specOf({ "gang", 1, tasks, 0, 0, false });
+        spec.steps_.front().isGang_ = true;
+        spec.steps_.front().resources_ = { 1, 1, 0 };
+        add(spec, nullptr);
+        measure([this] { scheduler_.schedule(now_, unixMs); });
+        std::map<WorkerKey, PoolWorkerReport> reports;
+        for (const StartDecision& decision : scheduler_.takeDecisions().starts_) {
+            scheduler_.beginStart(decision.run_, now_);
+            reports[decision.worker_].running_.push_back({ decision.run_, {}, 10 });
+            ++started_;
+        }
+        for (int round = 0; round < 2; ++round) {
+            now_ += std::chrono::seconds(2);
+            for (const auto& [worker, report] : reports)
+                measure([&, key = worker] { scheduler_.report(key, report, now_, now_); });
+        }
+    }
+
     void add(const PoolJobSpec& spec, const PoolJobRecord* record)
     {
         JobPolicy policy;
@@ -102,6 +123,7 @@
     }
 
     double longestMs() const { return longestMs_; }
+    double totalMs() const { return totalMs_; }
     long started() const { return started_; }
 
 private:
@@ -110,7 +132,9 @@
     {
         const auto begin = std::chrono::steady_clock::now();
         call();
-        longestMs_ = std::max(longestMs_, std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - begin).count());
+        const double ms = std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - begin).count();
+        longestMs_ = std::max(longestMs_, ms);
+        totalMs_ += ms;
     }
 
     PoolScheduler scheduler_;
@@ -119,6 +143,7 @@
     std::map<std::string, std::int64_t> sequences_;
     std::map<std::string, std::string> rows_;
     double longestMs_ = 0;
+    double totalMs_ = 0;
     long started_ = 0;
 };
 
@@ -141,6 +166,13 @@
     std::fflush(stdout);
 }
 
+void measureGang(int tasks)
+{
+    Pool pool;
+    pool.runGang(tasks);
+    std::printf("gang of %d: longest call %10.2f ms, all calls %10.2f ms\n", tasks, pool.longestMs(), pool.totalMs());
+}
+
 }
 
 /** Arguments: the largest number of declared tasks that is measured. */
@@ -168,5 +200,7 @@
         if (static_cast<double>(shape.steps_) * shape.tasks_ * std::max(1, shape.occurrences_) <= maxTasks)
             measure(shape);
     }
+    for (const int tasks : { 100, 1000, 10000 })
+        measureGang(tasks);
     return EXIT_SUCCESS;
 }
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -303,7 +303,7 @@
     // To have been up is as good as a report for what has started long enough before.
     for (const RunId& id : std::set<RunId>(worker->startingRuns_)) {
         TaskRun& run = state_.runs_.at(id);
-        const Job* const job = state_.findJob(id.task_.job_);
+        Job* const job = state_.findJob(id.task_.job_);
         if (job != nullptr && state_.isAtWorkSince(job->unit(run.unit_), upUntil - minHealthyRunTime))
             state_.noteSurvivedStart(id, run);
     }
--- a/src/libfescuecleat/pool/poolstate.cpp
+++ b/src/libfescuecleat/pool/poolstate.cpp
@@ -43,12 +43,25 @@
     }
 }
 
-bool PoolState::isAtWorkSince(const WorkUnit& unit, Time time) const
+bool PoolState::isAtWorkSince(WorkUnit& unit, Time time) const
 {
-    return static_cast<int>(unit.openRuns_.size()) == unit.taskCount_ && std::all_of(unit.openRuns_.begin(), unit.openRuns_.end(), [this, time](const RunId& id) {
-        const TaskRun& run = runs_.at(id);
-        return run.phase_ == RunPhase::Running && run.startConfirmedAt_ && *run.startConfirmedAt_ <= time;
-    });
+    if (static_cast<int>(unit.openRuns_.size()) != unit.taskCount_)
+        return false;
+    // Goes on where the last call ended, as each member of a large gang asks.
+    auto next = unit.openRuns_.begin();
+    if (unit.confirmedAt_)
+        next = unit.firstUnconfirmed_ ? unit.openRuns_.find(*unit.firstUnconfirmed_) : unit.openRuns_.end();
+    unit.confirmedAt_ = unit.confirmedAt_.value_or(Time::min());
+    unit.firstUnconfirmed_.reset();
+    for (; next != unit.openRuns_.end(); ++next) {
+        const TaskRun& run = runs_.at(*next);
+        if (run.phase_ != RunPhase::Running || !run.startConfirmedAt_) {
+            unit.firstUnconfirmed_ = *next;
+            return false;
+        }
+        unit.confirmedAt_ = std::max(*unit.confirmedAt_, *run.startConfirmedAt_);
+    }
+    return *unit.confirmedAt_ <= time;
 }
 
 void PoolState::place(Job& job, const UnitId& id, const std::vector<PoolWorkerState*>& workers, Time now)
@@ -86,7 +99,9 @@
         if (job.unit(taskRun.unit_).isSuspect())
             worker.probes_.insert(run);
     }
-    job.unit(taskRun.unit_).openRuns_.insert(run);
+    WorkUnit& unit = job.unit(taskRun.unit_);
+    unit.openRuns_.insert(run);
+    unit.confirmedAt_.reset();
     ++runsByOrganisation_[job.policy_.organisation_];
     if (job.policy_.priority_ == 0)
         urgentAccelerators_ += taskRun.resources_.accelerators_;
@@ -114,7 +129,9 @@
         if (taskRun.phase_ == RunPhase::Stopping)
             worker.stopping_ += allocation;
     };
-    const Job* job = findJob(run.task_.job_);
+    Job* const job = findJob(run.task_.job_);
+    if (job != nullptr)
+        job->unit(taskRun.unit_).confirmedAt_.reset();
     if (PoolWorkerState* former = findWorker(taskRun.worker_)) {
         move(*former, false);
         former->runs_.erase(run);
@@ -143,6 +160,7 @@
 {
     WorkUnit& unit = job.unit(id);
     unit.isRunAborted_ = true;
+    unit.confirmedAt_.reset();
     for (const RunId& run : std::set<RunId>(unit.openRuns_)) {
         const auto entry = runs_.find(run);
         if (entry == runs_.end())
@@ -181,6 +199,7 @@
         runsByOrganisation_.erase(job->policy_.organisation_);
     WorkUnit& unit = job->unit(taskRun.unit_);
     unit.openRuns_.erase(run);
+    unit.confirmedAt_.reset();
     if (unit.openRuns_.empty() && unit.state_ == UnitState::Active) {
         job->progress_.setState(taskRun.unit_, UnitState::Waiting, now);
         unit.waitingSince_ = now;
--- a/src/libfescuecleat/pool/poolstate.h
+++ b/src/libfescuecleat/pool/poolstate.h
@@ -56,7 +56,7 @@
     /** Notes that a run has been seen at work some time after its start. */
     void noteSurvivedStart(const RunId&, TaskRun&);
     /** Whether all runs of the unit were known to be at work at a time, as a gang works only once it is complete. */
-    bool isAtWorkSince(const WorkUnit&, Time) const;
+    bool isAtWorkSince(WorkUnit&, Time) const;
     /** Starts a new run of a unit; `workers` holds one worker per task. */
     void place(Job&, const UnitId&, const std::vector<PoolWorkerState*>& workers, Time now);
     /** Adds a run that may be active on its worker, and occupies its resources there. */
--- a/src/libfescuecleat/pool/schedulingpass.cpp
+++ b/src/libfescuecleat/pool/schedulingpass.cpp
@@ -137,11 +137,14 @@
         if ((started != nullptr && started->retryAt_ > now_) || isActiveWithoutRecord(job, unit))
             continue;
         PlacementRequest request = placementRequest(candidate, unit, started);
-        request.placedTasks_ = placed;
+        request.placedTasks_ = std::move(placed);
         const Outcome outcome = place(candidate, unit, request);
         // The step's tasks have the same requirements: if one doesn't fit, the others don't either.
-        if (outcome != Outcome::Placed)
-            return UnplacedUnit { std::move(request), outcome, started == nullptr && placed.empty() };
+        if (outcome != Outcome::Placed) {
+            const bool isTypical = started == nullptr && request.placedTasks_.empty();
+            return UnplacedUnit { std::move(request), outcome, isTypical };
+        }
+        placed = std::move(request.placedTasks_);
         if (hasWorkerLimit)
             countPlacedTasks(job.unit(unit), placed);
     }
--- a/src/libfescuecleat/pool/workunit.h
+++ b/src/libfescuecleat/pool/workunit.h
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -37,6 +38,10 @@
     std::string checkpoint_;
     /** Runs of the newest attempt that have not ended. */
     std::set<RunId> openRuns_;
+    /** The first of its open runs that may not be known to be at work; unset if they all are, or have changed. */
+    std::optional<RunId> firstUnconfirmed_;
+    /** When the last of the runs before that one was confirmed; unset if runs have changed. */
+    std::optional<Time> confirmedAt_;
     Time waitingSince_ {};
     Time startedAt_ {};
     /** End of the backoff after a worker refused a start. */
--- a/tests/pool/declaredsizetest.cpp
+++ b/tests/pool/declaredsizetest.cpp
@@ -146,6 +146,7 @@
     CPPUNIT_TEST(nextHolderContinuesLongSchedule);
     CPPUNIT_TEST(denseScheduleDoesNotSetRateOfPasses);
     CPPUNIT_TEST(startsTasksInPortions);
+    CPPUNIT_TEST(largeGangIsAtWorkOnceAllAre);
     CPPUNIT_TEST(runLimitLeavesRoomForOtherOrganisations);
     CPPUNIT_TEST(runLimitDelaysNoGuarantee);
     CPPUNIT_TEST_SUITE_END();
@@ -253,6 +254,32 @@
         }
     }
 
+    /** Guards against a report that walks through the whole gang for each of its members: one call took 18 s. */
+    void largeGangIsAtWorkOnceAllAre()
+    {
+        CompletingWorker worker;
+        PoolJobSpec spec = manyTinyTasks();
+        spec.steps_.front().isGang_ = true;
+        worker.add(largeJob, spec);
+        worker.scheduler_.schedule(start, nowUnixMs);
+        PoolWorkerReport all;
+        for (const StartDecision& decision : worker.scheduler_.takeDecisions().starts_) {
+            worker.scheduler_.beginStart(decision.run_, start);
+            all.running_.push_back({ decision.run_, {}, 1 });
+        }
+        PoolWorkerReport allButOne = all;
+        allButOne.running_.pop_back();
+        const auto startingAfter = [&worker](const PoolWorkerReport& report, Time at) {
+            worker.scheduler_.report({ "w1", 1 }, report, at, at);
+            return worker.scheduler_.state().workers_.at({ "w1", 1 }).startingRuns_.size();
+        };
+        CPPUNIT_ASSERT_EQUAL(std::size_t(maxTasks), all.running_.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(maxTasks), startingAfter(allButOne, start));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(maxTasks), startingAfter(allButOne, start + 2s));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(maxTasks), startingAfter(all, start + 3s));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), startingAfter(all, start + 5s));
+    }
+
     /** Guards against memory that grows with all tasks that fit, of a job whose tasks need next to nothing. */
     void runLimitLeavesRoomForOtherOrganisations()
     {
