node: measure what keeps a lease holder's event loop busy

Change: ActivityTimes keeps a histogram (Boost.Histogram) for passes, reports, records, pages at the begin of a term and added jobs, on the metrics address, and logs each of 200 ms or more with the job that it is about (scheduler.slow). An activity that never ends is still seen only by its silence.

Tests: ActivityTimesTest.

--- a/src/libfescuecleat/node/instance.cpp
+++ b/src/libfescuecleat/node/instance.cpp
@@ -262,6 +262,8 @@
         add("run_limit", controller_->state().runLimit_);
         add("worker_crashes_total", controller_->workerCrashes());
         add("deadly_tasks_total", controller_->deadlyTasks());
+        add("slow_activities_total", controller_->times().slowCount());
+        text += controller_->times().metrics();
     }
     return text;
 }
--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -77,6 +77,7 @@
 PoolController::PoolController(const NodeContext& context, const AcquiredLease& lease, Listener listener)
     : context_(context)
     , runLog_(context.log_)
+    , times_(context.log_)
     , epoch_(lease.epoch_)
     , listener_(std::move(listener))
     , recorder_(context.loop_, context.store_, context.log_, context.settings_.storeLimits_, lease.epoch_, lease.chainVersion_,
@@ -122,8 +123,11 @@
     context_.store_.read({ JobRecorder::table, schedulerPart, from, {} }, readTimeout, lifetime_.guard([this, from](const tl::expected<RowPage, StoreFailure>& page) {
         if (!page)
             return recordsTimer_.start(readRetryDelay, [this, from] { loadRecords(from); });
-        for (const StoredRow& row : page->rows_)
-            addRecordRow(row);
+        {
+            const ActivityTimes::Scope scope(times_, Activity::Loading);
+            for (const StoredRow& row : page->rows_)
+                addRecordRow(row);
+        }
         if (page->hasMore_ && !page->rows_.empty())
             return loadRecords(boundAfter(page->rows_.back().key_));
         recordsLoaded();
@@ -147,6 +151,7 @@
 
 JobRecorder::Rows PoolController::recordRows(const std::string& job) const
 {
+    const ActivityTimes::Scope scope(times_, Activity::Record, job);
     const std::int64_t nowMs = context_.clock_.earliestMs(bootTimeNow());
     const auto state = scheduler_.state().jobs_.find(job);
     if (state != scheduler_.state().jobs_.end() && unstorableJobs_.count(job) > 0)
@@ -285,6 +290,7 @@
 {
     if (storedStates_.count(id) > 0 || skipEndedJob(id))
         return;
+    const ActivityTimes::Scope scope(times_, Activity::Job, id);
     auto intake = decodeJobIntake(row.value_);
     if (!intake) {
         context_.log_.write("job.unreadable", { { "job", id }, { "version", row.version_ } });
@@ -426,6 +432,7 @@
 {
     PoolWorkerLink::Listener listener;
     listener.reported_ = [this, id](const PoolWorkerReport& report, Time askedAt) {
+        const ActivityTimes::Scope scope(times_, Activity::Report);
         PoolWorkerLink& link = *links_.at(id);
         logNewEnds(report, link.key());
         scheduler_.report(link.key(), report, askedAt, bootTimeNow());
@@ -518,6 +525,7 @@
 
 void PoolController::runPass()
 {
+    const ActivityTimes::Scope scope(times_, Activity::Pass);
     isPassPosted_ = false;
     runScheduler();
     const Time now = bootTimeNow();
--- a/src/libfescuecleat/node/poolcontroller.h
+++ b/src/libfescuecleat/node/poolcontroller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/timer.h"
+#include "node/activitytimes.h"
 #include "node/jobrecorder.h"
 #include "node/jobretention.h"
 #include "node/lifetime.h"
@@ -56,6 +57,7 @@
     /** Crashes of workers and tasks given up for them, since this instance took the lease. */
     std::uint64_t workerCrashes() const { return workerCrashes_; }
     std::uint64_t deadlyTasks() const { return deadlyTasks_; }
+    const ActivityTimes& times() const { return times_; }
 
     static constexpr const char* summaryTable = "summary";
     static constexpr const char* summaryKey = "waiting";
@@ -102,6 +104,8 @@
 
     NodeContext context_;
     RunLog runLog_;
+    /** Encoding a record changes nothing but these. */
+    mutable ActivityTimes times_;
     std::int64_t epoch_;
     Listener listener_;
     PoolScheduler scheduler_;
