--- a/benchmarks/poolshapes.cpp
+++ b/benchmarks/poolshapes.cpp
@@ -79,7 +79,7 @@
         for (int round = 0; round < 2; ++round) {
             now_ += std::chrono::seconds(2);
             for (const auto& [worker, report] : reports)
-                measure([&, key = worker] { scheduler_.report(key, report, now_, now_); });
+                measure([this, key = worker, &running = report] { scheduler_.report(key, running, now_, now_); });
         }
     }
 
--- a/src/libfescuecleat/pool/poolstate.cpp
+++ b/src/libfescuecleat/pool/poolstate.cpp
@@ -99,9 +99,7 @@
         if (job.unit(taskRun.unit_).isSuspect())
             worker.probes_.insert(run);
     }
-    WorkUnit& unit = job.unit(taskRun.unit_);
-    unit.openRuns_.insert(run);
-    unit.confirmedAt_.reset();
+    job.unit(taskRun.unit_).openRuns_.insert(run);
     ++runsByOrganisation_[job.policy_.organisation_];
     if (job.policy_.priority_ == 0)
         urgentAccelerators_ += taskRun.resources_.accelerators_;
--- a/tests/pool/ambiguousstarttest.cpp
+++ b/tests/pool/ambiguousstarttest.cpp
@@ -82,8 +82,33 @@
     CPPUNIT_TEST(unrecordedRunHoldsDecidedStartBack);
     CPPUNIT_TEST(refusalDoesNotConfirmTheStart);
     CPPUNIT_TEST(unansweredRequestMayReachNextIncarnation);
+    CPPUNIT_TEST(movedRunIsNotAtWorkYet);
+    CPPUNIT_TEST(stoppingRunIsNotAtWork);
     CPPUNIT_TEST_SUITE_END();
 
+    /** Guards against a crash at a start that isn't counted: the run was confirmed by the incarnation before. */
+    void movedRunIsNotAtWorkYet()
+    {
+        StartedJob job;
+        job.scheduler_.startAnswered(firstRun, StartAnswer::Accepted, start + 1000ms);
+        job.scheduler_.setSilent({ "w1", 1 }, start + 1000ms, start + 1500ms);
+        job.scheduler_.workerRestarted({ "w1", 1 }, { "w1", 2 }, start + 1600ms);
+        job.report(2, { { firstRun, "", 10 } }, start + 2200ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), job.scheduler_.state().workers_.at({ "w1", 2 }).startingRuns_.size());
+        job.report(2, { { firstRun, "", 10 } }, start + 3300ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), job.scheduler_.state().workers_.at({ "w1", 2 }).startingRuns_.size());
+    }
+
+    void stoppingRunIsNotAtWork()
+    {
+        StartedJob job;
+        job.scheduler_.startAnswered(firstRun, StartAnswer::Accepted, start + 100ms);
+        job.report(1, { { firstRun, "", 1 } }, start + 500ms);
+        job.scheduler_.cancelJob(jobId, start + 600ms);
+        job.report(1, { { firstRun, "", 1 } }, start + 2000ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), job.scheduler_.state().workers_.at({ "w1", 1 }).startingRuns_.size());
+    }
+
     /** Guards against two runs of one task: a start repeated after the last report reached the next incarnation, and its run was given up. */
     void restartedWorkerMayHaveRepeatedStart()
     {
--- a/tests/pool/declaredsizetest.cpp
+++ b/tests/pool/declaredsizetest.cpp
@@ -1,6 +1,5 @@
 #include "pool/allocations.h"
-#include "pool/jobrecordrows.h"
-#include "pool/poolscheduler.h"
+#include "pool/completingworker.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -11,13 +10,12 @@
 
 constexpr const char* largeJob = "00000000000000aa";
 constexpr const char* smallJob = "00000000000000bb";
-constexpr Time start { 1000s };
-constexpr std::int64_t nowUnixMs = 1700000000000;
+constexpr Time start = CompletingWorker::start;
+constexpr std::int64_t nowUnixMs = CompletingWorker::startUnixMs;
 constexpr std::int64_t minuteMs = 60000;
 constexpr int maxSteps = 256;
 constexpr int maxTasks = 10000;
 constexpr int maxOccurrences = 100000;
-constexpr std::size_t rowBytes = 49152;
 
 PoolJobSpec job(int steps, int tasksPerStep)
 {
@@ -47,75 +45,6 @@
     return spec;
 }
 
-/** A scheduler with one worker of eight accelerators, which completes what it starts. */
-class CompletingWorker {
-public:
-    CompletingWorker()
-    {
-        WorkerInfo info;
-        info.key_ = { "w1", 1 };
-        info.service_ = "service";
-        info.rack_ = "r0";
-        info.capacity_ = { 64000, 64000, 8 };
-        scheduler_.putWorker(info, now_);
-        scheduler_.setReachable(info.key_);
-    }
-
-    void add(const std::string& id, const PoolJobSpec& spec, int priority = 1, const PoolJobRecord* record = nullptr, const std::string& organisation = "large")
-    {
-        JobPolicy policy;
-        policy.organisation_ = organisation;
-        policy.service_ = "service";
-        policy.maxAttempts_ = 3;
-        policy.priority_ = priority;
-        scheduler_.addJob(id, spec, policy, now_, record, now_);
-    }
-
-    /** Starts what there is room for. */
-    std::vector<RunId> startAll()
-    {
-        now_ += 1s;
-        scheduler_.schedule(now_, nowUnixMs);
-        std::vector<RunId> started;
-        for (const StartDecision& decision : scheduler_.takeDecisions().starts_) {
-            scheduler_.beginStart(decision.run_, now_);
-            scheduler_.startAnswered(decision.run_, StartAnswer::Accepted, now_);
-            started.push_back(decision.run_);
-        }
-        return started;
-    }
-
-    void complete(const std::vector<RunId>& runs)
-    {
-        PoolWorkerReport report;
-        for (const RunId& run : runs)
-            report.ended_.push_back({ ++sequence_, run, EndReason::Done, {} });
-        scheduler_.report({ "w1", 1 }, report, now_, now_);
-    }
-
-    /** Runs all that there is room for to its end; returns the runs. */
-    std::vector<RunId> runOnce()
-    {
-        const std::vector<RunId> runs = startAll();
-        complete(runs);
-        return runs;
-    }
-
-    PoolJobRecord storedRecord(const std::string& id) const
-    {
-        PoolJobRecord record;
-        for (const auto& [key, value] : scheduler_.recordRows(id, rowBytes))
-            CPPUNIT_ASSERT(JobRecordRows::decode(key, value, record));
-        return record;
-    }
-
-    PoolScheduler scheduler_;
-    Time now_ = start;
-
-private:
-    std::int64_t sequence_ = 0;
-};
-
 /** Bytes that a job costs from its submission over its first starts and ends to its restoring by the next scheduler. */
 std::size_t cost(const PoolJobSpec& spec)
 {
@@ -177,7 +106,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string(smallJob), next.at(0).task_.job_);
         for (int i = 1; i < 8; ++i)
             CPPUNIT_ASSERT_EQUAL(7 + i, next.at(static_cast<std::size_t>(i)).task_.occurrence_);
-        CPPUNIT_ASSERT(worker.scheduler_.state().jobs_.at(smallJob).state_ == PoolJobState::Completed);
+        CPPUNIT_ASSERT(worker.state(smallJob) == PoolJobState::Completed);
     }
 
     void manyTasksDelayNoOtherJob()
@@ -198,7 +127,7 @@
             for (const RunId& run : worker.runOnce())
                 CPPUNIT_ASSERT_EQUAL(step, run.task_.step_);
         }
-        CPPUNIT_ASSERT(worker.scheduler_.state().jobs_.at(largeJob).state_ == PoolJobState::Completed);
+        CPPUNIT_ASSERT(worker.state(largeJob) == PoolJobState::Completed);
     }
 
     /** The next holder must neither repeat what is done nor open the occurrences one by one. */
@@ -216,7 +145,7 @@
         for (const RunId& run : first)
             CPPUNIT_ASSERT_EQUAL(int(doneOccurrences), run.task_.occurrence_);
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), worker.runOnce().size());
-        CPPUNIT_ASSERT(worker.scheduler_.state().jobs_.at(largeJob).state_ == PoolJobState::Completed);
+        CPPUNIT_ASSERT(worker.state(largeJob) == PoolJobState::Completed);
     }
 
     void denseScheduleDoesNotSetRateOfPasses()
@@ -278,6 +207,16 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(maxTasks), startingAfter(allButOne, start + 2s));
         CPPUNIT_ASSERT_EQUAL(std::size_t(maxTasks), startingAfter(all, start + 3s));
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), startingAfter(all, start + 5s));
+        // Its next run is a new one.
+        worker.scheduler_.workerLost({ "w1", 1 }, "its lease has expired", start + 6s);
+        worker.scheduler_.schedule(start + 6s, nowUnixMs);
+        all.running_.clear();
+        for (const StartDecision& decision : worker.scheduler_.takeDecisions().starts_) {
+            worker.scheduler_.beginStart(decision.run_, start + 6s);
+            all.running_.push_back({ decision.run_, {}, 1 });
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(maxTasks), startingAfter(all, start + 6s));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), startingAfter(all, start + 8s));
     }
 
     /** Guards against memory that grows with all tasks that fit, of a job whose tasks need next to nothing. */
--- a/tests/pool/workprogresstest.cpp
+++ b/tests/pool/workprogresstest.cpp
@@ -270,6 +270,7 @@
     CPPUNIT_TEST_SUITE(WorkProgressTest);
     CPPUNIT_TEST(agreesWithAnObjectForEachUnit);
     CPPUNIT_TEST(doneUnitOfDoneOccurrenceUnblocksNothing);
+    CPPUNIT_TEST(unitThatStartedBeforeItsStepWasReadyStartsOnce);
     CPPUNIT_TEST(ignoresUnitsThatTheJobDoesNotHave);
     CPPUNIT_TEST_SUITE_END();
 
@@ -294,9 +295,26 @@
         progress.setState({ 0, 0, 0 }, UnitState::Done, Time { 1000s });
         CPPUNIT_ASSERT(!progress.hasWaiting());
         CPPUNIT_ASSERT(progress.areDone(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), progress.doneTasks().size());
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), progress.started().size());
     }
 
+    /** After a failover between two commits, the record of a step may be older than that of the step after it. */
+    void unitThatStartedBeforeItsStepWasReadyStartsOnce()
+    {
+        PoolJobSpec spec;
+        spec.steps_.resize(2);
+        spec.steps_[1].taskCount_ = 2;
+        spec.steps_[1].after_ = { 0 };
+        WorkProgress progress(spec);
+        progress.open(1, Time { 1000s });
+        progress.start({ 0, 1, 0 });
+        progress.setState({ 0, 1, 0 }, UnitState::Active, Time { 1000s });
+        progress.start({ 0, 0, 0 });
+        progress.setState({ 0, 0, 0 }, UnitState::Done, Time { 1000s });
+        CPPUNIT_ASSERT(waitingUnits(progress) == (std::vector<UnitId> { { 0, 1, 1 } }));
+    }
+
     void ignoresUnitsThatTheJobDoesNotHave()
     {
         PoolJobSpec spec;
