tests: return the runs of a turn without a copy

Cause: the linter found a constant that keeps the result from being moved. Change: tests/pool/completingworker.cpp only.

--- a/tests/pool/completingworker.cpp
+++ b/tests/pool/completingworker.cpp
@@ -59,7 +59,7 @@
 
 std::vector<RunId> CompletingWorker::runOnce()
 {
-    const std::vector<RunId> runs = startAll();
+    std::vector<RunId> runs = startAll();
     complete(runs);
     return runs;
 }
