pool: bring earlier occurrences of a job to their end first

Callers saw: a schedule of several steps, whose times have passed, showed no occurrence as done until the longest step of all of them had run.

Cause: the steps of a job are placed by their latest start, and only steps with the same one went occurrence by occurrence. The record kept a gap between done tasks for each occurrence, so each commit of the job took longer than the one before.

Change: the steps of a job with occurrences are placed occurrence by occurrence, and by their length within one. Other jobs are placed as before. An abort of a unit that ended meanwhile is ignored.

Evidence: DeclaredSizeTest::earlierOccurrencesEndFirst failed before (the second occurrence began first) and holds now.

--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -518,7 +518,9 @@
 
 void PoolScheduler::abortRun(Job& job, const UnitId& unit, const std::string& cause, Time now)
 {
-    if (!job.unit(unit).isRunAborted_)
+    // A done unit may have been dropped with its last run.
+    const WorkUnit* const started = job.progress_.find(unit);
+    if (started != nullptr && !started->isRunAborted_)
         state_.stopUnit(job, unit, cause, now);
 }
 
--- a/src/libfescuecleat/pool/schedulingpass.cpp
+++ b/src/libfescuecleat/pool/schedulingpass.cpp
@@ -83,20 +83,21 @@
 void SchedulingPass::placeCandidate(const Candidate& candidate)
 {
     const WorkProgress& progress = candidate.job_->progress_;
-    // Steps with waiting units by the next occurrence that has some, so that earlier occurrences come first.
-    std::set<std::pair<int, int>> queue;
+    // Steps with waiting units by the next occurrence that has some, so that earlier occurrences come to their end first;
+    // within an occurrence, the longest steps come first.
+    std::set<std::tuple<int, Duration, int>> queue;
     std::set<int> exhaustedSteps;
     const auto enqueue = [&](int index, int firstOccurrence) {
         const StepProgress& step = progress.step(index);
         const std::int64_t from = step.unitsOf(firstOccurrence).first_;
         const auto next = exhaustedSteps.count(index) > 0 ? step.firstRestarting(from) : step.firstWaiting(from);
         if (next)
-            queue.emplace(step.occurrenceOf(*next), index);
+            queue.emplace(step.occurrenceOf(*next), -candidate.job_->step(index).estimate_, index);
     };
     for (const int step : candidate.steps_)
         enqueue(step, 0);
     while (!queue.empty() && !hasStartedEnough()) {
-        const auto [occurrence, step] = *queue.begin();
+        const auto [occurrence, negativeEstimate, step] = *queue.begin();
         queue.erase(queue.begin());
         if (const auto unplaced = placeUnits(candidate, step, occurrence)) {
             if (unplaced->outcome_ == Outcome::Limited)
@@ -206,6 +207,11 @@
         std::map<Time, std::vector<int>> stepsByLatestStart;
         for (const int step : job.progress_.waitingSteps())
             stepsByLatestStart[job.targetCompletion_ - job.step(step).estimate_].push_back(step);
+        if (job.spec_.isTimed()) {
+            const Time first = stepsByLatestStart.begin()->first;
+            const std::set<int>& waiting = job.progress_.waitingSteps();
+            stepsByLatestStart = { { first, { waiting.begin(), waiting.end() } } };
+        }
         const int rank = rankOf(job);
         const bool isExpired = now_ > job.creditExpiry_;
         for (auto& [latestStart, steps] : stepsByLatestStart)
--- a/src/libfescuecleat/pool/schedulingpass.h
+++ b/src/libfescuecleat/pool/schedulingpass.h
@@ -27,7 +27,7 @@
         Ordinary = 2,
     };
 
-    /** The waiting units of steps of a job that have the same latest start, in all occurrences. */
+    /** The waiting units of steps of a job that have the same latest start; of a job with occurrences, those of all steps. */
     struct Candidate {
         Job* job_;
         std::vector<int> steps_;
--- a/tests/pool/declaredsizetest.cpp
+++ b/tests/pool/declaredsizetest.cpp
@@ -72,6 +72,7 @@
     CPPUNIT_TEST(passedTimesDelayNoOtherJob);
     CPPUNIT_TEST(manyTasksDelayNoOtherJob);
     CPPUNIT_TEST(chainRunsStepByStep);
+    CPPUNIT_TEST(earlierOccurrencesEndFirst);
     CPPUNIT_TEST(nextHolderContinuesLongSchedule);
     CPPUNIT_TEST(denseScheduleDoesNotSetRateOfPasses);
     CPPUNIT_TEST(startsTasksInPortions);
@@ -130,6 +131,20 @@
         CPPUNIT_ASSERT(worker.state(largeJob) == PoolJobState::Completed);
     }
 
+    /** Guards against a record that grows with each occurrence: the longest step of all of them ran before the others. */
+    void earlierOccurrencesEndFirst()
+    {
+        CompletingWorker worker;
+        PoolJobSpec spec = job(4, 2);
+        spec.steps_[2].estimate_ = 5s;
+        worker.add(largeJob, repeated(spec, maxOccurrences, minuteMs));
+        for (int occurrence = 0; occurrence < 100; ++occurrence) {
+            for (const RunId& run : worker.runOnce())
+                CPPUNIT_ASSERT_EQUAL(occurrence, run.task_.occurrence_);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), worker.scheduler_.record(largeJob).done_.size());
+        }
+    }
+
     /** The next holder must neither repeat what is done nor open the occurrences one by one. */
     void nextHolderContinuesLongSchedule()
     {
