pool: say what the progress of a job keeps

Cause: several comments of the new classes named tasks for units, or didn't say which object they mean.

No code has changed.

--- a/src/libfescuecleat/pool/job.h
+++ b/src/libfescuecleat/pool/job.h
@@ -32,7 +32,7 @@
     const StepSpec& step(const WorkUnit& unit) const { return step(unit.step_); }
     /** How often the steps run. */
     int occurrences() const { return spec_.isTimed() ? spec_.occurrences_ : 1; }
-    /** A unit that has started and is not done, or still has runs. */
+    /** The object of a unit, which must exist; see WorkProgress::find. */
     WorkUnit& unit(const UnitId& id) { return *progress_.find(id); }
     const WorkUnit& unit(const UnitId& id) const { return *progress_.find(id); }
     /** The job seems to fail on all workers: it has failed on several and no run was healthy. */
--- a/src/libfescuecleat/pool/schedulingpass.h
+++ b/src/libfescuecleat/pool/schedulingpass.h
@@ -27,7 +27,7 @@
         Ordinary = 2,
     };
 
-    /** The waiting units of steps of a job that have the same latest start; of a job with occurrences, those of all steps. */
+    /** Steps of a job whose waiting units have the same latest start. A job with occurrences has one candidate for all steps. */
     struct Candidate {
         Job* job_;
         std::vector<int> steps_;
@@ -45,10 +45,10 @@
     /** What became of a unit that waits. */
     enum class Outcome {
         Placed,
-        /** Capacity is reserved for it that other tasks are about to leave. */
+        /** It waits for capacity that is reserved for it and will soon be free. */
         Reserved,
         Unplaced,
-        /** There are as many runs as the scheduler may have. */
+        /** The limit of runs is reached. */
         Limited,
     };
 
@@ -56,12 +56,12 @@
     struct UnplacedUnit {
         PlacementRequest request_;
         Outcome outcome_;
-        /** The units of later occurrences that never started can't be placed either. */
+        /** Nothing but the step's requirements kept it from being placed, so other units of the step don't fit either. */
         bool isTypical_;
     };
 
     bool isActiveWithoutRecord(const Job&, const UnitId&) const;
-    /** `started`: the unit, if it has started before. */
+    /** `started`: the object of the unit; null if it has never started. */
     PlacementRequest placementRequest(const Candidate&, const UnitId&, const WorkUnit* started) const;
     /** Adds the unit's runs to the number of tasks on each worker. */
     void countPlacedTasks(const WorkUnit&, std::map<WorkerKey, int>& placed) const;
@@ -74,6 +74,7 @@
     std::optional<UnplacedUnit> placeUnits(const Candidate&, int step, int occurrence);
     Outcome place(const Candidate&, const UnitId&, const PlacementRequest&);
     bool preempt(const Candidate&, const PlacementRequest&);
+    /** Reserves a rack for a gang that isn't urgent; returns false if it may not have one. */
     bool reserveRack(const Candidate&, const PlacementRequest&);
 
     PoolState& state_;
--- a/src/libfescuecleat/pool/stepprogress.h
+++ b/src/libfescuecleat/pool/stepprogress.h
@@ -13,9 +13,9 @@
 namespace fescuecleat {
 
 /**
- * Progress of one step of a job in all occurrences. Its units have numbers, occurrence by
- * occurrence. Only units that have started and are not done take memory each; the others
- * are intervals of numbers.
+ * Progress of one step of a job in all occurrences. The units of the step are numbered
+ * occurrence by occurrence. Only units that have started and are not done are kept as
+ * objects; the others are intervals of numbers.
  */
 class StepProgress {
 public:
@@ -27,10 +27,10 @@
     /** The numbers of the units of these occurrences. */
     Interval unitsOf(int firstOccurrence, int lastOccurrence) const;
     Interval unitsOf(int occurrence) const { return unitsOf(occurrence, occurrence); }
-    /** Index of the unit; -1 for a gang. */
+    /** The unit that a task belongs to. */
     UnitId unitOf(int occurrence, int taskIndex) const { return { occurrence, step_, isGang_ ? -1 : taskIndex }; }
 
-    /** Units that have started and aren't done, and those that are but still have runs. */
+    /** Units that have started and aren't done, and done ones that still have runs. */
     const std::map<std::int64_t, WorkUnit>& started() const { return started_; }
     WorkUnit* find(std::int64_t number);
     const WorkUnit* find(std::int64_t number) const;
@@ -41,22 +41,22 @@
     /** The first waiting unit from `number` on that has started before. */
     std::optional<std::int64_t> firstRestarting(std::int64_t number) const;
 
-    /** Lets units start that depended on others. */
+    /** The units may start from now on, except those that have started already or are done. */
     void unblock(const Interval& numbers);
-    /** Returns the unit, which is from now on known by itself. */
+    /** Returns the object of a unit, in state Waiting if it is new. */
     WorkUnit& start(std::int64_t number, Time waitingSince);
     void setState(std::int64_t number, UnitState);
     void setDone(const Interval& numbers);
-    /** Removes a done unit without runs from those that are known by themselves. */
+    /** Removes the object of the unit if it is done and has no runs. */
     void dropDone(std::int64_t number);
     /** Forgets which units of an occurrence are done, as the occurrence is. */
     void forgetDone(int occurrence) { done_.erase(unitsOf(occurrence)); }
 
-    /** The tasks that are done, in order. */
+    /** The units that are done, in order, except those of forgotten occurrences. */
     std::vector<Interval> doneUnits() const { return done_.intervals(); }
-    /** The occurrences that are done, except those that were forgotten. */
+    /** The occurrences in which the step is done, except forgotten ones. */
     std::vector<Interval> doneOccurrences() const;
-    /** Indexes of the tasks of a unit; for a gang, these are all of its members. */
+    /** Number of tasks of one unit; for a gang, all of its members. */
     int taskCount() const { return isGang_ ? taskCount_ : 1; }
 
 private:
--- a/src/libfescuecleat/pool/workprogress.h
+++ b/src/libfescuecleat/pool/workprogress.h
@@ -13,8 +13,8 @@
 namespace fescuecleat {
 
 /**
- * Which units of a job wait, have started and are done. What it costs in time and memory
- * depends on the units that have started, not on those that the job declares.
+ * Which units of a job wait, have started and are done. A job may declare 10^11 tasks, so
+ * time and memory depend only on the units that have started and aren't done.
  */
 class WorkProgress {
 public:
@@ -26,8 +26,9 @@
     int openedOccurrences() const { return openedOccurrences_; }
     /** Opens all occurrences before `end`. */
     void open(int end, Time now);
-    /** The end of the occurrences of which tasks are done. */
+    /** One more than the last occurrence with a done task. */
     int doneOccurrencesEnd() const;
+    /** Whether the first `occurrences` occurrences are done. */
     bool areDone(int occurrences) const { return occurrences == 0 || doneOccurrences_.containsAll({ 0, occurrences - 1 }); }
     /** When the last occurrences were opened. */
     Time lastOpenedAt() const { return openedAt_.empty() ? Time {} : openedAt_.rbegin()->second; }
@@ -38,28 +39,29 @@
     const StepProgress& step(int index) const { return steps_.at(static_cast<std::size_t>(index)); }
     /** The unit that the task belongs to. */
     UnitId unitOf(const TaskId& task) const { return step(task.step_).unitOf(task.occurrence_, task.index_); }
-    /** Whether the job has such a unit in its first `occurrences` occurrences. */
+    /** Whether the first `occurrences` occurrences have such a unit. */
     bool contains(const UnitId&, int occurrences) const;
-    /** A unit that has started; nothing if it never has, or is done and has no runs. */
+    /** The object of a unit; nothing if it has never started, or is done and has no runs. */
     WorkUnit* find(const UnitId&);
     const WorkUnit* find(const UnitId&) const;
     /** The units that have runs, in order. */
     std::vector<UnitId> unitsWithRuns() const;
-    /** The units that are known by themselves, in order. */
+    /** All units that have objects, in order. */
     std::vector<const WorkUnit*> started() const;
     bool isDone(const UnitId&) const;
     /** Since when a unit that has never started may start. */
     Time readySince(const UnitId&) const;
 
-    /** Returns a unit that is about to start, or has started before. */
+    /** Returns the object of a unit that is about to start, in state Waiting if it is new. */
     WorkUnit& start(const UnitId&);
-    /** Sets the state of a unit that has started; the last one of a step that is done unblocks those that depend on it. */
+    /** Sets the state of a unit that has an object; when the last unit of a step is done, dependent steps may become ready. */
     void setState(const UnitId&, UnitState, Time now);
+    /** Removes the object of the unit if it is done and has no runs. */
     void dropDone(const UnitId&);
 
     /** The tasks that are done, in order. */
     std::vector<TaskRange> doneTasks() const;
-    /** Marks tasks as done that a record names, of the first `occurrences` occurrences. */
+    /** Marks the tasks as done, as far as they belong to the first `occurrences` occurrences. */
     void restoreDone(const std::vector<TaskRange>&, int occurrences, Time now);
 
 private:
@@ -68,7 +70,7 @@
     void occurrenceDone(int occurrence);
     /** Marks tasks of one occurrence as done; `tasks` are their numbers within it. */
     void setTasksDone(int occurrence, Interval tasks);
-    /** Finds the steps and occurrences that are done, from the units that are. */
+    /** Derives the done steps and occurrences from the done units. */
     void findDoneSteps(Time now);
     /** Adds the step to those with waiting units, or removes it. */
     void updateWaiting(int step);
@@ -82,7 +84,7 @@
     /** When occurrences were opened, by the first of those opened together. */
     std::map<int, Time> openedAt_;
     IntervalSet doneOccurrences_;
-    /** When steps were done, in the occurrences of which others are not. */
+    /** When steps were done, by occurrence, for occurrences that aren't done. */
     std::map<int, std::map<int, Time>> doneSteps_;
     std::set<int> waitingSteps_;
 };
--- a/src/libfescuecleat/pool/workunit.h
+++ b/src/libfescuecleat/pool/workunit.h
@@ -38,9 +38,9 @@
     std::string checkpoint_;
     /** Runs of the newest attempt that have not ended. */
     std::set<RunId> openRuns_;
-    /** The first of its open runs that may not be known to be at work; unset if they all are, or have changed. */
+    /** Cache of PoolState::isAtWorkSince: the first open run that isn't confirmed; unset if all are. */
     std::optional<RunId> firstUnconfirmed_;
-    /** When the last of the runs before that one was confirmed; unset if runs have changed. */
+    /** Cache of PoolState::isAtWorkSince: the latest confirmation among the runs before that one; unset if runs have changed. */
     std::optional<Time> confirmedAt_;
     Time waitingSince_ {};
     Time startedAt_ {};
