pool: one type for ranges, one for the id of a unit

Some units were passed by reference to a run that the callee may erase.

Change: TaskRange is an Interval; doneTasks joins ranges with IntervalSet, so record() no longer does; WorkUnit has a UnitId; WorkProgress::hasRuns; the number of activities follows the enumeration; small functions of StepProgress are inline. No behaviour has changed.

--- a/src/libfescuecleat/node/activitytimes.h
+++ b/src/libfescuecleat/node/activitytimes.h
@@ -64,7 +64,7 @@
     using Axis = boost::histogram::axis::variable<double>;
     using Histogram = boost::histogram::histogram<std::tuple<Axis>, boost::histogram::dense_storage<std::uint64_t>>;
 
-    static constexpr std::size_t activityCount = 5;
+    static constexpr std::size_t activityCount = static_cast<std::size_t>(Activity::Job) + 1;
 
     JsonEventLog& log_;
     std::array<Histogram, activityCount> histograms_;
--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -149,7 +149,7 @@
     records_[job] = std::move(record);
 }
 
-JobRecorder::Rows PoolController::recordRows(const std::string& job) const
+JobRecorder::Rows PoolController::recordRows(const std::string& job)
 {
     const ActivityTimes::Scope scope(times_, Activity::Record, job);
     const std::int64_t nowMs = context_.clock_.earliestMs(bootTimeNow());
--- a/src/libfescuecleat/node/poolcontroller.h
+++ b/src/libfescuecleat/node/poolcontroller.h
@@ -73,7 +73,7 @@
     void handleJobRemoved(const std::string& job, const std::vector<StoredRow>& laterRows);
     /** When nobody may ask any more for the state of a job that ended then by the store's clock; 0 stands for now. */
     Time removableAt(std::int64_t endedMs) const;
-    JobRecorder::Rows recordRows(const std::string& job) const;
+    JobRecorder::Rows recordRows(const std::string& job);
     void handleUnstorableRecord(const std::string& job);
     void handleIntakeRow(const StoredRow&);
     void addJob(const std::string& id, const StoredRow&);
@@ -104,8 +104,7 @@
 
     NodeContext context_;
     RunLog runLog_;
-    /** Encoding a record changes nothing but these. */
-    mutable ActivityTimes times_;
+    ActivityTimes times_;
     std::int64_t epoch_;
     Listener listener_;
     PoolScheduler scheduler_;
--- a/src/libfescuecleat/pool/healthreview.cpp
+++ b/src/libfescuecleat/pool/healthreview.cpp
@@ -146,7 +146,7 @@
             const Job* job = state_.findJob(id.task_.job_);
             if (job == nullptr || run.phase_ != RunPhase::Running)
                 continue;
-            const StepSpec& step = job->step(job->unit(run.unit_));
+            const StepSpec& step = job->step(run.unit_.step_);
             const Duration left = worker.leavesAt_ - now_;
             const bool mayFinish = !step.isLongRunning_ && remainingOnWorker(run, step) < left + typicalDrainOverrun;
             const bool waitsForMargin = step.savesProgress_ && left > drainMargin;
--- a/src/libfescuecleat/pool/job.h
+++ b/src/libfescuecleat/pool/job.h
@@ -29,7 +29,7 @@
     Time creditExpiry_ {};
 
     const StepSpec& step(int index) const { return spec_.steps_[static_cast<std::size_t>(index)]; }
-    const StepSpec& step(const WorkUnit& unit) const { return step(unit.step_); }
+    const StepSpec& step(const WorkUnit& unit) const { return step(unit.id_.step_); }
     /** How often the steps run. */
     int occurrences() const { return spec_.isTimed() ? spec_.occurrences_ : 1; }
     /** The object of a unit, which must exist; see WorkProgress::find. */
--- a/src/libfescuecleat/pool/pooljobrecord.h
+++ b/src/libfescuecleat/pool/pooljobrecord.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pool/intervalset.h"
 #include "pool/pooljobstate.h"
 #include "pool/taskcrashes.h"
 #include "pool/workerinfo.h"
@@ -42,10 +43,7 @@
 };
 
 /** Consecutive tasks of a job by their numbers (TaskNumbering). */
-struct TaskRange {
-    std::int64_t first_ = 0;
-    std::int64_t last_ = 0;
-};
+using TaskRange = Interval;
 
 /** Stored progress of a job. Its size is bounded by the tasks that are not done, not by those that ever ran. */
 struct PoolJobRecord {
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -130,7 +130,7 @@
     const Resources allocation = job.step(unit).allocation();
     std::size_t placed = 0;
     for (const PlacementRecord& placement : stored.placements_) {
-        const RunId run { { job.id_, unit.occurrence_, unit.step_, placement.index_ }, unit.lastRun_ };
+        const RunId run { { job.id_, id.occurrence_, id.step_, placement.index_ }, unit.lastRun_ };
         if (state_.runs_.count(run) > 0)
             continue;
         PoolWorkerState& worker = state_.workers_[placement.worker_];
@@ -195,7 +195,7 @@
 bool PoolScheduler::forgetJob(const std::string& id)
 {
     const Job* job = state_.findJob(id);
-    if (job == nullptr || job->isOpen() || state_.decisions_.changedJobs_.count(id) > 0 || !job->progress_.unitsWithRuns().empty())
+    if (job == nullptr || job->isOpen() || state_.decisions_.changedJobs_.count(id) > 0 || job->progress_.hasRuns())
         return false;
     state_.jobs_.erase(id);
     timedJobs_.erase(id);
@@ -516,7 +516,7 @@
         abortRun(*job, taskRun.unit_, "another task of the gang ended", now);
 }
 
-void PoolScheduler::abortRun(Job& job, const UnitId& unit, const std::string& cause, Time now)
+void PoolScheduler::abortRun(Job& job, UnitId unit, const std::string& cause, Time now)
 {
     // A done unit may have been dropped with its last run.
     const WorkUnit* const started = job.progress_.find(unit);
@@ -727,17 +727,15 @@
         return record;
     const Job& job = found->second;
     record.state_ = job.state_;
-    if (job.isOpen()) {
-        for (const TaskRange& range : job.progress_.doneTasks())
-            record.addDone(range);
-    }
+    if (job.isOpen())
+        record.done_ = job.progress_.doneTasks();
     for (const WorkUnit* started : job.progress_.started()) {
         const WorkUnit& unit = *started;
         const bool isDone = unit.state_ == UnitState::Done;
         // What is done or belongs to an ended job never starts again; only its open runs are still to be ended.
         if (unit.lastRun_ == 0 || ((isDone || !job.isOpen()) && unit.openRuns_.empty()))
             continue;
-        UnitRecord stored { unit.occurrence_, unit.step_, unit.index_, unit.lastRun_, unit.failures_, isDone, unit.checkpoint_, {}, {}, unit.lastFailedRun_ };
+        UnitRecord stored { unit.id_.occurrence_, unit.id_.step_, unit.id_.index_, unit.lastRun_, unit.failures_, isDone, unit.checkpoint_, {}, {}, unit.lastFailedRun_ };
         for (const RunId& run : unit.openRuns_) {
             const auto entry = state_.runs_.find(run);
             if (entry == state_.runs_.end())
--- a/src/libfescuecleat/pool/poolscheduler.h
+++ b/src/libfescuecleat/pool/poolscheduler.h
@@ -120,7 +120,7 @@
     /** Forgets the crashes under a task whose run has outlived them. */
     void clearOfCrashes(Job&, const RunId&, const TaskRun&, Time now);
     void giveUp(const RunId&, const std::string& cause, Time now);
-    void abortRun(Job&, const UnitId&, const std::string& cause, Time now);
+    void abortRun(Job&, UnitId, const std::string& cause, Time now);
     /** Counts the failure of the unit's run `number` once. */
     void recordFailure(Job&, WorkUnit&, int number, const TaskRun&, Time now);
     /** Blames the worker for a failed run unless the job seems to fail everywhere. */
--- a/src/libfescuecleat/pool/poolstate.cpp
+++ b/src/libfescuecleat/pool/poolstate.cpp
@@ -64,7 +64,7 @@
     return *unit.confirmedAt_ <= time;
 }
 
-void PoolState::place(Job& job, const UnitId& id, const std::vector<PoolWorkerState*>& workers, Time now)
+void PoolState::place(Job& job, UnitId id, const std::vector<PoolWorkerState*>& workers, Time now)
 {
     WorkUnit& unit = job.progress_.start(id);
     const Resources allocation = job.step(unit).allocation();
@@ -73,8 +73,8 @@
     unit.isRunAborted_ = false;
     unit.startedAt_ = now;
     for (std::size_t i = 0; i < workers.size(); ++i) {
-        const int index = unit.isGang() ? static_cast<int>(i) : unit.index_;
-        const RunId run { { job.id_, unit.occurrence_, unit.step_, index }, unit.lastRun_ };
+        const int index = id.isGang() ? static_cast<int>(i) : id.index_;
+        const RunId run { { job.id_, id.occurrence_, id.step_, index }, unit.lastRun_ };
         TaskRun taskRun;
         taskRun.worker_ = workers[i]->info_.key_;
         workers[i]->health_.runStarted(now);
@@ -154,7 +154,7 @@
     decisions_.changedJobs_.insert(run.task_.job_);
 }
 
-void PoolState::stopUnit(Job& job, const UnitId& id, const std::string& cause, Time now)
+void PoolState::stopUnit(Job& job, UnitId id, const std::string& cause, Time now)
 {
     WorkUnit& unit = job.unit(id);
     unit.isRunAborted_ = true;
--- a/src/libfescuecleat/pool/poolstate.h
+++ b/src/libfescuecleat/pool/poolstate.h
@@ -58,11 +58,11 @@
     /** Whether all runs of the unit were known to be at work at a time, as a gang works only once it is complete. */
     bool isAtWorkSince(WorkUnit&, Time) const;
     /** Starts a new run of a unit; `workers` holds one worker per task. */
-    void place(Job&, const UnitId&, const std::vector<PoolWorkerState*>& workers, Time now);
+    void place(Job&, UnitId, const std::vector<PoolWorkerState*>& workers, Time now);
     /** Adds a run that may be active on its worker, and occupies its resources there. */
     void addRun(const RunId&, const TaskRun&, Job&);
     /** Stops the open runs of a unit. A run whose start has not been sent to a worker ends at once. */
-    void stopUnit(Job&, const UnitId&, const std::string& cause, Time now);
+    void stopUnit(Job&, UnitId, const std::string& cause, Time now);
     /** Removes a run and releases its resources. */
     void releaseRun(const RunId&, Time now);
     /** Moves a run to another incarnation of its worker; a stop is decided again for it. */
--- a/src/libfescuecleat/pool/stepprogress.cpp
+++ b/src/libfescuecleat/pool/stepprogress.cpp
@@ -12,21 +12,6 @@
 {
 }
 
-std::int64_t StepProgress::numberOf(const UnitId& unit) const
-{
-    return unit.occurrence_ * unitsPerOccurrence_ + std::max(0, unit.index_);
-}
-
-UnitId StepProgress::idOf(std::int64_t number) const
-{
-    return { occurrenceOf(number), step_, isGang_ ? -1 : static_cast<int>(number % unitsPerOccurrence_) };
-}
-
-Interval StepProgress::unitsOf(int firstOccurrence, int lastOccurrence) const
-{
-    return { firstOccurrence * unitsPerOccurrence_, (lastOccurrence + 1) * unitsPerOccurrence_ - 1 };
-}
-
 WorkUnit* StepProgress::find(std::int64_t number)
 {
     const auto unit = started_.find(number);
@@ -72,10 +57,7 @@
     WorkUnit& unit = entry->second;
     if (!isNew)
         return unit;
-    const UnitId id = idOf(number);
-    unit.occurrence_ = id.occurrence_;
-    unit.step_ = id.step_;
-    unit.index_ = id.index_;
+    unit.id_ = idOf(number);
     unit.taskCount_ = taskCount();
     unit.waitingSince_ = waitingSince;
     unstarted_.erase({ number, number });
--- a/src/libfescuecleat/pool/stepprogress.h
+++ b/src/libfescuecleat/pool/stepprogress.h
@@ -4,6 +4,7 @@
 #include "pool/pooljobspec.h"
 #include "pool/workunit.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -21,11 +22,11 @@
 public:
     StepProgress(const StepSpec&, int step);
 
-    std::int64_t numberOf(const UnitId&) const;
-    UnitId idOf(std::int64_t number) const;
+    std::int64_t numberOf(const UnitId& unit) const { return unit.occurrence_ * unitsPerOccurrence_ + std::max(0, unit.index_); }
+    UnitId idOf(std::int64_t number) const { return { occurrenceOf(number), step_, isGang_ ? -1 : static_cast<int>(number % unitsPerOccurrence_) }; }
     int occurrenceOf(std::int64_t number) const { return static_cast<int>(number / unitsPerOccurrence_); }
     /** The numbers of the units of these occurrences. */
-    Interval unitsOf(int firstOccurrence, int lastOccurrence) const;
+    Interval unitsOf(int firstOccurrence, int lastOccurrence) const { return { firstOccurrence * unitsPerOccurrence_, (lastOccurrence + 1) * unitsPerOccurrence_ - 1 }; }
     Interval unitsOf(int occurrence) const { return unitsOf(occurrence, occurrence); }
     /** The unit that a task belongs to. */
     UnitId unitOf(int occurrence, int taskIndex) const { return { occurrence, step_, isGang_ ? -1 : taskIndex }; }
--- a/src/libfescuecleat/pool/tasknumbering.h
+++ b/src/libfescuecleat/pool/tasknumbering.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "pool/pooljobspec.h"
+#include "pool/unitid.h"
 
 #include <cstdint>
 #include <vector>
@@ -15,6 +16,8 @@
 
     /** `index` is that of the task; that of a gang, which is negative, gives its first task. */
     std::int64_t number(int occurrence, int step, int index) const;
+    /** The first task of a unit. */
+    std::int64_t number(const UnitId& unit) const { return number(unit.occurrence_, unit.step_, unit.index_); }
     /** The step of a task by its number within its occurrence, which must be valid. */
     int stepOf(std::int64_t task) const;
     std::int64_t tasksPerOccurrence() const { return tasksPerOccurrence_; }
--- a/src/libfescuecleat/pool/unitid.h
+++ b/src/libfescuecleat/pool/unitid.h
@@ -11,6 +11,8 @@
     /** Index of the task; -1 for a gang. */
     int index_ = -1;
 
+    bool isGang() const { return index_ < 0; }
+
     bool operator==(const UnitId& other) const { return tie() == other.tie(); }
     bool operator!=(const UnitId& other) const { return tie() != other.tie(); }
     bool operator<(const UnitId& other) const { return tie() < other.tie(); }
--- a/src/libfescuecleat/pool/workprogress.cpp
+++ b/src/libfescuecleat/pool/workprogress.cpp
@@ -78,16 +78,23 @@
         for (const auto& [number, unit] : step.started())
             result.push_back(&unit);
     }
-    std::sort(result.begin(), result.end(), [](const WorkUnit* left, const WorkUnit* right) { return left->id() < right->id(); });
+    std::sort(result.begin(), result.end(), [](const WorkUnit* left, const WorkUnit* right) { return left->id_ < right->id_; });
     return result;
 }
 
+bool WorkProgress::hasRuns() const
+{
+    return std::any_of(steps_.begin(), steps_.end(), [](const StepProgress& step) {
+        return std::any_of(step.started().begin(), step.started().end(), [](const auto& entry) { return !entry.second.openRuns_.empty(); });
+    });
+}
+
 std::vector<UnitId> WorkProgress::unitsWithRuns() const
 {
     std::vector<UnitId> result;
     for (const WorkUnit* unit : started()) {
         if (!unit->openRuns_.empty())
-            result.push_back(unit->id());
+            result.push_back(unit->id_);
     }
     return result;
 }
@@ -166,22 +173,21 @@
 
 std::vector<TaskRange> WorkProgress::doneTasks() const
 {
-    std::vector<TaskRange> result;
-    const std::int64_t tasksPerOccurrence = numbering_.tasksPerOccurrence();
+    IntervalSet tasks;
+    const std::int64_t perOccurrence = numbering_.tasksPerOccurrence();
     for (const Interval& occurrences : doneOccurrences_.intervals())
-        result.push_back({ occurrences.first_ * tasksPerOccurrence, (occurrences.last_ + 1) * tasksPerOccurrence - 1 });
+        tasks.insert({ occurrences.first_ * perOccurrence, (occurrences.last_ + 1) * perOccurrence - 1 });
     for (const StepProgress& step : steps_) {
         for (const Interval& units : step.doneUnits()) {
             for (int occurrence = step.occurrenceOf(units.first_); occurrence <= step.occurrenceOf(units.last_); ++occurrence) {
                 const Interval ofOccurrence = step.unitsOf(occurrence);
                 const UnitId first = step.idOf(std::max(units.first_, ofOccurrence.first_));
                 const UnitId last = step.idOf(std::min(units.last_, ofOccurrence.last_));
-                result.push_back({ numbering_.number(occurrence, first.step_, first.index_), numbering_.number(occurrence, last.step_, last.index_) + step.taskCount() - 1 });
+                tasks.insert({ numbering_.number(first), numbering_.number(last) + step.taskCount() - 1 });
             }
         }
     }
-    std::sort(result.begin(), result.end(), [](const TaskRange& left, const TaskRange& right) { return left.first_ < right.first_; });
-    return result;
+    return tasks.intervals();
 }
 
 void WorkProgress::restoreDone(const std::vector<TaskRange>& done, int occurrences, Time now)
--- a/src/libfescuecleat/pool/workprogress.h
+++ b/src/libfescuecleat/pool/workprogress.h
@@ -44,6 +44,7 @@
     /** The object of a unit; nothing if it has never started, or is done and has no runs. */
     WorkUnit* find(const UnitId&);
     const WorkUnit* find(const UnitId&) const;
+    bool hasRuns() const;
     /** The units that have runs, in order. */
     std::vector<UnitId> unitsWithRuns() const;
     /** All units that have objects, in order. */
--- a/src/libfescuecleat/pool/workunit.h
+++ b/src/libfescuecleat/pool/workunit.h
@@ -23,10 +23,7 @@
 
 /** Smallest unit of placement: a gang or a single task. */
 struct WorkUnit {
-    int occurrence_ = 0;
-    int step_ = 0;
-    /** Index of the task; -1 for a gang. */
-    int index_ = -1;
+    UnitId id_;
     int taskCount_ = 1;
     UnitState state_ = UnitState::Waiting;
     int lastRun_ = 0;
@@ -57,8 +54,6 @@
     {
         return std::any_of(crashes_.begin(), crashes_.end(), [](const auto& entry) { return entry.second.areSuspicious(); });
     }
-    UnitId id() const { return { occurrence_, step_, index_ }; }
-    bool isGang() const { return index_ < 0; }
 };
 
 }
--- a/tests/pool/workprogresstest.cpp
+++ b/tests/pool/workprogresstest.cpp
@@ -240,8 +240,8 @@
         restored.restoreDone(progress_.doneTasks(), spec_.occurrences_, now_);
         restored.open(naive_.opened(), now_);
         for (const WorkUnit* unit : progress_.started()) {
-            restored.start(unit->id());
-            restored.setState(unit->id(), unit->state_, now_);
+            restored.start(unit->id_);
+            restored.setState(unit->id_, unit->state_, now_);
         }
         progress_ = std::move(restored);
         for (const UnitId& unit : naive_.waiting())
@@ -296,6 +296,7 @@
         CPPUNIT_ASSERT(!progress.hasWaiting());
         CPPUNIT_ASSERT(progress.areDone(1));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), progress.doneTasks().size());
+        CPPUNIT_ASSERT(progress.step(0).doneUnits().empty());
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), progress.started().size());
     }
 
