Explain where a job would go now on a pool, and why

Cause: on the pool daemon nobody could tell operators why a job waits, or where one would go before it is submitted. Change: PlacementExplainer runs passes on a copy of the scheduler and reports what they decide for one job; ExplainApi answers it on the peers' address and passes questions on to the lease holder; new command fescuecleat explain. Nothing is stored, started or stopped. Ruled out: a second set of rules that describes placement, which would drift from the pass.

--- a/src/fescuecleat/command.cpp
+++ b/src/fescuecleat/command.cpp
@@ -1,6 +1,7 @@
 #include "command.h"
 
 #include "cli/configcommands.h"
+#include "cli/explaincommand.h"
 #include "cli/jobcommands.h"
 #include "cli/keycommand.h"
 #include "cli/operatorcommands.h"
@@ -54,6 +55,8 @@
                 { "fescuecleat config apply base.json catania=catania.json palermo=palermo.json --who anna" }, applyConfigCommand },
             { "config show", "", "Shows the configuration that is in force.", operatorOptions, { "fescuecleat config show --output json" }, showConfigCommand },
             { "config history", "", "Lists the configuration versions and who applied them.", operatorOptions, { "fescuecleat config history" }, configHistoryCommand },
+            { "explain", "[JOB]", "Explains where a job would go now on a pool, and why, without submitting it.", { "instance", "timeout", "file", "queue", "organisation" },
+                { "fescuecleat explain 5c0e7a21d94b36f8 --instance 10.1.0.18:7520", "fescuecleat explain --file job.json --queue nightly --organisation duomo --instance 10.1.0.18:7520" }, explainCommand },
             { "state", "", "Shows the state of one process as JSON.", operatorOptions, { "fescuecleat state --operator 10.0.0.5:7101" }, stateCommand },
             { "key new", "[OWNER...]", "Creates a key and its hash; with owners (organisations or \"operators\") one line OWNER KEY for each. Needs no daemon.",
                 { "overlay", "peer" },
--- a/src/libfescuecleat/cli/commandarguments.h
+++ b/src/libfescuecleat/cli/commandarguments.h
@@ -44,6 +44,11 @@
     std::string payload_;
     bool waitsForEnd_ = false;
 
+    // explain
+    std::string instanceAddress_ = "127.0.0.1:7000";
+    std::string queue_;
+    std::string organisation_;
+
     // request
     std::string kind_;
     std::string body_;
--- a/src/libfescuecleat/cli/commandsupport.cpp
+++ b/src/libfescuecleat/cli/commandsupport.cpp
@@ -62,6 +62,11 @@
     return makeClient(arguments, context, arguments.operatorAddress_, { { "x-operator", arguments.who_ } });
 }
 
+Result<ApiClient> instanceClient(const CommandArguments& arguments, const CommandContext& context)
+{
+    return makeClient(arguments, context, arguments.instanceAddress_, {});
+}
+
 Result<std::string> readFile(const std::string& name)
 {
     std::ifstream in(name, std::ios::binary);
--- a/src/libfescuecleat/cli/commandsupport.h
+++ b/src/libfescuecleat/cli/commandsupport.h
@@ -19,6 +19,9 @@
 /** Creates a client of the operator API. Fails if the address, timeout or key file is invalid. */
 Result<ApiClient> operatorClient(const CommandArguments&, const CommandContext&);
 
+/** Creates a client of a pool daemon's address for its peers. Fails if the address or timeout is invalid. */
+Result<ApiClient> instanceClient(const CommandArguments&, const CommandContext&);
+
 /** Reads a whole file. Errors: NotFound, also for an empty file. */
 Result<std::string> readFile(const std::string& name);
 
--- a/src/libfescuecleat/node/instance.cpp
+++ b/src/libfescuecleat/node/instance.cpp
@@ -39,6 +39,7 @@
     , directory_(context)
     , client_(client)
     , jobApi_(context, { [this] { return configuration_; }, [this] { return isConfigurationCurrent(); }, [this] { return controller_.get(); }, [this](const StoredRow& row) { notifyScheduler(row); } })
+    , explainApi_(context, client, { [this] { return configuration_; }, [this] { return controller_.get(); }, [this] { return directory_.addressOf(lease_.holder()); } })
     , callers_(context.loop_, [this](ServerRequest request, AsyncHttpServer::Respond respond) { jobApi_.handle(std::move(request), std::move(respond)); })
     , readiness_(context.loop_, [this](const ServerRequest&, const AsyncHttpServer::Respond& respond) {
         ServerResponse response;
@@ -204,6 +205,8 @@
         return handlePeerStoreCall(request.body_, respond);
     if (request.path_ == announcementPath)
         return handleAnnouncement(request.body_, respond);
+    if (request.path_.substr(0, request.path_.find('?')) == ExplainApi::path)
+        return explainApi_.handle(request, respond);
     ServerResponse response;
     response.status_ = request.path_ == "/metrics" ? 200 : 404;
     response.contentType_ = "text/plain";
--- a/src/libfescuecleat/node/instance.h
+++ b/src/libfescuecleat/node/instance.h
@@ -2,6 +2,7 @@
 
 #include "net/asynchttpserver.h"
 #include "net/timer.h"
+#include "node/explainapi.h"
 #include "node/failoverrowstore.h"
 #include "node/jobapi.h"
 #include "node/nodecontext.h"
@@ -65,6 +66,7 @@
     PeerDirectory directory_;
     AsyncHttpClient& client_;
     JobApi jobApi_;
+    ExplainApi explainApi_;
     AsyncHttpServer callers_;
     AsyncHttpServer readiness_;
     /** Serves requests of peers, and metrics. */
--- a/src/libfescuecleat/node/poolcontroller.h
+++ b/src/libfescuecleat/node/poolcontroller.h
@@ -52,6 +52,9 @@
     std::optional<PoolJobState> stateOf(const std::string& job) const;
     /** The number of waiting jobs of a queue; nothing until the jobs are loaded. */
     std::optional<int> waitingJobs(const std::string& queue) const;
+    /** Whether the jobs are loaded. */
+    bool isReady() const { return isReady_; }
+    const PoolScheduler& scheduler() const { return scheduler_; }
     const PoolState& state() const { return scheduler_.state(); }
     std::size_t openJobs() const;
     /** Crashes of workers and tasks given up for them, since this instance took the lease. */
--- a/src/libfescuecleat/pool/preemption.cpp
+++ b/src/libfescuecleat/pool/preemption.cpp
@@ -18,6 +18,11 @@
 
 }
 
+std::string preemptionCause(const std::string& job)
+{
+    return "its room goes to urgent job " + job;
+}
+
 Preemption::Preemption(PoolState& state, const PlacementView& view, std::function<int(const Job&)> rankOf, Time now)
     : view_(view)
     , rankOf_(std::move(rankOf))
--- a/src/libfescuecleat/pool/preemption.h
+++ b/src/libfescuecleat/pool/preemption.h
@@ -7,12 +7,16 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <string>
 #include <tuple>
 #include <utility>
 #include <vector>
 
 namespace fescuecleat {
 
+/** The cause of stops that make room for a job. */
+std::string preemptionCause(const std::string& job);
+
 /** Selects running units to stop for more important ones, during one scheduling pass. */
 class Preemption {
 public:
--- a/src/libfescuecleat/pool/schedulingpass.cpp
+++ b/src/libfescuecleat/pool/schedulingpass.cpp
@@ -306,7 +306,7 @@
         const Preemption::Victim& victim = preemption_->victim(index);
         for (const auto& [entry, resources] : victim.runs_)
             view_.addProjected(view_.entries()[entry].worker_, resources);
-        state_.stopUnit(*victim.job_, victim.unit_, "its room goes to urgent job " + candidate.job_->id_, now_);
+        state_.stopUnit(*victim.job_, victim.unit_, preemptionCause(candidate.job_->id_), now_);
     }
     return true;
 }
--- a/tests/cli/clitest.cpp
+++ b/tests/cli/clitest.cpp
@@ -126,7 +126,7 @@
     void everyCommandHasHelp()
     {
         const std::string overview = run("--help").text_;
-        for (const char* command : { "submit", "status", "wait", "why", "cancel", "jobs", "request", "data-centre list", "data-centre out", "data-centre return",
+        for (const char* command : { "submit", "status", "wait", "why", "cancel", "jobs", "request", "data-centre list", "data-centre out", "data-centre return", "explain",
                  "config check", "config apply", "config show", "config history", "state", "key new" }) {
             CPPUNIT_ASSERT_MESSAGE(command, contains(overview, std::string("  ") + command + " "));
             const CommandResult help = run(std::string(command) + " --help");
