node: move the registry of workers and the links out of PoolController

Change: PoolWorkerLinks follows the registry, opens and reviews the links and passes what they observe on to the scheduler. The code is moved; behaviour is the same.

--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -13,28 +13,10 @@
 namespace {
 
     constexpr Duration intakePollWait = std::chrono::milliseconds(2000);
-    constexpr Duration registryPollWait = std::chrono::milliseconds(2000);
-    /**
-     * Workers rewrite their entries continuously, so changes are collected between two polls;
-     * a leaving worker must still be noticed well within two seconds.
-     */
-    constexpr Duration registryPollPause = std::chrono::milliseconds(400);
     constexpr Duration readTimeout = std::chrono::milliseconds(1500);
     constexpr Duration readRetryDelay = std::chrono::milliseconds(100);
     /** Minimum time between two writes of the summary. */
     constexpr Duration summaryInterval = std::chrono::milliseconds(1000);
-    /**
-     * Poll wait per worker of the pool, within the bounds below. Polls report progress,
-     * but each costs processor time.
-     */
-    constexpr Duration pollWaitPerWorker = std::chrono::milliseconds(6);
-    constexpr Duration minPollWait = std::chrono::milliseconds(1000);
-    constexpr Duration maxPollWait = std::chrono::milliseconds(2000);
-    /** Links are opened in batches, so that an instance with little processor time can renew its lease in between. */
-    constexpr std::size_t linksPerBatch = 12;
-    constexpr Duration linkBatchInterval = std::chrono::milliseconds(15);
-    /** Interval of the checks that each worker with runs has a link, and each link a worker. */
-    constexpr Duration linkReviewInterval = std::chrono::milliseconds(250);
     /** Delay before starts are tried again that the lease didn't cover. */
     constexpr Duration deferredStartDelay = std::chrono::milliseconds(50);
     constexpr Duration minPassDelay = std::chrono::milliseconds(1);
@@ -99,14 +81,14 @@
               },
               nullptr,
               [this](const StoredRow& row) { handleIntakeRow(row); } })
-    , registry_(context.loop_, context.store_, context.clock_, context.log_, { context.registryFormat_.table() }, registryPollWait,
-          { [this](const std::vector<StoredRow>& rows) { handleRegistryReset(rows); }, [this](const StoredRow& row) { handleRegistryRow(row); }, nullptr })
+    , links_(context, scheduler_, lease,
+          { [this](const WorkerKey& worker, const PoolWorkerReport& report, Time askedAt) { handleReport(worker, report, askedAt); },
+              [this] { return listener_.isLeaseHeld_(); },
+              [this](const std::string& cause) { listener_.leaseDoubted_(cause); },
+              [this] { requestPass(); } })
     , recordsTimer_(context.loop_)
     , passTimer_(context.loop_)
-    , formerHolderActiveUntil_(lease.formerHolderActiveUntil_)
-    , linkTimer_(context.loop_)
 {
-    registry_.setPollPause(registryPollPause);
     scheduler_.setRunLimit(context.settings_.runLimit());
     scheduler_.setGuaranteeLimit(context.settings_.guaranteeLimit_);
 }
@@ -180,7 +162,7 @@
     removeOrphanedRecords();
     retention_.start();
     // Workers are polled only now: before the jobs are loaded, their runs' ends would be those of unknown runs.
-    registry_.start();
+    links_.start();
 }
 
 void PoolController::removeOrphanedRecords()
@@ -233,7 +215,7 @@
         services[queue.name_] = queue.service_;
     for (const std::string& queue : scheduler_.setQueueServices(configuration.version_, services))
         context_.log_.write("queue.moved", { { "queue", queue }, { "service", services.at(queue) }, { "configuration", configuration.version_ } });
-    addServices(configuration.services_);
+    links_.addServices(configuration.services_);
     requestPass();
 }
 
@@ -305,7 +287,7 @@
         fields["restrictions"] = std::move(restrictions);
     context_.log_.write("job.seen", std::move(fields));
     storedStates_[id] = stored == nullptr ? PoolJobState::Queued : stored->state_;
-    addServices({ intake->policy_.service_ });
+    links_.addServices({ intake->policy_.service_ });
     payloads_[id] = std::make_shared<const std::string>(std::move(intake->spec_.payload_));
     intake->spec_.payload_.clear();
     scheduler_.addJob(id, std::move(intake->spec_), intake->policy_, submittedAt, stored, now);
@@ -315,193 +297,27 @@
         records_.erase(record);
 }
 
-void PoolController::addServices(const std::set<std::string>& services)
+void PoolController::handleReport(const WorkerKey& worker, const PoolWorkerReport& report, Time askedAt)
 {
-    const std::size_t known = services_.size();
-    services_.insert(services.begin(), services.end());
-    if (services_.size() == known)
-        return;
-    for (const auto& [worker, row] : std::exchange(skippedWorkers_, {}))
-        handleRegistryRow(row);
-}
-
-void PoolController::skipWorker(const StoredRow& row, const std::string& service)
-{
-    if (skippedWorkers_.count(row.key_) == 0)
-        context_.log_.write("worker.skipped", { { "worker", row.key_ }, { "version", row.version_ }, { "service", service } });
-    skippedWorkers_[row.key_] = row;
-    scheduler_.delistWorker(row.key_);
-}
-
-void PoolController::handleRegistryReset(const std::vector<StoredRow>& rows)
-{
-    skippedWorkers_.clear();
-    std::set<std::string> listed;
-    for (const StoredRow& row : rows) {
-        listed.insert(row.key_);
-        handleRegistryRow(row);
-    }
-    for (const auto& [id, link] : links_) {
-        if (listed.count(id) == 0)
-            scheduler_.delistWorker(id);
-    }
-    reviewLinks();
-    requestPass();
-}
-
-void PoolController::handleRegistryRow(const StoredRow& row)
-{
-    if (row.isDeleted_) {
-        if (skippedWorkers_.erase(row.key_) > 0)
-            return;
-        context_.log_.write("worker.delisted", { { "worker", row.key_ }, { "version", row.version_ } });
-        scheduler_.delistWorker(row.key_);
-        return requestPass();
-    }
-    const Result<WorkerInfo> info = context_.registryFormat_.decode(row);
-    if (!info) {
-        context_.log_.write("worker.unreadable", { { "worker", row.key_ }, { "version", row.version_ }, { "cause", info.error().message_ } });
-        scheduler_.delistWorker(row.key_);
-        return requestPass();
-    }
-    if (services_.count(info->service_) == 0)
-        return skipWorker(row, info->service_);
-    skippedWorkers_.erase(row.key_);
-    const auto link = links_.find(row.key_);
-    WorkerInfo current = *info;
-    if (link != links_.end() && link->second->key().startedUnixMs_ > current.key_.startedUnixMs_) {
-        // The worker itself reported a newer incarnation, which may be of another kind.
-        if (current.key_.startedUnixMs_ != 0)
-            return;
-        current.key_ = link->second->key(); // the registry doesn't tell incarnations apart
+    const ActivityTimes::Scope scope(times_, Activity::Report);
+    logNewEnds(report, worker);
+    scheduler_.report(worker, report, askedAt, bootTimeNow());
+    std::int64_t last = 0;
+    std::set<std::string> endedJobs;
+    for (const ReportedEnd& end : report.ended_) {
+        last = std::max(last, end.sequence_);
+        endedJobs.insert(end.run_.task_.job_);
     }
-    const PoolWorkerState* known = nullptr;
-    const auto found = scheduler_.state().workers_.find(current.key_);
-    if (found != scheduler_.state().workers_.end())
-        known = &found->second;
-    if (known != nullptr && known->isListed_ && known->isDescribed_ && known->info_ == current)
-        return; // only a heartbeat
-    context_.log_.write("worker.seen", { { "worker", row.key_ }, { "version", row.version_ }, { "born", current.key_.startedUnixMs_ }, { "isDraining", current.isDraining_ }, { "dataCentre", current.dataCentre_ }, { "service", current.service_ }, { "labels", current.labels_ }, { "accelerators", current.capacity_.accelerators_ }, { "cpuMillis", current.capacity_.cpuMillis_ }, { "memoryMb", current.capacity_.memoryMb_ } });
-    scheduler_.putWorker(current, bootTimeNow());
-    if (link == links_.end() || link->second->key() != current.key_) {
-        const bool isRestarted = links_.erase(row.key_) > 0;
-        openLink(current, isRestarted);
-    } else {
-        link->second->update(current);
+    executeDecisions();
+    if (last > 0) {
+        recorder_.whenStored(endedJobs, [this, worker, last] {
+            if (PoolWorkerLink* current = links_.find(worker))
+                current->acknowledgeEnds(last);
+        });
     }
     requestPass();
 }
 
-void PoolController::openLink(const WorkerInfo& info, bool isRestarted)
-{
-    PoolWorkerLink::Parameters parameters;
-    parameters.epoch_ = epoch_;
-    parameters.maxLease_ = context_.settings_.maxWorkerLease_;
-    // A former holder may renew leases until its own lease ends, and former links of this term until now.
-    const Time lastGrantAt = std::max(formerHolderActiveUntil_, bootTimeNow()) + (isRestarted ? context_.settings_.maxRequestDelay_ : Duration::zero());
-    parameters.earlierLeasesExpireAt_ = PoolWorkerLink::latestLeaseExpiry(context_.settings_.maxWorkerLease_, lastGrantAt);
-    const auto wait = std::chrono::duration_cast<Duration>(pollWaitPerWorker * scheduler_.state().workers_.size());
-    parameters.pollWait_ = std::clamp(wait, minPollWait, maxPollWait);
-    parameters.maxRequestDelay_ = context_.settings_.maxRequestDelay_;
-    auto link = std::make_unique<PoolWorkerLink>(context_.loop_, context_.workers_, info, parameters, makeLinkListener(info.key_.id_));
-    links_[info.key_.id_] = std::move(link);
-    linksToOpen_.push_back(info.key_.id_);
-    if (linksToOpen_.size() == 1)
-        linkTimer_.start(Duration::zero(), [this] { openQueuedLinks(); });
-}
-
-void PoolController::openQueuedLinks()
-{
-    for (std::size_t i = 0; i < linksPerBatch && !linksToOpen_.empty(); ++i) {
-        const auto link = links_.find(linksToOpen_.front());
-        linksToOpen_.pop_front();
-        if (link != links_.end())
-            link->second->open();
-    }
-    if (!linksToOpen_.empty())
-        linkTimer_.start(linkBatchInterval, [this] { openQueuedLinks(); });
-}
-
-PoolWorkerLink* PoolController::findLink(const WorkerKey& key)
-{
-    const auto link = links_.find(key.id_);
-    return link == links_.end() || link->second->key() != key ? nullptr : link->second.get();
-}
-
-PoolWorkerLink::Listener PoolController::makeLinkListener(const std::string& id)
-{
-    PoolWorkerLink::Listener listener;
-    listener.reported_ = [this, id](const PoolWorkerReport& report, Time askedAt) {
-        const ActivityTimes::Scope scope(times_, Activity::Report);
-        PoolWorkerLink& link = *links_.at(id);
-        logNewEnds(report, link.key());
-        scheduler_.report(link.key(), report, askedAt, bootTimeNow());
-        std::int64_t last = 0;
-        std::set<std::string> endedJobs;
-        for (const ReportedEnd& end : report.ended_) {
-            last = std::max(last, end.sequence_);
-            endedJobs.insert(end.run_.task_.job_);
-        }
-        executeDecisions();
-        if (last > 0) {
-            recorder_.whenStored(endedJobs, [this, key = link.key(), last] {
-                if (PoolWorkerLink* current = findLink(key))
-                    current->acknowledgeEnds(last);
-            });
-        }
-        requestPass();
-    };
-    listener.restarted_ = [this](const WorkerKey& former, const WorkerKey& current) {
-        context_.log_.write("worker.reborn", { { "worker", current.id_ }, { "formerBorn", former.startedUnixMs_ }, { "born", current.startedUnixMs_ } });
-        scheduler_.workerRestarted(former, current, bootTimeNow());
-        requestPass();
-    };
-    listener.answersAgain_ = [this, id] {
-        context_.log_.write("worker.reachability", { { "worker", id }, { "isReachable", true }, { "cause", "answered" } });
-        scheduler_.setReachable(links_.at(id)->key());
-        requestPass();
-    };
-    listener.fellSilent_ = [this, id](Time upUntil, const char* cause) {
-        context_.log_.write("worker.reachability", { { "worker", id }, { "isReachable", false }, { "cause", cause } });
-        scheduler_.setSilent(links_.at(id)->key(), upUntil, bootTimeNow());
-        requestPass();
-    };
-    listener.leasesExpired_ = [this, id](const PoolWorkerLink::LeaseExpiry& expiry) {
-        const WorkerKey key = links_.at(id)->key();
-        const auto worker = scheduler_.state().workers_.find(key);
-        if (worker == scheduler_.state().workers_.end() || (worker->second.runs_.empty() && worker->second.unrecordedRuns_.empty()))
-            return;
-        const Time now = bootTimeNow();
-        nlohmann::json fields { { "worker", id }, { "born", key.startedUnixMs_ }, { "runs", worker->second.runs_.size() }, { "expiredMsAgo", wholeMilliseconds(now - expiry.expiredAt_) }, { "isOwnGrant", expiry.isOwnGrant_ } };
-        if (expiry.lastAnswerAt_)
-            fields["lastAnswerMsAgo"] = wholeMilliseconds(now - *expiry.lastAnswerAt_);
-        context_.log_.write("worker.lapsed", std::move(fields));
-        scheduler_.workerLapsed(key, now);
-        requestPass();
-    };
-    listener.isLeaseHeld_ = [this] { return listener_.isLeaseHeld_(); };
-    listener.isStartWanted_ = [this](const RunId& run) { return listener_.isLeaseHeld_() && scheduler_.isStartWanted(run); };
-    listener.isStartPending_ = [this](const RunId& run) { return listener_.isLeaseHeld_() && scheduler_.isStartPending(run); };
-    listener.startSent_ = [this](const RunId& run) { scheduler_.startSent(run, bootTimeNow()); };
-    listener.startUnanswered_ = [this](const RunId& run) { scheduler_.startUnanswered(run); };
-    listener.startAnswered_ = [this, id](const RunId& run, StartAnswer answer) {
-        if (answer != StartAnswer::Accepted)
-            context_.log_.write("run.start_refused", { { "job", run.task_.job_ }, { "task", toString(run.task_) }, { "run", run.number_ }, { "worker", id }, { "cause", answer == StartAnswer::StaleRun ? "old" : "refused" } });
-        scheduler_.startAnswered(run, answer, bootTimeNow());
-        requestPass();
-    };
-    listener.isStopWanted_ = [this](const RunId& run) {
-        const auto entry = scheduler_.state().runs_.find(run);
-        return entry == scheduler_.state().runs_.end() || entry->second.phase_ == RunPhase::Stopping;
-    };
-    listener.stopConfirmed_ = [this](const RunId& run) {
-        scheduler_.stopConfirmed(run, bootTimeNow());
-        requestPass();
-    };
-    listener.epochRefused_ = [this, id] { listener_.leaseDoubted_("worker " + id + " has accepted a higher epoch"); };
-    return listener;
-}
-
 void PoolController::logNewEnds(const PoolWorkerReport& report, const WorkerKey& key)
 {
     // Reports repeat the ends that are not acknowledged yet.
@@ -529,8 +345,8 @@
     isPassPosted_ = false;
     runScheduler();
     const Time now = bootTimeNow();
-    if (isReady_ && registry_.isLoaded() && linksReviewedAt_ + linkReviewInterval < now)
-        reviewLinks();
+    if (isReady_)
+        links_.reviewIfDue(now);
     Duration delay = std::max(minPassDelay, remaining(scheduler_.nextWake(now, unixMsNow()), now));
     if (!deferredStarts_.empty())
         delay = std::min(delay, deferredStartDelay);
@@ -540,7 +356,7 @@
 void PoolController::runScheduler()
 {
     const Time now = bootTimeNow();
-    if (isReady_ && registry_.isLoaded() && listener_.isLeaseHeld_()) {
+    if (isReady_ && links_.isLoaded() && listener_.isLeaseHeld_()) {
         sendStarts(std::exchange(deferredStarts_, {}));
         scheduler_.schedule(now, unixMsNow());
         writeSummary();
@@ -560,7 +376,7 @@
     runLog_.lost(decisions.lostRuns_);
     runLog_.stopped(decisions.stops_);
     for (const StopDecision& stop : decisions.stops_) {
-        if (PoolWorkerLink* link = findLink(stop.worker_))
+        if (PoolWorkerLink* link = links_.find(stop.worker_))
             link->stop(stop.run_);
     }
     for (const std::string& job : decisions.changedJobs_)
@@ -613,7 +429,7 @@
         requestPass(); // some may be placed elsewhere now
     runLog_.started(begun);
     for (const StartDecision& decision : begun) {
-        PoolWorkerLink* link = findLink(decision.worker_);
+        PoolWorkerLink* link = links_.find(decision.worker_);
         if (link == nullptr)
             continue;
         StartRequest request;
@@ -638,43 +454,6 @@
     recorder_.addToNextCommit({ summaryTable, summaryKey, nlohmann::json(waiting).dump() });
 }
 
-void PoolController::reviewLinks()
-{
-    linksReviewedAt_ = bootTimeNow();
-    for (auto it = links_.begin(); it != links_.end();) {
-        const bool isKnown = scheduler_.state().workers_.count(it->second->key()) > 0;
-        it = isKnown ? std::next(it) : links_.erase(it);
-    }
-    // Workers that the registry no longer lists keep a link until their leases have expired.
-    std::map<std::string, WorkerInfo> unlinked;
-    std::vector<WorkerKey> superseded;
-    for (const auto& [key, worker] : scheduler_.state().workers_) {
-        if (findLink(key) != nullptr)
-            continue;
-        const auto link = links_.find(key.id_);
-        const auto older = unlinked.find(key.id_);
-        if (link != links_.end() && link->second->key().startedUnixMs_ > key.startedUnixMs_) {
-            superseded.push_back(key);
-            continue;
-        }
-        // Incarnations of a worker are ordered by their start.
-        if (older != unlinked.end())
-            superseded.push_back(older->second.key_);
-        unlinked[key.id_] = worker.info_;
-    }
-    for (const auto& [id, info] : unlinked) {
-        const bool isRestarted = std::any_of(superseded.begin(), superseded.end(), [&id = id](const WorkerKey& key) { return key.id_ == id; });
-        openLink(info, isRestarted);
-    }
-    for (const WorkerKey& key : superseded) {
-        const WorkerKey current = links_.at(key.id_)->key();
-        context_.log_.write("worker.superseded", { { "worker", key.id_ }, { "formerBorn", key.startedUnixMs_ }, { "born", current.startedUnixMs_ } });
-        scheduler_.workerRestarted(key, current, bootTimeNow());
-    }
-    if (!superseded.empty())
-        requestPass();
-}
-
 std::optional<PoolJobState> PoolController::stateOf(const std::string& job) const
 {
     const auto state = storedStates_.find(job);
--- a/src/libfescuecleat/node/poolcontroller.h
+++ b/src/libfescuecleat/node/poolcontroller.h
@@ -8,13 +8,12 @@
 #include "node/nodecontext.h"
 #include "node/poolconfiguration.h"
 #include "node/poolschedulerlease.h"
-#include "node/poolworkerlink.h"
+#include "node/poolworkerlinks.h"
 #include "node/runlog.h"
 #include "node/tablefollower.h"
 #include "pool/poolscheduler.h"
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -82,20 +81,8 @@
     void addJob(const std::string& id, const StoredRow&);
     /** Keeps only the state of a job that had ended before this instance took the lease; returns whether it had. */
     bool skipEndedJob(const std::string& id);
-    void handleRegistryRow(const StoredRow&);
-    /** Uses workers of these services, too, which a configuration or a job names. */
-    void addServices(const std::set<std::string>&);
-    /** Entries of services that nothing names are those of other systems. */
-    void skipWorker(const StoredRow&, const std::string& service);
-    void handleRegistryReset(const std::vector<StoredRow>&);
-    /** `isRestarted`: requests to a former incarnation may still reach this one. */
-    void openLink(const WorkerInfo&, bool isRestarted);
-    void openQueuedLinks();
+    void handleReport(const WorkerKey&, const PoolWorkerReport&, Time askedAt);
     void handleJobStored(const std::string& job, PoolJobState);
-    PoolWorkerLink* findLink(const WorkerKey&);
-    PoolWorkerLink::Listener makeLinkListener(const std::string& id);
-    /** Opens missing links, drops those of unknown workers and gives up runs of superseded incarnations. */
-    void reviewLinks();
 
     void requestPass();
     void runPass();
@@ -114,13 +101,11 @@
     JobRecorder recorder_;
     JobRetention retention_;
     TableFollower intake_;
-    TableFollower registry_;
+    PoolWorkerLinks links_;
     /** Repeats a failed read of the records. */
     Timer recordsTimer_;
     Timer passTimer_;
     Lifetime lifetime_;
-    /** Former lease holders may have renewed workers' leases until then. */
-    Time formerHolderActiveUntil_ {};
     bool isPassPosted_ = false;
     bool isReady_ = false;
 
@@ -130,15 +115,6 @@
     std::set<std::string> unstorableJobs_;
     std::map<std::string, std::shared_ptr<const std::string>> payloads_;
     std::map<std::string, PoolJobState> storedStates_;
-    /** The services that a configuration or a job has named in this term. */
-    std::set<std::string> services_;
-    /** Registry entries of other services, by worker. */
-    std::map<std::string, StoredRow> skippedWorkers_;
-    std::map<std::string, std::unique_ptr<PoolWorkerLink>> links_;
-    /** Links that are still to be opened, in batches. */
-    std::deque<std::string> linksToOpen_;
-    Timer linkTimer_;
-    Time linksReviewedAt_ {};
     /** Starts whose record was stored while the lease was in doubt. */
     std::vector<StartDecision> deferredStarts_;
     std::uint64_t workerCrashes_ = 0;
