pool: keep the limits of organisations

Cause: operators limit the resources that all runs of an organisation use, and the scheduler did not know these limits.

Change: `weight` and `maxCount` are decoded into OrganisationPolicy and passed to the scheduler. OrganisationUsage counts the resources of all runs that may exist, in addRun and releaseRun, and those of unrecorded runs from reports. A pass checks the limit before it places, reserves or preempts. beginStart and isStartWanted check again, since the limit may be lowered while a record is stored. A worker that leaves the registry is kept while it has unrecorded runs.

--- a/src/libfescuecleat/node/poolconfiguration.cpp
+++ b/src/libfescuecleat/node/poolconfiguration.cpp
@@ -27,4 +27,12 @@
     return nullptr;
 }
 
+std::map<std::string, OrganisationPolicy> PoolConfiguration::organisationPolicies() const
+{
+    std::map<std::string, OrganisationPolicy> policies;
+    for (const PoolOrganisationConfiguration& organisation : organisations_)
+        policies[organisation.name_] = organisation.policy_;
+    return policies;
+}
+
 }
--- a/src/libfescuecleat/node/poolconfiguration.h
+++ b/src/libfescuecleat/node/poolconfiguration.h
@@ -2,6 +2,7 @@
 
 #include "base/time.h"
 #include "pool/jobpolicy.h"
+#include "pool/organisationpolicy.h"
 
 #include <cstdint>
 #include <map>
@@ -28,11 +29,12 @@
     bool needsAdvice_ = false;
 };
 
-/** An organisation with its API keys and its guarantee. */
+/** An organisation with its API keys, its guarantee, its weight and its limit. */
 struct PoolOrganisationConfiguration {
     std::string name_;
     std::vector<std::string> keys_;
     std::int64_t guaranteedAccelerators_ = 0;
+    OrganisationPolicy policy_ {};
 };
 
 /** One version of the operator's configuration. */
@@ -51,6 +53,8 @@
     const QueueConfiguration* findQueue(const std::string& host, const std::string& path) const;
     /** The organisation with this API key; null if there is none. */
     const PoolOrganisationConfiguration* findByKey(const std::string& key) const;
+    /** The weights and limits of the organisations, by name. */
+    std::map<std::string, OrganisationPolicy> organisationPolicies() const;
 };
 
 /** Closes a data centre to new starts, or opens it again. */
--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -228,6 +228,7 @@
     for (const PoolOrganisationConfiguration& organisation : configuration.organisations_)
         guarantees[organisation.name_] = organisation.guaranteedAccelerators_;
     scheduler_.setGuarantees(std::move(guarantees));
+    scheduler_.setOrganisations(configuration.organisationPolicies());
     std::map<std::string, std::string> services;
     for (const QueueConfiguration& queue : configuration.queues_)
         services[queue.name_] = queue.service_;
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -282,7 +282,8 @@
             continue;
         }
         it->second.isListed_ = false;
-        it = it->second.runs_.empty() ? state_.workers_.erase(it) : std::next(it);
+        const WorkerKey key = (it++)->first;
+        state_.eraseWorkerIfGone(key);
     }
 }
 
@@ -358,8 +359,8 @@
     // What it may run without a record has ended as well.
     current->unrecorded_ = {};
     current->unrecordedRuns_.clear();
-    if (!current->isListed_ && current->runs_.empty())
-        state_.workers_.erase(key);
+    countUnrecordedRuns(*current);
+    state_.eraseWorkerIfGone(key);
 }
 
 void PoolScheduler::workerRestarted(const WorkerKey& former, const WorkerKey& current, Time now)
@@ -400,6 +401,16 @@
     PoolWorkerState* worker = state_.findWorker(key);
     if (worker == nullptr)
         return;
+    // The end of its last run doesn't remove the worker while the report is read, which may list runs without a record.
+    const bool wasListed = std::exchange(worker->isListed_, true);
+    applyReport(key, report, requestedAt, now);
+    worker->isListed_ = wasListed;
+    state_.eraseWorkerIfGone(key);
+}
+
+void PoolScheduler::applyReport(const WorkerKey& key, const PoolWorkerReport& report, Time requestedAt, Time now)
+{
+    PoolWorkerState* const worker = state_.findWorker(key);
     worker->isReachable_ = true;
     worker->silentSince_.reset();
     // The worker was only silent.
@@ -416,9 +427,6 @@
         if (entry == state_.runs_.end() || entry->second.worker_ != key)
             continue;
         applyEnd(end.run_, end.reason_, end.checkpoint_, now);
-        worker = state_.findWorker(key);
-        if (worker == nullptr)
-            return;
     }
     worker->unrecorded_ = {};
     worker->unrecordedRuns_.clear();
@@ -450,6 +458,7 @@
         if (run.phase_ == RunPhase::Running && reported.percentDone_ > 0 && run.startedAt_ + minHealthyRunTime < now)
             noteHealthyRun(*job, run);
     }
+    countUnrecordedRuns(*worker);
     if (report.ended_.size() >= maxEndsPerReport)
         return;
     for (const RunId& run : std::set<RunId>(worker->runs_)) {
@@ -469,6 +478,24 @@
     }
 }
 
+void PoolScheduler::countUnrecordedRuns(const PoolWorkerState& worker)
+{
+    std::map<std::string, Resources> resources;
+    for (const RunId& run : worker.unrecordedRuns_) {
+        const Job* const job = state_.findJob(run.task_.job_);
+        if (job != nullptr && static_cast<std::size_t>(run.task_.step_) < job->spec_.steps_.size())
+            resources[job->policy_.organisation_] += job->step(run.task_.step_).resources_;
+    }
+    state_.usage_.setUnrecorded(worker.info_.key_, std::move(resources));
+}
+
+bool PoolScheduler::isWithinOrganisationLimit(const RunId& run, const TaskRun& taskRun) const
+{
+    const auto job = state_.jobs_.find(run.task_.job_);
+    // The run itself is counted already.
+    return job == state_.jobs_.end() || !state_.usage_.exceededBy(job->second.policy_.organisation_, job->second.step(taskRun.unit_.step_).resources_, 0);
+}
+
 void PoolScheduler::clearOfCrashes(Job& job, const RunId& run, const TaskRun& taskRun, Time now)
 {
     WorkUnit& unit = job.unit(taskRun.unit_);
@@ -587,7 +614,7 @@
     if (entry->second.hasMoved_ && entry->second.mayStartLate_ && job != state_.jobs_.end() && job->second.crashesOf(run.task_).total_ > 1)
         return false;
     const auto worker = state_.workers_.find(entry->second.worker_);
-    return worker != state_.workers_.end() && isSuitable(worker->second, run, entry->second) && !isActiveWithoutRecord(run.task_);
+    return worker != state_.workers_.end() && isSuitable(worker->second, run, entry->second) && !isActiveWithoutRecord(run.task_) && isWithinOrganisationLimit(run, entry->second);
 }
 
 bool PoolScheduler::isStartPending(const RunId& run) const
@@ -608,6 +635,10 @@
         abortRun(*job, entry->second.unit_, "its worker takes no new work", now);
         return false;
     }
+    if (job != nullptr && !isWithinOrganisationLimit(run, entry->second)) {
+        abortRun(*job, entry->second.unit_, "the limit of its organisation was lowered", now);
+        return false;
+    }
     entry->second.phase_ = RunPhase::Starting;
     entry->second.startedAt_ = now;
     unansweredStarts_.emplace_back(now, run);
--- a/src/libfescuecleat/pool/poolscheduler.h
+++ b/src/libfescuecleat/pool/poolscheduler.h
@@ -34,6 +34,8 @@
      * divided among the organisations, so that one organisation's many tasks leave room for those of others.
      */
     void setRunLimit(std::size_t runs) { state_.runLimit_ = runs; }
+    /** Sets the limits and weights of organisations. Starts that are decided but not begun are checked again. */
+    void setOrganisations(std::map<std::string, OrganisationPolicy> policies) { state_.usage_.setPolicies(std::move(policies)); }
     void setGuaranteeLimit(Duration limit) { state_.guaranteeLimit_ = limit; }
     /** Sends tasks that still wait to the services of their queues by this version of the configuration. Returns the queues whose jobs moved. */
     std::set<std::string> setQueueServices(std::uint64_t version, std::map<std::string, std::string> services);
@@ -104,6 +106,7 @@
     /** The entries of a record by their units. */
     static std::map<UnitId, UnitRecord> unitRecords(const Job&, const PoolJobRecord&);
     void restoreUnit(Job&, const UnitId&, const UnitRecord&, Time now);
+    void applyReport(const WorkerKey&, const PoolWorkerReport&, Time requestedAt, Time now);
     void applyEnd(const RunId&, EndReason, const std::string& checkpoint, Time now);
     /** Whether the worker, with all that it may run, is one that the run may start on. */
     bool isSuitable(const PoolWorkerState&, const RunId&, const TaskRun&) const;
@@ -111,6 +114,10 @@
     bool isActiveWithoutRecord(const TaskId&) const;
     /** Stops what a restarted worker may run by requests to its former incarnation, if it is of a kind that excludes it. */
     void stopUnsuitableRuns(const WorkerKey&, Time now);
+    /** Whether all runs of the job's organisation together are within its limit, in the resources that a task of the run needs. */
+    bool isWithinOrganisationLimit(const RunId&, const TaskRun&) const;
+    /** Counts the runs without a record of a worker for the organisations of their jobs. */
+    void countUnrecordedRuns(const PoolWorkerState&);
     /** What a run without a record occupies; all of the worker if its job is unknown. */
     Resources unrecordedAllocation(const RunId&, const PoolWorkerState&) const;
     /** Counts the end of an incarnation of a worker as a crash and returns `now`, or nothing if it had announced to leave. */
--- a/src/libfescuecleat/pool/poolstate.cpp
+++ b/src/libfescuecleat/pool/poolstate.cpp
@@ -101,6 +101,7 @@
     }
     job.unit(taskRun.unit_).openRuns_.insert(run);
     ++runsByOrganisation_[job.policy_.organisation_];
+    usage_.add(job.policy_.organisation_, job.step(taskRun.unit_.step_).resources_);
     if (job.policy_.priority_ == 0)
         urgentAccelerators_ += taskRun.resources_.accelerators_;
     runs_.emplace(run, taskRun);
@@ -171,6 +172,14 @@
     decisions_.changedJobs_.insert(job.id_);
 }
 
+void PoolState::eraseWorkerIfGone(const WorkerKey& key)
+{
+    const auto worker = workers_.find(key);
+    // Its runs without a record count until it reports their ends or its lease has expired.
+    if (worker != workers_.end() && !worker->second.isListed_ && worker->second.runs_.empty() && worker->second.unrecordedRuns_.empty())
+        workers_.erase(worker);
+}
+
 void PoolState::releaseRun(const RunId& run, Time now)
 {
     const auto entry = runs_.find(run);
@@ -185,8 +194,7 @@
         worker->runs_.erase(run);
         worker->startingRuns_.erase(run);
         worker->probes_.erase(run);
-        if (worker->runs_.empty() && !worker->isListed_)
-            workers_.erase(taskRun.worker_);
+        eraseWorkerIfGone(taskRun.worker_);
     }
     Job* job = findJob(run.task_.job_);
     if (job == nullptr)
@@ -195,6 +203,7 @@
         urgentAccelerators_ -= taskRun.resources_.accelerators_;
     if (--runsByOrganisation_[job->policy_.organisation_] == 0)
         runsByOrganisation_.erase(job->policy_.organisation_);
+    usage_.subtract(job->policy_.organisation_, job->step(taskRun.unit_.step_).resources_);
     WorkUnit& unit = job->unit(taskRun.unit_);
     unit.openRuns_.erase(run);
     unit.confirmedAt_.reset();
--- a/src/libfescuecleat/pool/poolstate.h
+++ b/src/libfescuecleat/pool/poolstate.h
@@ -2,6 +2,7 @@
 
 #include "pool/decisions.h"
 #include "pool/job.h"
+#include "pool/organisationusage.h"
 #include "pool/poolworkerstate.h"
 #include "pool/taskrun.h"
 #include "pool/urgentdemand.h"
@@ -29,6 +30,8 @@
     std::map<RunId, TaskRun> runs_;
     /** Runs of each organisation. */
     std::map<std::string, std::size_t> runsByOrganisation_;
+    /** Resources of the runs of each organisation, and their limits. */
+    OrganisationUsage usage_;
     /** The most runs at a time, of all jobs. */
     std::size_t runLimit_ = std::numeric_limits<std::size_t>::max();
     std::set<std::string> closedDataCentres_;
@@ -63,6 +66,8 @@
     void addRun(const RunId&, const TaskRun&, Job&);
     /** Stops the open runs of a unit. A run whose start has not been sent to a worker ends at once. */
     void stopUnit(Job&, UnitId, const std::string& cause, Time now);
+    /** Removes a worker that the registry doesn't list once nothing can run there any more. */
+    void eraseWorkerIfGone(const WorkerKey&);
     /** Removes a run and releases its resources. */
     void releaseRun(const RunId&, Time now);
     /** Moves a run to another incarnation of its worker; a stop is decided again for it. */
--- a/src/libfescuecleat/pool/schedulingpass.cpp
+++ b/src/libfescuecleat/pool/schedulingpass.cpp
@@ -80,6 +80,11 @@
     return runs == state_.runsByOrganisation_.end() || runs->second < share;
 }
 
+std::optional<ResourceKind> SchedulingPass::exceededLimit(const Candidate& candidate, const PlacementRequest& request) const
+{
+    return state_.usage_.exceededBy(candidate.job_->policy_.organisation_, request.step_->resources_, request.taskCount_);
+}
+
 void SchedulingPass::placeCandidate(const Candidate& candidate)
 {
     const WorkProgress& progress = candidate.job_->progress_;
@@ -102,6 +107,9 @@
         if (const auto unplaced = placeUnits(candidate, step, occurrence)) {
             if (unplaced->outcome_ == Outcome::Limited)
                 return;
+            // All units of the step need the same; other steps and organisations go on.
+            if (unplaced->outcome_ == Outcome::OverOrganisationLimit)
+                continue;
             const bool isRackReserved = reserveRack(candidate, unplaced->request_);
             if (unplaced->outcome_ == Outcome::Unplaced && unplaced->isTypical_ && !isRackReserved)
                 exhaustedSteps.insert(step);
@@ -272,6 +280,8 @@
 {
     if (!isWithinRunLimit(candidate, request))
         return Outcome::Limited;
+    if (exceededLimit(candidate, request))
+        return Outcome::OverOrganisationLimit;
     const Resources allocation = request.step_->allocation();
     if (const auto placement = view_.find(request, CapacityKind::Free)) {
         view_.reserve(*placement, allocation);
--- a/src/libfescuecleat/pool/schedulingpass.h
+++ b/src/libfescuecleat/pool/schedulingpass.h
@@ -50,6 +50,8 @@
         Unplaced,
         /** The limit of runs is reached. */
         Limited,
+        /** The limit of its organisation leaves no room for it. */
+        OverOrganisationLimit,
     };
 
     /** The first unit of a step that couldn't be placed in an occurrence. */
@@ -69,6 +71,8 @@
     bool hasStartedEnough() const;
     /** Whether the limit of runs leaves room for the unit. */
     bool isWithinRunLimit(const Candidate&, const PlacementRequest&) const;
+    /** The resource whose limit keeps the unit from starting beside the other runs of its organisation. */
+    std::optional<ResourceKind> exceededLimit(const Candidate&, const PlacementRequest&) const;
     void placeCandidate(const Candidate&);
     /** Places the step's units of one occurrence until one doesn't fit. */
     std::optional<UnplacedUnit> placeUnits(const Candidate&, int step, int occurrence);
--- a/tests/pooladapter/oddentriestest.cpp
+++ b/tests/pooladapter/oddentriestest.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(oddTextsNameNoWorker);
     CPPUNIT_TEST(deepNestingNamesNoWorker);
     CPPUNIT_TEST(oddPollAnswersAreUnreadable);
+    CPPUNIT_TEST(limitsOfOrganisations);
     CPPUNIT_TEST(oddConfigurationIsUnreadable);
     CPPUNIT_TEST_SUITE_END();
 
@@ -115,10 +116,22 @@
         CPPUNIT_ASSERT(report.has_value() && report->running_.at(0).percentDone_ == 100);
     }
 
+    /** Guards against a limit that is read as another resource's, and against a missing one that blocks all work. */
+    void limitsOfOrganisations()
+    {
+        const Json row { { "version", 5 }, { "routes", Json::array() }, { "tenants", { { { "name", "t" }, { "weight", 1.5 }, { "maxCount", { { "cpu", 64000 }, { "memMb", 131072 }, { "gpu", 8 } } } }, { { "name", "u" }, { "maxCount", { { "gpu", 0 } } } }, { { "name", "v" }, { "maxCount", nullptr } } } } };
+        const OperatorChange change = OperatorRows().decode({ OperatorRows::configurationKey, row.dump(), 1, false });
+        const auto policies = std::get<PoolConfiguration>(change).organisationPolicies();
+        CPPUNIT_ASSERT(policies.at("t").limit_ == (Resources { 64000, 131072, 8 }));
+        CPPUNIT_ASSERT_EQUAL(1.5, policies.at("t").weight_);
+        CPPUNIT_ASSERT(policies.at("u").limit_ == Resources {} && policies.at("v").limit_ == Resources {});
+        CPPUNIT_ASSERT_EQUAL(0.0, policies.at("u").weight_);
+    }
+
     void oddConfigurationIsUnreadable()
     {
         const auto isRead = [](const Json& json) { return std::holds_alternative<PoolConfiguration>(OperatorRows().decode({ OperatorRows::configurationKey, json.dump(), 1, false })); };
-        const Json usual { { "version", 5 }, { "routes", { { { "name", "q" }, { "prefix", "/q/" }, { "service", "s" }, { "attempts", 3 }, { "latencySloMs", 1000 } } } }, { "tenants", { { { "name", "t" }, { "guaranteed", { { "gpu", 8 } } } } } } };
+        const Json usual { { "version", 5 }, { "routes", { { { "name", "q" }, { "prefix", "/q/" }, { "service", "s" }, { "attempts", 3 }, { "latencySloMs", 1000 } } } }, { "tenants", { { { "name", "t" }, { "guaranteed", { { "gpu", 8 } } }, { "weight", 1.5 }, { "maxCount", { { "cpu", 64000 }, { "memMb", 0 }, { "gpu", 8 } } } } } } };
         CPPUNIT_ASSERT(isRead(usual));
         for (const Json& value : std::vector<Json> { 1e300, 1e19, 18446744073709551615ULL, -5, 8.7, "8" }) {
             Json json = usual;
@@ -127,6 +140,17 @@
             json = usual;
             json["tenants"][0]["guaranteed"]["gpu"] = value;
             CPPUNIT_ASSERT_MESSAGE(json.dump(), !isRead(json));
+            for (const char* const name : { "cpu", "memMb", "gpu" }) {
+                json = usual;
+                json["tenants"][0]["maxCount"][name] = value;
+                CPPUNIT_ASSERT_MESSAGE(json.dump(), !isRead(json));
+            }
+            json = usual;
+            json["tenants"][0]["maxCount"] = value;
+            CPPUNIT_ASSERT_MESSAGE(json.dump(), !isRead(json));
+            json = usual;
+            json["tenants"][0]["weight"] = value;
+            CPPUNIT_ASSERT_MESSAGE(json.dump(), isRead(json) == (value == Json(8.7)));
             for (const char* const name : { "attempts", "priority", "latencySloMs" }) {
                 json = usual;
                 json["routes"][0][name] = value;
