node: refuse jobs that can never fit their organisation's limit

Cause: a job with a task or gang above the limit of its organisation would be accepted and wait for good.

Change: a submission is answered with 422 if a task or gang exceeds the limit; the answer names the step, the need, the limit and what to do.

--- a/src/libfescuecleat/node/jobapi.cpp
+++ b/src/libfescuecleat/node/jobapi.cpp
@@ -2,6 +2,7 @@
 
 #include "base/bootclock.h"
 #include "node/jobintake.h"
+#include "node/limitrefusal.h"
 #include "node/storelayout.h"
 
 #include <nlohmann/json.hpp>
@@ -70,6 +71,8 @@
     std::shared_ptr<const PoolConfiguration> configuration_;
     const QueueConfiguration* queue_ = nullptr;
     std::string organisation_;
+    /** Resources that the organisation's runs may use. */
+    Resources limit_;
     std::string job_;
     std::string row_;
     /** A write got no answer and may have been applied. */
@@ -104,8 +107,10 @@
     const PoolOrganisationConfiguration* const organisation = call->configuration_->findByKey(context_.callerFormat_.apiKey(call->request_));
     if (organisation == nullptr && !call->queue_->isPublic_)
         return answer(call, 401, errorBody("unknown API key"), "unknown key");
-    if (organisation != nullptr)
+    if (organisation != nullptr) {
         call->organisation_ = organisation->name_;
+        call->limit_ = organisation->policy_.limit_;
+    }
     call->job_ = path.substr(call->queue_->prefix_.size());
     const std::string& method = call->request_.method_;
     if (call->job_.empty() && method == "GET")
@@ -128,6 +133,14 @@
     Result<PoolJobSpec> spec = context_.callerFormat_.decodeJob(call->request_.body_);
     if (!spec)
         return answer(call, 400, errorBody(spec.error().message_), "malformed job");
+    if (const auto excess = findLimitExcess(*spec, call->limit_)) {
+        // A repeated submission may be of a job that was accepted under a higher limit.
+        return readIntake(call, [this, call, text = describe(*excess, call->organisation_)](const std::vector<StoredRow>& rows) {
+            if (hasJob(rows, call->job_))
+                return answer(call, 200, "{}", "already stored");
+            answer(call, 422, errorBody(text), "never fits the limit");
+        });
+    }
     JobIntake intake;
     const QueueConfiguration& queue = *call->queue_;
     intake.policy_ = { queue.name_, queue.service_, call->organisation_, queue.priority_, queue.maxAttempts_, queue.stretch_, queue.latencyTarget_, queue.needsAdvice_, call->configuration_->version_ };
