node: read the remaining changes of a feed at once

Cause: 0.4 s passed between two polls of the registry, however many changes were left. With pages of 500 that is at most 1,250 changes a second, and 3,000 workers make 2,000, so the view fell behind for good. A page that left changes also counted as the whole table, as did the last page of a load.

Change: no pause after a page that leaves changes. currentAsOf() doesn't advance with such a page, and is that of the first page of a load. The fake store can bound the pages of its feeds.

--- a/src/libfescuecleat/node/tablefollower.cpp
+++ b/src/libfescuecleat/node/tablefollower.cpp
@@ -43,8 +43,10 @@
         if (!page)
             return handleFailure(page.error());
         // The first page's version is kept: the feed then delivers all changes made while the other pages were read.
-        if (version_ == 0)
+        if (version_ == 0) {
             version_ = page->timestamp_.version_;
+            loadAskedAt_ = page->timestamp_.askedAt_;
+        }
         if (listener_.loaded_) {
             for (const StoredRow& row : page->rows_)
                 deliver(listener_.loaded_, row);
@@ -61,7 +63,9 @@
         isLoading_ = false;
         isLoaded_ = true;
         const std::vector<StoredRow> rows = std::exchange(loadingRows_, {});
-        currentAsOf_ = std::max(currentAsOf_, page->timestamp_.askedAt_);
+        // Rows of the first page may have changed while the others were read.
+        currentAsOf_ = std::max(currentAsOf_, loadAskedAt_);
+        hasMoreChanges_ = false;
         if (listener_.reset_)
             listener_.reset_(rows);
         handleSuccess(page->timestamp_);
@@ -79,7 +83,9 @@
             if (listener_.changed_)
                 deliver(listener_.changed_, row);
         }
-        currentAsOf_ = std::max(currentAsOf_, page->timestamp_.askedAt_);
+        hasMoreChanges_ = page->hasMore_;
+        if (!hasMoreChanges_)
+            currentAsOf_ = std::max(currentAsOf_, page->timestamp_.askedAt_);
         handleSuccess(page->timestamp_);
     }));
 }
@@ -102,7 +108,7 @@
         log_.write("store.contact_regained", { { "table", table_.name_ }, { "version", version_ } });
     }
     auto next = lifetime_.guard([this] {
-        if (pollPause_ > Duration::zero())
+        if (pollPause_ > Duration::zero() && !hasMoreChanges_)
             retryTimer_.start(pollPause_, [this] { followChanges(); });
         else
             followChanges();
--- a/src/libfescuecleat/node/tablefollower.h
+++ b/src/libfescuecleat/node/tablefollower.h
@@ -46,7 +46,7 @@
     TableFollower(boost::asio::io_context&, RowStore&, StoreClock&, JsonEventLog&, FollowedTable, Duration wait, Listener);
 
     void start();
-    /** Sets a pause between two polls, so that frequent changes are received together. */
+    /** Sets a pause between two polls, so that frequent changes are received together. There is none after a page that left changes. */
     void setPollPause(Duration pause) { pollPause_ = pause; }
     bool isLoaded() const { return isLoaded_; }
     /** The rows reported so far reflect the table at this local time or later. */
@@ -82,6 +82,10 @@
     bool isInContact_ = false;
     int failures_ = 0;
     Time currentAsOf_ {};
+    /** When the first page of the load under way was requested. */
+    Time loadAskedAt_ {};
+    /** The last poll left changes that are already in the store. */
+    bool hasMoreChanges_ = false;
 };
 
 }
--- a/src/standins/poolmodel/fakerowstore.cpp
+++ b/src/standins/poolmodel/fakerowstore.cpp
@@ -166,14 +166,24 @@
     return after < oldestVersion_ || (history != histories_.end() && after < history->second.goneUpTo_);
 }
 
-std::vector<StoredRow> FakeRowStore::changesAfter(const std::string& table, std::uint64_t after) const
+RowPage FakeRowStore::changesAfter(const std::string& table, std::uint64_t after) const
 {
+    RowPage page;
+    page.timestamp_ = timestamp();
     const auto history = histories_.find(table);
     if (history == histories_.end())
-        return {};
+        return page;
     const auto& changes = history->second.changes_;
     const auto first = std::upper_bound(changes.begin(), changes.end(), after, [](std::uint64_t version, const StoredRow& row) { return version < row.version_; });
-    return { first, changes.end() };
+    auto last = first;
+    while (last != changes.end() && (static_cast<std::size_t>(last - first) < feedRows_ || last->version_ == std::prev(last)->version_))
+        ++last;
+    page.rows_.assign(first, last);
+    page.hasMore_ = last != changes.end();
+    // A feed continues after the last row that it returned.
+    if (page.hasMore_)
+        page.timestamp_.version_ = page.rows_.back().version_;
+    return page;
 }
 
 void FakeRowStore::follow(const std::string& table, std::uint64_t after, Duration wait, Duration, PageHandler handler)
@@ -209,14 +219,12 @@
     if (areFeedsSilent_)
         return;
     for (auto longPoll = longPolls_.begin(); longPoll != longPolls_.end();) {
-        RowPage page;
-        page.rows_ = changesAfter(longPoll->table_, longPoll->after_);
+        RowPage page = changesAfter(longPoll->table_, longPoll->after_);
         const bool isGone = isHistoryGone(longPoll->table_, longPoll->after_);
         if (page.rows_.empty() && !isGone) {
             ++longPoll;
             continue;
         }
-        page.timestamp_ = timestamp();
         const PageHandler handler = longPoll->handler_;
         longPoll = longPolls_.erase(longPoll);
         postToLoop([handler, page, isGone]() mutable {
--- a/src/standins/poolmodel/fakerowstore.h
+++ b/src/standins/poolmodel/fakerowstore.h
@@ -61,6 +61,8 @@
     void setHistoryLimit(std::size_t changes) { historyLimit_ = changes; }
     /** Reads return at most this many rows at once. */
     void setPageRows(std::size_t rows) { pageRows_ = rows; }
+    /** Feeds return at most this many changes at once, but whole transactions. */
+    void setFeedRows(std::size_t rows) { feedRows_ = rows; }
     /** Drops the change history, so that followers must reload. */
     void dropHistory();
 
@@ -89,7 +91,7 @@
     bool isOfRejectedTable(const RowTransaction&) const;
     tl::expected<StoreTimestamp, StoreFailure> apply(const RowTransaction&);
     StoreTimestamp timestamp() const;
-    std::vector<StoredRow> changesAfter(const std::string& table, std::uint64_t after) const;
+    RowPage changesAfter(const std::string& table, std::uint64_t after) const;
     bool isHistoryGone(const std::string& table, std::uint64_t after) const;
     void addChange(const std::string& table, const StoredRow&);
     void notify();
@@ -122,6 +124,7 @@
     std::size_t rowBytes_ = std::numeric_limits<std::size_t>::max();
     std::size_t largestRowBytes_ = 0;
     std::string rejectedTable_;
+    std::size_t feedRows_ = std::numeric_limits<std::size_t>::max();
     std::size_t pageRows_ = std::numeric_limits<std::size_t>::max();
 };
 
