--- a/src/libfescuecleat/node/formats.h
+++ b/src/libfescuecleat/node/formats.h
@@ -28,6 +28,11 @@
     virtual std::string table() const = 0;
     /** Fails with the reason if the row doesn't describe a usable worker. */
     virtual Result<WorkerInfo> decode(const StoredRow&) const = 0;
+    /**
+     * Whether two values of a row certainly decode to the same worker, apart from `WorkerInfo::leavesIn_`.
+     * It is much cheaper than decoding, and may be false for values that do.
+     */
+    virtual bool isHeartbeat(const std::string& former, const std::string& current) const { return former == current; }
 };
 
 /** Decodes callers' requests and encodes the answers. */
