pool: give up starts whose permission is revoked

Cause: a start was checked for a worker that takes no new work only before it was first sent. A repetition went to workers that drain, have left the registry or are in a closed data centre.

Change: isStartWanted() checks that as well. giveUpRevokedStart() stops a run that a worker may know, and places one anew that none can know.

--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -587,7 +587,23 @@
     if (entry->second.hasMoved_ && entry->second.mayStartLate_ && job != state_.jobs_.end() && job->second.crashesOf(run.task_).total_ > 1)
         return false;
     const auto worker = state_.workers_.find(entry->second.worker_);
-    return worker != state_.workers_.end() && isSuitable(worker->second, run, entry->second) && !isActiveWithoutRecord(run.task_);
+    return worker != state_.workers_.end() && worker->second.takesNewWork(state_.closedDataCentres_) && isSuitable(worker->second, run, entry->second) && !isActiveWithoutRecord(run.task_);
+}
+
+std::optional<StartRevocation> PoolScheduler::giveUpRevokedStart(const RunId& run, Time now)
+{
+    const auto revocation = findStartRevocation(state_, run);
+    Job* const job = state_.findJob(run.task_.job_);
+    if (!revocation || job == nullptr)
+        return std::nullopt;
+    const TaskRun taskRun = state_.runs_.at(run);
+    abortRun(*job, taskRun.unit_, std::string("its start is no longer permitted: ") + startRevocationName(*revocation), now);
+    if (!taskRun.mayBeKnownToWorker()) {
+        std::vector<StopDecision>& stops = state_.decisions_.stops_;
+        stops.erase(std::remove_if(stops.begin(), stops.end(), [&run](const StopDecision& stop) { return stop.run_ == run; }), stops.end());
+        state_.releaseRun(run, now);
+    }
+    return revocation;
 }
 
 bool PoolScheduler::isStartPending(const RunId& run) const
--- a/src/libfescuecleat/pool/poolscheduler.h
+++ b/src/libfescuecleat/pool/poolscheduler.h
@@ -3,10 +3,12 @@
 #include "pool/pooljobrecord.h"
 #include "pool/poolstate.h"
 #include "pool/poolworkerreport.h"
+#include "pool/startrevocation.h"
 
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -68,6 +70,11 @@
     void report(const WorkerKey&, const PoolWorkerReport&, Time requestedAt, Time now);
     /** Whether a request for the start may be sent, for the first time or again: its worker may have become another incarnation meanwhile. */
     bool isStartWanted(const RunId&) const;
+    /**
+     * Gives up a start whose permission has been revoked, and returns why. The run is stopped if a request for the start
+     * was sent, since only a confirmed stop keeps its worker from executing that.
+     */
+    std::optional<StartRevocation> giveUpRevokedStart(const RunId&, Time now);
     /** Whether the start has neither been answered nor given up. */
     bool isStartPending(const RunId&) const;
     /** Returns whether a decided start is still wanted and allowed. If so, the worker is assumed to know the run from then on. */
--- a/src/libfescuecleat/pool/taskrun.h
+++ b/src/libfescuecleat/pool/taskrun.h
@@ -50,6 +50,8 @@
     std::optional<double> percentPerSecond_;
     double maxPercentPerSecond_ = 0;
 
+    /** Whether a request for the start was sent, by this or a former scheduler. */
+    bool mayBeKnownToWorker() const { return startSentAt_ != Time {} || acknowledgedAt_ || startConfirmedAt_; }
     /** Whether an incarnation that was up at `upAt` has certainly received the start, so that the next one hasn't. */
     bool wasReceivedBefore(Time upAt) const;
     /**
