node: send no start that is revoked or rests on an old view

Cause: a task started 6.4 s after its worker was known to drain (bound 3 s). The number of waiting jobs was answered from a summary of any age, so it could be less than half of the truth after a change of the lease holder.

Change: each start is checked when it is sent, first or again: lease, revocation, and the age of the views of registry, operator's rows and intake (StartGate). The summary has a time, is written every 0.8 s and is answered while it is younger than 2 s. Heartbeats are not decoded. Reports that only tell of progress no longer cause a pass; one follows within 0.1 s.

--- a/src/libfescuecleat/node/instance.cpp
+++ b/src/libfescuecleat/node/instance.cpp
@@ -32,7 +32,8 @@
 Instance::Instance(const NodeContext& context, const StorePaths& store, AsyncHttpClient& client)
     : context_(context)
     , store_(store)
-    , operatorFollower_(context.loop_, context.store_, context.clock_, context.log_, { context.operatorFormat_.table() }, operatorPollWait,
+    , operatorFollower_(context.loop_, context.store_, context.clock_, context.log_, { context.operatorFormat_.table() },
+          pollWaitFor(maxViewAge(context.settings_.closureLimit_, PoolWorkerLink::requestTimeout), operatorPollWait, Duration::zero()),
           { [this](const std::vector<StoredRow>& rows) { resetOperatorRows(rows); }, [this](const StoredRow& row) { applyOperatorRow(row); }, nullptr })
     , lease_(context.loop_, context.store_, context.clock_, context.log_, context.settings_.instance_, context.settings_.processorShare_,
           { [this](const AcquiredLease& lease) { leaseAcquired(lease); }, [this](const std::string&) { leaseLost(); } })
@@ -150,7 +151,7 @@
 void Instance::leaseAcquired(const AcquiredLease& lease)
 {
     controller_ = std::make_unique<PoolController>(context_, lease,
-        PoolController::Listener { [this] { return lease_.isHeld(bootTimeNow()); }, [this](const std::string& cause) { lease_.abandon(cause); }, [this](const std::string& cause) { lease_.verify(cause); } });
+        PoolController::Listener { [this] { return lease_.isHeld(bootTimeNow()); }, [this](const std::string& cause) { lease_.abandon(cause); }, [this](const std::string& cause) { lease_.verify(cause); }, [this] { return operatorFollower_.currentAsOf(); } });
     if (configuration_)
         controller_->setConfiguration(*configuration_);
     controller_->setClosedDataCentres(closedDataCentres_);
@@ -267,6 +268,12 @@
         add("deadly_tasks_total", controller_->deadlyTasks());
         add("slow_activities_total", controller_->times().slowCount());
         text += controller_->times().metrics();
+        const ViewTimes views = controller_->viewTimes();
+        const Time now = bootTimeNow();
+        for (const auto& [view, asOf] : { std::pair { View::Registry, views.registry_ }, { View::OperatorRows, views.operatorRows_ }, { View::Intake, views.intake_ } })
+            text += std::string("fescuecleat_view_age_seconds{view=\"") + viewName(view) + "\"} " + std::to_string(std::chrono::duration<double>(now - asOf).count()) + "\n";
+        for (const auto& [cause, count] : controller_->startGate().withheldByCause())
+            add("starts_withheld_total{cause=\"" + cause + "\"}", count);
     }
     return text;
 }
--- a/src/libfescuecleat/node/instancesettings.cpp
+++ b/src/libfescuecleat/node/instancesettings.cpp
@@ -77,6 +77,10 @@
             settings.maxRequestDelay_ = readSeconds(json, "maxRequestDelaySeconds");
         if (json.contains("endedJobSeconds"))
             settings.endedJobTime_ = readSeconds(json, "endedJobSeconds", maxEndedJobSeconds);
+        for (const auto& [name, limit] : { std::pair { "drainLimitSeconds", &settings.drainLimit_ }, { "closureLimitSeconds", &settings.closureLimit_ }, { "cancelLimitSeconds", &settings.cancelLimit_ } }) {
+            if (json.contains(name))
+                *limit = readSeconds(json, name);
+        }
         settings.stopLimit_ = readSeconds(json, "stopLimitSeconds");
         return settings;
     } catch (const Json::exception& error) {
--- a/src/libfescuecleat/node/instancesettings.h
+++ b/src/libfescuecleat/node/instancesettings.h
@@ -36,6 +36,12 @@
     Duration maxRequestDelay_ = std::chrono::seconds(12);
     /** Callers may ask for the state of an ended job for this long. */
     Duration endedJobTime_ = std::chrono::seconds(120);
+    /** No start on a worker may occur later than this after the registry shows that it drains; zero if nothing is checked. */
+    Duration drainLimit_ {};
+    /** No start in a data centre may occur later than this after the operator's row that closes it; zero if nothing is checked. */
+    Duration closureLimit_ {};
+    /** No start of a job may occur later than this after its cancellation; zero if nothing is checked. */
+    Duration cancelLimit_ {};
     /** Time between the stop signal and the kill. */
     Duration stopLimit_ {};
 
--- a/src/libfescuecleat/node/jobapi.cpp
+++ b/src/libfescuecleat/node/jobapi.cpp
@@ -3,7 +3,9 @@
 #include "base/bootclock.h"
 #include "node/jobintake.h"
 #include "node/storelayout.h"
+#include "node/waitingsummary.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace fescuecleat {
@@ -272,16 +274,15 @@
     context_.store_.read({ PoolController::summaryTable, schedulerPart, {}, {} }, limit, lifetime_.guard([this, call](const tl::expected<RowPage, StoreFailure>& page) {
         if (!page)
             return retryOrRefuse(call, [this, call] { answerWaitingJobs(call); });
-        int jobs = 0;
-        if (!page->rows_.empty()) {
-            const auto summary = nlohmann::json::parse(page->rows_.front().value_, nullptr, false);
-            const auto count = summary.find(call->queue_->name_);
-            if (summary.is_object() && count != summary.end() && count->is_number_integer())
-                jobs = count->get<int>();
-            else if (!summary.is_object() || count != summary.end())
-                context_.log_.write("summary.unreadable", { { "version", page->rows_.front().version_ } });
-        }
-        answer(call, 200, context_.callerFormat_.encodeWaiting(jobs), "from the summary");
+        context_.clock_.observe(page->timestamp_);
+        const auto row = std::find_if(page->rows_.begin(), page->rows_.end(), [](const StoredRow& other) { return other.key_ == PoolController::summaryKey; });
+        const auto summary = row == page->rows_.end() ? WaitingSummary {} : decodeWaitingSummary(row->value_);
+        if (!summary)
+            context_.log_.write("summary.unreadable", { { "version", row->version_ } });
+        // Jobs that were accepted since then would be missing from an older number.
+        if (!summary || !summary->isCurrent(context_.clock_, bootTimeNow()))
+            return refuse(call, 503, "no scheduler has counted the waiting jobs recently");
+        answer(call, 200, context_.callerFormat_.encodeWaiting(summary->jobsOf(call->queue_->name_)), "from the summary");
     }));
 }
 
--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -3,6 +3,7 @@
 #include "base/bootclock.h"
 #include "node/jobintake.h"
 #include "node/storelayout.h"
+#include "node/waitingsummary.h"
 #include "pool/jobrecordrows.h"
 
 #include <algorithm>
@@ -15,10 +16,12 @@
     constexpr Duration intakePollWait = std::chrono::milliseconds(2000);
     constexpr Duration readTimeout = std::chrono::milliseconds(1500);
     constexpr Duration readRetryDelay = std::chrono::milliseconds(100);
-    /** Minimum time between two writes of the summary. */
-    constexpr Duration summaryInterval = std::chrono::milliseconds(1000);
-    /** Delay before starts are tried again that the lease didn't cover. */
+    /** Time between two writes of the summary; a slow store takes 0.9 s for one, and what other instances answer must be younger than 2 s. */
+    constexpr Duration summaryInterval = std::chrono::milliseconds(800);
+    /** Delay before starts are tried again that the lease didn't cover, or that a view was too old for. */
     constexpr Duration deferredStartDelay = std::chrono::milliseconds(50);
+    /** Longest time between two passes. Reports of progress alone don't cause one; it is judged in the next. */
+    constexpr Duration progressPassInterval = std::chrono::milliseconds(100);
     constexpr Duration minPassDelay = std::chrono::milliseconds(1);
     /** Longest time from the encoding of a record until callers may see it, as an outage delays its commit. */
     constexpr Duration maxRecordDelay = std::chrono::seconds(60);
@@ -60,6 +63,7 @@
     : context_(context)
     , runLog_(context.log_)
     , times_(context.log_)
+    , startGate_(context.log_, context.settings_)
     , epoch_(lease.epoch_)
     , listener_(std::move(listener))
     , recorder_(context.loop_, context.store_, context.log_, context.settings_.storeLimits_, lease.epoch_, lease.chainVersion_,
@@ -69,7 +73,8 @@
     , retention_(context.loop_, context.store_, context.log_, context.settings_.storeLimits_,
           { [this](const std::string& job) { removeRecord(job); },
               [this](const std::string& job, const std::vector<StoredRow>& laterRows) { handleJobRemoved(job, laterRows); } })
-    , intake_(context.loop_, context.store_, context.clock_, context.log_, { intakeTable, intakeParts() }, intakePollWait,
+    , intake_(context.loop_, context.store_, context.clock_, context.log_, { intakeTable, intakeParts() },
+          pollWaitFor(maxViewAge(context.settings_.cancelLimit_, PoolWorkerLink::requestTimeout), intakePollWait, Duration::zero()),
           { [this](const std::vector<StoredRow>&) {
                if (!isReady_)
                    intakeLoaded();
@@ -84,6 +89,7 @@
     , links_(context, scheduler_, lease,
           { [this](const WorkerKey& worker, const PoolWorkerReport& report, Time askedAt) { handleReport(worker, report, askedAt); },
               [this] { return listener_.isLeaseHeld_(); },
+              [this](const RunId& run) { return mayStart(run); },
               [this](const std::string& cause) { listener_.leaseDoubted_(cause); },
               [this] { requestPass(); } })
     , recordsTimer_(context.loop_)
@@ -308,14 +314,16 @@
         last = std::max(last, end.sequence_);
         endedJobs.insert(end.run_.task_.job_);
     }
-    executeDecisions();
+    const bool hasChanged = executeDecisions() || !report.ended_.empty();
     if (last > 0) {
         recorder_.whenStored(endedJobs, [this, worker, last] {
             if (PoolWorkerLink* current = links_.find(worker))
                 current->acknowledgeEnds(last);
         });
     }
-    requestPass();
+    // A pass looks at all workers, and most reports say only that the runs go on.
+    if (hasChanged)
+        requestPass();
 }
 
 void PoolController::logNewEnds(const PoolWorkerReport& report, const WorkerKey& key)
@@ -350,24 +358,30 @@
     Duration delay = std::max(minPassDelay, remaining(scheduler_.nextWake(now, unixMsNow()), now));
     if (!deferredStarts_.empty())
         delay = std::min(delay, deferredStartDelay);
+    if (isReady_ && listener_.isLeaseHeld_())
+        delay = std::max(minPassDelay, std::min({ delay, progressPassInterval, remaining(summaryDueAt_, now) }));
     passTimer_.start(delay, [this] { runPass(); });
 }
 
 void PoolController::runScheduler()
 {
     const Time now = bootTimeNow();
-    if (isReady_ && links_.isLoaded() && listener_.isLeaseHeld_()) {
-        sendStarts(std::exchange(deferredStarts_, {}));
+    const bool isHolder = isReady_ && listener_.isLeaseHeld_();
+    if (isHolder && links_.isLoaded()) {
+        if (!deferredStarts_.empty() && startGate_.isOpen(viewTimes(), now))
+            sendStarts(std::exchange(deferredStarts_, {}));
         scheduler_.schedule(now, unixMsNow());
-        writeSummary();
     }
+    if (isHolder)
+        writeSummary(now);
     executeDecisions();
     recorder_.flush();
 }
 
-void PoolController::executeDecisions()
+bool PoolController::executeDecisions()
 {
     const Decisions decisions = scheduler_.takeDecisions();
+    const bool hasDecisions = !decisions.isEmpty();
     workerCrashes_ += decisions.crashes_.size();
     deadlyTasks_ += decisions.deadlyTasks_.size();
     runLog_.crashed(decisions.crashes_, bootTimeNow());
@@ -395,6 +409,7 @@
                 sendStarts(starts);
         });
     }
+    return hasDecisions;
 }
 
 void PoolController::handleJobStored(const std::string& job, PoolJobState state)
@@ -420,6 +435,11 @@
         deferredStarts_.insert(deferredStarts_.end(), decisions.begin(), decisions.end());
         return;
     }
+    if (!decisions.empty() && !startGate_.isOpen(viewTimes(), bootTimeNow())) {
+        startGate_.countWithheld(decisions.size());
+        deferredStarts_.insert(deferredStarts_.end(), decisions.begin(), decisions.end());
+        return;
+    }
     std::vector<StartDecision> begun;
     for (const StartDecision& decision : decisions) {
         if (scheduler_.beginStart(decision.run_, bootTimeNow()))
@@ -441,17 +461,35 @@
     }
 }
 
-void PoolController::writeSummary()
+ViewTimes PoolController::viewTimes() const
 {
+    return { links_.registryAsOf(), listener_.operatorRowsAsOf_ ? listener_.operatorRowsAsOf_() : bootTimeNow(), intake_.currentAsOf() };
+}
+
+bool PoolController::mayStart(const RunId& run)
+{
+    if (!listener_.isLeaseHeld_())
+        return false;
     const Time now = bootTimeNow();
-    if (now - summaryWrittenAt_ < summaryInterval)
-        return;
-    const std::map<std::string, int> waiting = scheduler_.waitingJobs();
-    if (waiting == summary_)
+    if (const auto revocation = scheduler_.giveUpRevokedStart(run, now)) {
+        startGate_.noteRevoked(run, *revocation);
+        requestPass();
+        return false;
+    }
+    if (!startGate_.isOpen(viewTimes(), now)) {
+        startGate_.countWithheld(1);
+        return false;
+    }
+    return scheduler_.isStartWanted(run);
+}
+
+void PoolController::writeSummary(Time now)
+{
+    // A number of zero is published as well: without it, other instances could not tell it from a summary that is too old.
+    if (now < summaryDueAt_)
         return;
-    summaryWrittenAt_ = now;
-    summary_ = waiting;
-    recorder_.addToNextCommit({ summaryTable, summaryKey, nlohmann::json(waiting).dump() });
+    summaryDueAt_ = now + summaryInterval;
+    recorder_.addToNextCommit({ summaryTable, summaryKey, encodeWaitingSummary({ scheduler_.waitingJobs(), context_.clock_.earliestMs(now) }) });
 }
 
 std::optional<PoolJobState> PoolController::stateOf(const std::string& job) const
@@ -469,7 +507,7 @@
 
 std::optional<int> PoolController::waitingJobs(const std::string& queue) const
 {
-    if (!isReady_)
+    if (!isReady_ || !listener_.isLeaseHeld_())
         return std::nullopt;
     const std::map<std::string, int> waiting = scheduler_.waitingJobs();
     const auto found = waiting.find(queue);
--- a/src/libfescuecleat/node/poolcontroller.h
+++ b/src/libfescuecleat/node/poolcontroller.h
@@ -10,6 +10,7 @@
 #include "node/poolschedulerlease.h"
 #include "node/poolworkerlinks.h"
 #include "node/runlog.h"
+#include "node/startgate.h"
 #include "node/tablefollower.h"
 #include "pool/poolscheduler.h"
 
@@ -35,6 +36,8 @@
         std::function<void(const std::string& cause)> superseded_;
         /** Something suggests that another instance has taken the lease; only the store can tell. */
         std::function<void(const std::string& cause)> leaseDoubted_;
+        /** The operator's rows are known as of this local time or later; unset if nothing follows them. */
+        std::function<Time()> operatorRowsAsOf_ = {};
     };
 
     PoolController(const NodeContext&, const AcquiredLease&, Listener);
@@ -49,7 +52,7 @@
 
     /** The stored state of a job; nothing if this instance doesn't know the job, or only the store can tell. */
     std::optional<PoolJobState> stateOf(const std::string& job) const;
-    /** The number of waiting jobs of a queue; nothing until the jobs are loaded. */
+    /** The number of waiting jobs of a queue; nothing until the jobs are loaded, and while the lease is in doubt. */
     std::optional<int> waitingJobs(const std::string& queue) const;
     /** Whether the jobs are loaded. */
     bool isReady() const { return isReady_; }
@@ -60,6 +63,8 @@
     std::uint64_t workerCrashes() const { return workerCrashes_; }
     std::uint64_t deadlyTasks() const { return deadlyTasks_; }
     const ActivityTimes& times() const { return times_; }
+    ViewTimes viewTimes() const;
+    const StartGate& startGate() const { return startGate_; }
 
     static constexpr const char* summaryTable = "summary";
     static constexpr const char* summaryKey = "waiting";
@@ -87,14 +92,19 @@
     void requestPass();
     void runPass();
     void runScheduler();
-    void executeDecisions();
+    /** Returns whether there were any. */
+    bool executeDecisions();
     void sendStarts(const std::vector<StartDecision>&);
-    void writeSummary();
+    /** Whether a request for the start may be sent now; gives up a start that is no longer permitted. */
+    bool mayStart(const RunId&);
+    /** Publishes the number of waiting jobs if that is due. */
+    void writeSummary(Time now);
     void logNewEnds(const PoolWorkerReport&, const WorkerKey&);
 
     NodeContext context_;
     RunLog runLog_;
     ActivityTimes times_;
+    StartGate startGate_;
     std::int64_t epoch_;
     Listener listener_;
     PoolScheduler scheduler_;
@@ -115,12 +125,11 @@
     std::set<std::string> unstorableJobs_;
     std::map<std::string, std::shared_ptr<const std::string>> payloads_;
     std::map<std::string, PoolJobState> storedStates_;
-    /** Starts whose record was stored while the lease was in doubt. */
+    /** Starts whose record was stored while the lease was in doubt or a view too old. */
     std::vector<StartDecision> deferredStarts_;
     std::uint64_t workerCrashes_ = 0;
     std::uint64_t deadlyTasks_ = 0;
-    std::map<std::string, int> summary_;
-    Time summaryWrittenAt_ {};
+    Time summaryDueAt_ {};
 };
 
 }
--- a/src/libfescuecleat/node/poolworkerlink.cpp
+++ b/src/libfescuecleat/node/poolworkerlink.cpp
@@ -14,7 +14,6 @@
     constexpr Duration pollRetryDelay = std::chrono::milliseconds(300);
     /** Interval of lease renewals while reported ends are being stored. */
     constexpr Duration storingPollInterval = std::chrono::milliseconds(1000);
-    constexpr Duration requestTimeout = std::chrono::milliseconds(500);
     constexpr Duration requestRetryDelay = std::chrono::milliseconds(150);
     constexpr std::size_t maxRequestsInFlight = 4;
     /** Added to the leases granted by requests of earlier schedulers, links or incarnations, which may still be in flight. */
--- a/src/libfescuecleat/node/poolworkerlink.h
+++ b/src/libfescuecleat/node/poolworkerlink.h
@@ -39,7 +39,7 @@
         std::function<void(const LeaseExpiry&)> leasesExpired_;
         /** Whether the scheduler still holds its own lease; only then leases of workers are renewed. */
         std::function<bool()> isLeaseHeld_;
-        /** Whether the start may be sent now. */
+        /** Whether the start may be sent now. A start that is no longer permitted is given up. */
         std::function<bool(const RunId&)> isStartWanted_;
         /** Whether the start may be sent later, if not now. */
         std::function<bool(const RunId&)> isStartPending_;
@@ -65,6 +65,9 @@
         Duration maxRequestDelay_ {};
     };
 
+    /** Time for the answer to a start or a stop. */
+    static constexpr Duration requestTimeout = std::chrono::milliseconds(500);
+
     /** When every lease has certainly expired that a worker granted by requests sent until `lastSentAt`, by whatever clock they counted. */
     static Time latestLeaseExpiry(Duration maxLease, Time lastSentAt);
 
--- a/src/libfescuecleat/node/poolworkerlinks.cpp
+++ b/src/libfescuecleat/node/poolworkerlinks.cpp
@@ -1,6 +1,7 @@
 #include "node/poolworkerlinks.h"
 
 #include "base/bootclock.h"
+#include "node/startpermission.h"
 
 #include <algorithm>
 
@@ -26,6 +27,24 @@
     constexpr Duration linkBatchInterval = std::chrono::milliseconds(15);
     /** Interval of the checks that each worker with runs has a link, and each link a worker. */
     constexpr Duration linkReviewInterval = std::chrono::milliseconds(250);
+    /** Part of the registry's largest permitted age that the pause between two polls may take. */
+    constexpr int pauseDivisor = 4;
+
+    Duration maxRegistryAge(const InstanceSettings& settings)
+    {
+        return maxViewAge(settings.drainLimit_, PoolWorkerLink::requestTimeout);
+    }
+
+    Duration pollPause(const InstanceSettings& settings)
+    {
+        const Duration maxAge = maxRegistryAge(settings);
+        return maxAge == Duration::zero() ? registryPollPause : std::min<Duration>(registryPollPause, maxAge / pauseDivisor);
+    }
+
+    Duration pollWait(const InstanceSettings& settings)
+    {
+        return pollWaitFor(maxRegistryAge(settings), registryPollWait, pollPause(settings));
+    }
 
 }
 
@@ -35,11 +54,11 @@
     , epoch_(lease.epoch_)
     , formerHolderActiveUntil_(lease.formerHolderActiveUntil_)
     , listener_(std::move(listener))
-    , registry_(context.loop_, context.store_, context.clock_, context.log_, { context.registryFormat_.table() }, registryPollWait,
+    , registry_(context.loop_, context.store_, context.clock_, context.log_, { context.registryFormat_.table() }, pollWait(context.settings_),
           { [this](const std::vector<StoredRow>& rows) { handleRegistryReset(rows); }, [this](const StoredRow& row) { handleRegistryRow(row); }, nullptr })
     , linkTimer_(context.loop_)
 {
-    registry_.setPollPause(registryPollPause);
+    registry_.setPollPause(pollPause(context.settings_));
 }
 
 void PoolWorkerLinks::addServices(const std::set<std::string>& services)
@@ -69,8 +88,10 @@
         handleRegistryRow(row);
     }
     for (const auto& [id, link] : links_) {
-        if (listed.count(id) == 0)
-            scheduler_.delistWorker(id);
+        if (listed.count(id) > 0)
+            continue;
+        decodedEntries_.erase(id);
+        scheduler_.delistWorker(id);
     }
     review();
     listener_.changed_();
@@ -79,13 +100,17 @@
 void PoolWorkerLinks::handleRegistryRow(const StoredRow& row)
 {
     if (row.isDeleted_) {
+        decodedEntries_.erase(row.key_);
         if (skippedWorkers_.erase(row.key_) > 0)
             return;
         context_.log_.write("worker.delisted", { { "worker", row.key_ }, { "version", row.version_ } });
         scheduler_.delistWorker(row.key_);
         return listener_.changed_();
     }
+    if (isOnlyHeartbeat(row))
+        return;
     const Result<WorkerInfo> info = context_.registryFormat_.decode(row);
+    decodedEntries_.erase(row.key_);
     if (!info) {
         context_.log_.write("worker.unreadable", { { "worker", row.key_ }, { "version", row.version_ }, { "cause", info.error().message_ } });
         scheduler_.delistWorker(row.key_);
@@ -107,8 +132,9 @@
     if (found != scheduler_.state().workers_.end())
         known = &found->second;
     if (known != nullptr && known->isListed_ && known->isDescribed_ && known->info_ == current)
-        return; // only a heartbeat
+        return noteDecoded(row, current.key_); // only a heartbeat
     context_.log_.write("worker.seen", { { "worker", row.key_ }, { "version", row.version_ }, { "born", current.key_.startedUnixMs_ }, { "isDraining", current.isDraining_ }, { "dataCentre", current.dataCentre_ }, { "service", current.service_ }, { "labels", current.labels_ }, { "accelerators", current.capacity_.accelerators_ }, { "cpuMillis", current.capacity_.cpuMillis_ }, { "memoryMb", current.capacity_.memoryMb_ } });
+    noteDecoded(row, current.key_);
     scheduler_.putWorker(current, bootTimeNow());
     if (link == links_.end() || link->second->key() != current.key_) {
         const bool isRestarted = links_.erase(row.key_) > 0;
@@ -119,6 +145,29 @@
     listener_.changed_();
 }
 
+void PoolWorkerLinks::noteDecoded(const StoredRow& row, const WorkerKey& key)
+{
+    decodedEntries_[row.key_] = { row.value_, key };
+}
+
+bool PoolWorkerLinks::isOnlyHeartbeat(const StoredRow& row)
+{
+    if (const auto skipped = skippedWorkers_.find(row.key_); skipped != skippedWorkers_.end()) {
+        if (!context_.registryFormat_.isHeartbeat(skipped->second.value_, row.value_))
+            return false;
+        skipped->second = row;
+        return true;
+    }
+    const auto decoded = decodedEntries_.find(row.key_);
+    const auto link = links_.find(row.key_);
+    if (decoded == decodedEntries_.end() || link == links_.end() || link->second->key() != decoded->second.key_)
+        return false;
+    const auto worker = scheduler_.state().workers_.find(decoded->second.key_);
+    if (worker == scheduler_.state().workers_.end() || !worker->second.isListed_ || !worker->second.isDescribed_)
+        return false;
+    return context_.registryFormat_.isHeartbeat(decoded->second.value_, row.value_);
+}
+
 void PoolWorkerLinks::openLink(const WorkerInfo& info, bool isRestarted)
 {
     PoolWorkerLink::Parameters parameters;
@@ -188,7 +237,7 @@
         listener_.changed_();
     };
     listener.isLeaseHeld_ = listener_.isLeaseHeld_;
-    listener.isStartWanted_ = [this](const RunId& run) { return listener_.isLeaseHeld_() && scheduler_.isStartWanted(run); };
+    listener.isStartWanted_ = listener_.mayStart_;
     listener.isStartPending_ = [this](const RunId& run) { return listener_.isLeaseHeld_() && scheduler_.isStartPending(run); };
     listener.startSent_ = [this](const RunId& run) { scheduler_.startSent(run, bootTimeNow()); };
     listener.startUnanswered_ = [this](const RunId& run) { scheduler_.startUnanswered(run); };
--- a/src/libfescuecleat/node/poolworkerlinks.h
+++ b/src/libfescuecleat/node/poolworkerlinks.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace fescuecleat {
@@ -24,6 +25,8 @@
     struct Listener {
         std::function<void(const WorkerKey&, const PoolWorkerReport&, Time askedAt)> reported_;
         std::function<bool()> isLeaseHeld_;
+        /** Whether a request for the start of the run may be sent now. A start that is no longer permitted is given up. */
+        std::function<bool(const RunId&)> mayStart_;
         /** Something suggests that another instance has taken the lease; only the store can tell. */
         std::function<void(const std::string& cause)> leaseDoubted_;
         /** The scheduler's state has changed. */
@@ -35,6 +38,8 @@
     void start() { registry_.start(); }
     /** Whether the registry has been read. */
     bool isLoaded() const { return registry_.isLoaded(); }
+    /** The registry is known as of this local time or later. */
+    Time registryAsOf() const { return registry_.currentAsOf(); }
     /** Uses workers of these services, too, which a configuration or a job names. */
     void addServices(const std::set<std::string>&);
     /** Reviews the links if some time has passed since the last review. */
@@ -43,8 +48,17 @@
     PoolWorkerLink* find(const WorkerKey&);
 
 private:
+    /** An entry of the registry and the incarnation that it was taken to describe. */
+    struct DecodedEntry {
+        std::string value_;
+        WorkerKey key_;
+    };
+
     void handleRegistryReset(const std::vector<StoredRow>&);
     void handleRegistryRow(const StoredRow&);
+    /** Whether the scheduler knows all that the row says, since only the heartbeat differs from the entry that was last decoded. */
+    bool isOnlyHeartbeat(const StoredRow&);
+    void noteDecoded(const StoredRow&, const WorkerKey&);
     /** Entries of services that nothing names are those of other systems. */
     void skipWorker(const StoredRow&, const std::string& service);
     /** `isRestarted`: requests to a former incarnation may still reach this one. */
@@ -65,6 +79,8 @@
     std::set<std::string> services_;
     /** Registry entries of other services, by worker. */
     std::map<std::string, StoredRow> skippedWorkers_;
+    /** The entries that were last decoded and used, by worker. */
+    std::unordered_map<std::string, DecodedEntry> decodedEntries_;
     std::map<std::string, std::unique_ptr<PoolWorkerLink>> links_;
     /** Links that are still to be opened, in batches. */
     std::deque<std::string> linksToOpen_;
