--- a/src/libfescuecleat/pool/intervalset.cpp
+++ b/src/libfescuecleat/pool/intervalset.cpp
@@ -19,6 +19,14 @@
     return found != lastOfFirst_.end() && found->first <= interval.first_ && interval.last_ <= found->second;
 }
 
+std::int64_t IntervalSet::count() const
+{
+    std::int64_t count = 0;
+    for (const auto& [first, last] : lastOfFirst_)
+        count += last - first + 1;
+    return count;
+}
+
 std::optional<std::int64_t> IntervalSet::firstFrom(std::int64_t number) const
 {
     const auto found = find(number);
--- a/src/libfescuecleat/pool/intervalset.h
+++ b/src/libfescuecleat/pool/intervalset.h
@@ -22,6 +22,8 @@
     bool isEmpty() const { return lastOfFirst_.empty(); }
     bool contains(std::int64_t number) const { return containsAll({ number, number }); }
     bool containsAll(const Interval&) const;
+    /** Number of members. */
+    std::int64_t count() const;
     /** The smallest member that is at least `number`. */
     std::optional<std::int64_t> firstFrom(std::int64_t number) const;
     /** The members within the bounds, as the fewest intervals, in order. */
--- a/src/libfescuecleat/pool/job.cpp
+++ b/src/libfescuecleat/pool/job.cpp
@@ -1,5 +1,7 @@
 #include "pool/job.h"
 
+#include <algorithm>
+
 namespace fescuecleat {
 
 namespace {
@@ -33,6 +35,11 @@
     return widest;
 }
 
+bool Job::hasTarget() const
+{
+    return !spec_.isTimed() && std::none_of(spec_.steps_.begin(), spec_.steps_.end(), [](const StepSpec& step) { return step.isLongRunning_; });
+}
+
 bool Job::isSuspect() const
 {
     return !hasHealthyRun_ && failedOn_.size() >= suspectFailureThreshold;
--- a/src/libfescuecleat/pool/job.h
+++ b/src/libfescuecleat/pool/job.h
@@ -39,6 +39,8 @@
     bool isSuspect() const;
     /** Crashes of workers under one of its tasks. */
     TaskCrashes crashesOf(const TaskId&) const;
+    /** Whether the job has a completion to be in time for: it neither recurs nor runs until it is cancelled. */
+    bool hasTarget() const;
     bool isOpen() const { return !isFinal(state_); }
     /** Length of the longest chain of dependent steps, from their estimates. */
     Duration criticalPath() const;
--- a/src/libfescuecleat/pool/stepprogress.h
+++ b/src/libfescuecleat/pool/stepprogress.h
@@ -37,6 +37,8 @@
     const WorkUnit* find(std::int64_t number) const;
     bool isDone(const Interval& numbers) const { return done_.containsAll(numbers); }
     bool hasWaiting() const { return !unstarted_.isEmpty() || !waiting_.empty(); }
+    /** Number of units that wait. */
+    std::int64_t waitingUnits() const { return unstarted_.count() + static_cast<std::int64_t>(waiting_.size()); }
     /** The first waiting unit from `number` on, whether it has started before or not. */
     std::optional<std::int64_t> firstWaiting(std::int64_t number) const;
     /** The first waiting unit from `number` on that has started before. */
