pool: order waiting jobs by the overload plan

Late jobs were the only ones that waited for those in time.

Change: with PoolScheduler::setOverloadOrder, a pass orders by rank, expired, late or postponed, latest start. PoolDay counts jobs in time, late and expired.

--- a/src/libfescuecleat/pool/decisions.h
+++ b/src/libfescuecleat/pool/decisions.h
@@ -67,6 +67,18 @@
     WorkerKey current_;
 };
 
+/** A job that was postponed for the first time. */
+struct PostponedJob {
+    std::string job_;
+    std::string queue_;
+    std::string organisation_;
+    /** Estimated pool-seconds of its waiting work and of that of all jobs. */
+    double work_ = 0;
+    double backlogWork_ = 0;
+    /** Pool-seconds that the pool does in a second. */
+    double rate_ = 0;
+};
+
 /** Actions that the scheduler requests from its owner, and changes of its beliefs for the log. */
 struct Decisions {
     /** Jobs whose records must be stored before the starts are sent. */
@@ -77,6 +89,7 @@
     std::vector<MovedRun> movedRuns_;
     std::vector<WorkerCrash> crashes_;
     std::vector<DeadlyTask> deadlyTasks_;
+    std::vector<PostponedJob> postponedJobs_;
 
     bool isEmpty() const { return changedJobs_.empty() && starts_.empty() && stops_.empty(); }
 };
--- a/src/libfescuecleat/pool/poolscheduler.h
+++ b/src/libfescuecleat/pool/poolscheduler.h
@@ -34,6 +34,8 @@
      * divided among the organisations, so that one organisation's many tasks leave room for those of others.
      */
     void setRunLimit(std::size_t runs) { state_.runLimit_ = runs; }
+    /** Postpones the jobs whose delay costs callers least while not all can be in time. */
+    void setOverloadOrder(bool isEnabled) { state_.overload_.isEnabled_ = isEnabled; }
     void setGuaranteeLimit(Duration limit) { state_.guaranteeLimit_ = limit; }
     /** Sends tasks that still wait to the services of their queues by this version of the configuration. Returns the queues whose jobs moved. */
     std::set<std::string> setQueueServices(std::uint64_t version, std::map<std::string, std::string> services);
--- a/src/libfescuecleat/pool/poolstate.h
+++ b/src/libfescuecleat/pool/poolstate.h
@@ -2,6 +2,7 @@
 
 #include "pool/decisions.h"
 #include "pool/job.h"
+#include "pool/overloadstate.h"
 #include "pool/poolworkerstate.h"
 #include "pool/taskrun.h"
 #include "pool/urgentdemand.h"
@@ -47,6 +48,7 @@
     std::deque<WorkerCrash> lapsedWorkers_;
     /** Workers have crashed lately for other causes than a task that was starting. */
     Time unrelatedCrashesUntil_ {};
+    OverloadState overload_;
     Decisions decisions_;
 
     Job* findJob(const std::string& id);
--- a/src/libfescuecleat/pool/schedulingpass.cpp
+++ b/src/libfescuecleat/pool/schedulingpass.cpp
@@ -1,5 +1,7 @@
 #include "pool/schedulingpass.h"
 
+#include "pool/overloadreview.h"
+
 #include <algorithm>
 #include <cmath>
 #include <tuple>
@@ -51,6 +53,10 @@
 bool SchedulingPass::run()
 {
     selectGuaranteedJobs();
+    OverloadReview(
+        state_, [this](const Job& job) { return rankOf(job); }, Guaranteed, now_)
+        .run();
+    state_.overload_.isShort_ = false;
     reserveHeadroom();
     for (const Candidate& candidate : candidates()) {
         placeCandidate(candidate);
@@ -102,6 +108,9 @@
         if (const auto unplaced = placeUnits(candidate, step, occurrence)) {
             if (unplaced->outcome_ == Outcome::Limited)
                 return;
+            state_.overload_.isShort_ = true;
+            if (!candidate.isExpired_ && !candidate.isBehind_)
+                shortRank_ = candidate.rank_;
             const bool isRackReserved = reserveRack(candidate, unplaced->request_);
             if (unplaced->outcome_ == Outcome::Unplaced && unplaced->isTypical_ && !isRackReserved)
                 exhaustedSteps.insert(step);
@@ -113,7 +122,7 @@
 bool SchedulingPass::reserveRack(const Candidate& candidate, const PlacementRequest& request)
 {
     const auto maxReservations = static_cast<int>(std::ceil(maxReservedRackShare * static_cast<double>(view_.racks().size())));
-    if (request.taskCount_ == 1 || candidate.rank_ < Ordinary || candidate.isExpired_ || reservedRacks_ >= maxReservations)
+    if (request.taskCount_ == 1 || candidate.rank_ < Ordinary || candidate.isExpired_ || mustLeaveCapacity(candidate) || reservedRacks_ >= maxReservations)
         return false;
     view_.reserveRack(request);
     ++reservedRacks_;
@@ -215,17 +224,28 @@
         const int rank = rankOf(job);
         const bool isExpired = now_ > job.creditExpiry_;
         for (auto& [latestStart, steps] : stepsByLatestStart)
-            result.push_back({ &job, std::move(steps), rank, isExpired, latestStart });
+            result.push_back({ &job, std::move(steps), rank, isExpired, isBehind(job, rank, latestStart), latestStart });
     }
-    const auto order = [this](const Candidate& candidate) {
-        // A job that is late anyway waits for those that can still be in time. Guaranteed ones keep their turn.
-        const bool isLate = candidate.rank_ > Guaranteed && candidate.latestStart_ < now_;
-        return std::make_tuple(candidate.rank_, candidate.isExpired_, isLate, candidate.latestStart_);
+    const auto order = [](const Candidate& candidate) {
+        return std::make_tuple(candidate.rank_, candidate.isExpired_, candidate.isBehind_, candidate.latestStart_);
     };
     std::stable_sort(result.begin(), result.end(), [&order](const Candidate& left, const Candidate& right) { return order(left) < order(right); });
     return result;
 }
 
+bool SchedulingPass::isBehind(const Job& job, int rank, Time latestStart) const
+{
+    // Guaranteed jobs keep their turn.
+    if (rank == Guaranteed || OverloadReview::isPostponementOver(state_.overload_, job, rank, now_))
+        return false;
+    return latestStart < now_ || state_.overload_.postponed_.count(job.id_) > 0;
+}
+
+bool SchedulingPass::mustLeaveCapacity(const Candidate& candidate) const
+{
+    return shortRank_ && state_.overload_.postponed_.count(candidate.job_->id_) > 0;
+}
+
 bool SchedulingPass::isActiveWithoutRecord(const Job& job, const UnitId& unit) const
 {
     if (unrecordedTasks_.empty())
@@ -283,7 +303,7 @@
         view_.reserve(*placement, allocation);
         return Outcome::Reserved;
     }
-    if (candidate.rank_ > Urgent || !preempt(candidate, request))
+    if (candidate.rank_ > Urgent || mustLeaveCapacity(candidate) || !preempt(candidate, request))
         return Outcome::Unplaced;
     if (const auto placement = view_.find(request, CapacityKind::Projected))
         view_.reserve(*placement, allocation);
--- a/src/libfescuecleat/pool/schedulingpass.h
+++ b/src/libfescuecleat/pool/schedulingpass.h
@@ -34,6 +34,8 @@
         int rank_;
         /** Completing the job no longer earns any credit. */
         bool isExpired_;
+        /** It is late anyway or postponed, and waits for the jobs of its rank that can be in time. */
+        bool isBehind_;
         Time latestStart_;
     };
 
@@ -42,6 +44,10 @@
     void reserveHeadroom();
     int rankOf(const Job&) const;
     std::vector<Candidate> candidates() const;
+    /** Whether a job with this latest start comes after those of its rank that can be in time. */
+    bool isBehind(const Job&, int rank, Time latestStart) const;
+    /** Whether the candidate is postponed and must leave capacity to jobs in time that wait. */
+    bool mustLeaveCapacity(const Candidate&) const;
     /** What became of a unit that waits. */
     enum class Outcome {
         Placed,
@@ -84,6 +90,8 @@
     std::optional<Preemption> preemption_;
     std::set<std::string> guaranteedJobs_;
     int reservedRacks_ = 0;
+    /** The last rank in which units of a job in time wait for capacity. */
+    std::optional<int> shortRank_;
     int startedTasks_ = 0;
     /** Tasks of runs that workers report and the scheduler has no record of; they are being stopped. */
     std::set<TaskId> unrecordedTasks_;
--- a/tests/pool/poolday.cpp
+++ b/tests/pool/poolday.cpp
@@ -61,6 +61,34 @@
     return lost;
 }
 
+DayCounts& DayCounts::operator+=(const DayCounts& other)
+{
+    jobs_ += other.jobs_;
+    inTime_ += other.inTime_;
+    late_ += other.late_;
+    expired_ += other.expired_;
+    return *this;
+}
+
+DayCounts DayResult::countsOf(int kind, double largestShare) const
+{
+    std::vector<const DayJobResult*> ofKind;
+    for (const DayJobResult& job : jobs_) {
+        if (job.kind_ == kind)
+            ofKind.push_back(&job);
+    }
+    std::stable_sort(ofKind.begin(), ofKind.end(), [](const DayJobResult* left, const DayJobResult* right) { return left->work_ > right->work_; });
+    ofKind.resize(static_cast<std::size_t>(std::ceil(largestShare * static_cast<double>(ofKind.size()))));
+    DayCounts counts;
+    for (const DayJobResult* job : ofKind) {
+        ++counts.jobs_;
+        counts.inTime_ += job->outcome_ == DayOutcome::InTime ? 1 : 0;
+        counts.late_ += job->outcome_ == DayOutcome::Late ? 1 : 0;
+        counts.expired_ += job->outcome_ == DayOutcome::Expired ? 1 : 0;
+    }
+    return counts;
+}
+
 PoolDay::PoolDay(DayDeployment deployment, std::vector<DayTrouble> troubles, unsigned seed)
     : deployment_(std::move(deployment))
     , troubles_(std::move(troubles))
@@ -462,6 +490,11 @@
             result.inTime_ += isServed && took <= target ? 1 : 0;
             result.late_ += isServed && took > target && took <= 3 * target ? 1 : 0;
             result.failed_ += !isServed ? 1 : 0;
+            if (!model.isHopeless_) {
+                const DayOutcome outcome = !isServed || took > 3 * target ? DayOutcome::Expired : took > target ? DayOutcome::Late
+                                                                                                                : DayOutcome::InTime;
+                result_.jobs_.push_back({ model.kind_, workOf(model), outcome, took / target });
+            }
             if (isServed && took <= 3 * target)
                 result.earned_ += valueOf(model) * (took <= target ? 1 : kind.lateWorth_ / kind.worth_);
         }
@@ -477,15 +510,20 @@
 double PoolDay::valueOf(const JobModel& job) const
 {
     const DayJobKind& kind = deployment_.kinds_[static_cast<std::size_t>(job.kind_)];
-    const StepSpec& step = job.spec_.steps_.front();
     double meanAccelerators = 0;
     for (const std::int64_t count : kind.accelerators_)
         meanAccelerators += static_cast<double>(count) / static_cast<double>(kind.accelerators_.size());
     const double meanWork = kind.meanTasks_ * kind.meanSeconds_ * (static_cast<double>(kind.resources_.cpuMillis_) / 1000 + 8 * meanAccelerators);
-    const double relative = step.weightInCores() * step.taskCount_ * job.workSeconds_ / meanWork;
+    const double relative = workOf(job) / meanWork;
     return kind.worth_ * std::min(4.0, 0.3 + 0.7 * relative);
 }
 
+double PoolDay::workOf(const JobModel& job) const
+{
+    const StepSpec& step = job.spec_.steps_.front();
+    return step.weightInCores() * step.taskCount_ * job.workSeconds_;
+}
+
 void PoolDay::addOwed(const JobModel& job, DayKindResult& result) const
 {
     ++result.jobs_;
@@ -502,6 +540,8 @@
         result.lateGuarantees_ += job.isGuaranteed_ && !job.isCancelled_ && isLate ? 1 : 0;
         if (openJobs_.count(id) > 0 && !job.isCancelled_)
             addOwed(job, result.kinds_[static_cast<std::size_t>(job.kind_)]);
+        if (openJobs_.count(id) > 0 && !job.isCancelled_ && !job.isHopeless_)
+            result.jobs_.push_back({ job.kind_, workOf(job), DayOutcome::Expired, 0 });
     }
     const double accelerators = static_cast<double>(deployment_.workers_) * static_cast<double>(deployment_.capacity_.accelerators_);
     result.meanUsage_ = usageSamples_ > 0 ? usageSum_ / usageSamples_ / accelerators : 0;
--- a/tests/pool/poolday.h
+++ b/tests/pool/poolday.h
@@ -89,8 +89,39 @@
     double slowestStartSeconds_ = 0;
 };
 
+/** What the caller of one job got. */
+enum class DayOutcome {
+    InTime,
+    Late,
+    /** It ended after its credit, or not at all. */
+    Expired,
+};
+
+struct DayJobResult {
+    int kind_ = 0;
+    /** Work of all tasks, in core-seconds. */
+    double work_ = 0;
+    DayOutcome outcome_ = DayOutcome::Expired;
+    /** Time until the end as a multiple of the target. */
+    double targetRatio_ = 0;
+};
+
+/** How many jobs had each outcome. */
+struct DayCounts {
+    int jobs_ = 0;
+    int inTime_ = 0;
+    int late_ = 0;
+    int expired_ = 0;
+
+    double inTimeShare() const { return jobs_ > 0 ? static_cast<double>(inTime_) / jobs_ : 1; }
+    double servedShare() const { return jobs_ > 0 ? static_cast<double>(inTime_ + late_) / jobs_ : 1; }
+    DayCounts& operator+=(const DayCounts&);
+};
+
 struct DayResult {
     std::vector<DayKindResult> kinds_;
+    /** Jobs that their callers didn't cancel and that weren't hopeless. */
+    std::vector<DayJobResult> jobs_;
     /** Work thrown away, in core-seconds, by the cause of the stop. */
     std::map<std::string, double> lostByCause_;
     /** Work that completed, in core-seconds. */
@@ -106,6 +137,8 @@
 
     double share() const;
     double lostWork() const;
+    /** Outcomes of the jobs of a kind; only of those with the most work if `largestShare` is less than 1. */
+    DayCounts countsOf(int kind, double largestShare = 1) const;
 };
 
 /**
@@ -116,6 +149,9 @@
 public:
     PoolDay(DayDeployment, std::vector<DayTrouble>, unsigned seed);
 
+    /** See PoolScheduler::setOverloadOrder. */
+    void setOverloadOrder(bool isEnabled) { scheduler_.setOverloadOrder(isEnabled); }
+
     DayResult run(Duration arrivals, Duration rest);
 
 private:
@@ -174,6 +210,7 @@
     void endRun(const RunId&, EndReason, const std::string& cause);
     void report(const std::string& worker, bool isPeriodic);
     double valueOf(const JobModel&) const;
+    double workOf(const JobModel&) const;
     void addOwed(const JobModel&, DayKindResult&) const;
     void observeJobs();
     DayResult result() const;
