--- a/src/libfescuecleat/pool/poolscheduler.h
+++ b/src/libfescuecleat/pool/poolscheduler.h
@@ -38,6 +38,8 @@
     void setRunLimit(std::size_t runs) { state_.runLimit_ = runs; }
     /** Sets the limits and weights of organisations. Starts that are decided but not begun are checked again. */
     void setOrganisations(std::map<std::string, OrganisationPolicy> policies) { state_.usage_.setPolicies(std::move(policies)); }
+    /** Postpones the jobs whose delay costs callers least while not all can be in time. */
+    void setOverloadOrder(bool isEnabled) { state_.overload_.isEnabled_ = isEnabled; }
     void setGuaranteeLimit(Duration limit) { state_.guaranteeLimit_ = limit; }
     /** Sends tasks that still wait to the services of their queues by this version of the configuration. Returns the queues whose jobs moved. */
     std::set<std::string> setQueueServices(std::uint64_t version, std::map<std::string, std::string> services);
