pool: weigh the cost of stopping a task

Cause: preemption assumed 0.2 s for any task that saves its progress, stopped work that would have ended in time by itself, and stopped it for jobs that were late anyway.

Change: settings taskStopSeconds, restoreSeconds, checkpointSeconds and gangWaitSeconds fill StopCosts. With them, an urgent unit waits for capacity that frees itself within half of its slack and reserves it, nothing is stopped for a job beyond its guarantee that would be late anyway, and a victim's cost has the stop and the restore in it. Moves off slow and leaving workers use the same costs. SchedulingPass::preempt moves to UrgentRoom. Log preemption.declined, metrics of stops, losses and declined stops. Without the settings decisions are as before.

--- a/src/libfescuecleat/node/instance.cpp
+++ b/src/libfescuecleat/node/instance.cpp
@@ -263,6 +263,7 @@
         add("worker_crashes_total", controller_->workerCrashes());
         add("deadly_tasks_total", controller_->deadlyTasks());
         add("slow_activities_total", controller_->times().slowCount());
+        text += preemptionMetrics(controller_->state().preemptionAccount_);
         text += controller_->times().metrics();
     }
     return text;
--- a/src/libfescuecleat/node/instancesettings.cpp
+++ b/src/libfescuecleat/node/instancesettings.cpp
@@ -37,6 +37,20 @@
         return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
     }
 
+    std::optional<StopCosts> readStopCosts(const Json& json)
+    {
+        if (!json.contains("taskStopSeconds") || !json.contains("restoreSeconds"))
+            return std::nullopt;
+        StopCosts costs;
+        costs.stop_ = readSeconds(json, "taskStopSeconds");
+        costs.restore_ = readSeconds(json, "restoreSeconds");
+        if (json.contains("checkpointSeconds"))
+            costs.checkpointInterval_ = readSeconds(json, "checkpointSeconds");
+        if (json.contains("gangWaitSeconds"))
+            costs.gangWait_ = readSeconds(json, "gangWaitSeconds");
+        return costs;
+    }
+
     std::size_t readRowBytes(const Json& json, const char* name)
     {
         const auto bytes = json.at(name).get<std::int64_t>();
@@ -73,6 +87,7 @@
         settings.revocationLimit_ = readSeconds(json, "revocationLimitSeconds");
         if (json.contains("guaranteeLimitSeconds"))
             settings.guaranteeLimit_ = readSeconds(json, "guaranteeLimitSeconds");
+        settings.stopCosts_ = readStopCosts(json);
         if (json.contains("maxRequestDelaySeconds"))
             settings.maxRequestDelay_ = readSeconds(json, "maxRequestDelaySeconds");
         if (json.contains("endedJobSeconds"))
--- a/src/libfescuecleat/node/instancesettings.h
+++ b/src/libfescuecleat/node/instancesettings.h
@@ -4,8 +4,10 @@
 #include "base/time.h"
 #include "net/socketaddress.h"
 #include "node/storelimits.h"
+#include "pool/stopcosts.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace fescuecleat {
@@ -32,6 +34,8 @@
     Duration revocationLimit_ {};
     /** Jobs within their organisation's guarantee must start within this time. */
     Duration guaranteeLimit_ = std::chrono::milliseconds(2700);
+    /** What stopping a task costs; if unset, preemption uses fixed assumptions. */
+    std::optional<StopCosts> stopCosts_;
     /** Longest delay after which a worker may still execute a request that it left without an answer. */
     Duration maxRequestDelay_ = std::chrono::seconds(12);
     /** Callers may ask for the state of an ended job for this long. */
--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -77,6 +77,7 @@
 PoolController::PoolController(const NodeContext& context, const AcquiredLease& lease, Listener listener)
     : context_(context)
     , runLog_(context.log_)
+    , preemptionLog_(context.log_)
     , times_(context.log_)
     , epoch_(lease.epoch_)
     , listener_(std::move(listener))
@@ -109,6 +110,7 @@
     registry_.setPollPause(registryPollPause);
     scheduler_.setRunLimit(context.settings_.runLimit());
     scheduler_.setGuaranteeLimit(context.settings_.guaranteeLimit_);
+    scheduler_.setStopCosts(context.settings_.stopCosts_);
 }
 
 PoolController::~PoolController() = default;
@@ -559,6 +561,7 @@
     runLog_.moved(decisions.movedRuns_);
     runLog_.lost(decisions.lostRuns_);
     runLog_.stopped(decisions.stops_);
+    preemptionLog_.update(scheduler_.state().preemptionAccount_, bootTimeNow());
     for (const StopDecision& stop : decisions.stops_) {
         if (PoolWorkerLink* link = findLink(stop.worker_))
             link->stop(stop.run_);
--- a/src/libfescuecleat/node/poolcontroller.h
+++ b/src/libfescuecleat/node/poolcontroller.h
@@ -9,6 +9,7 @@
 #include "node/poolconfiguration.h"
 #include "node/poolschedulerlease.h"
 #include "node/poolworkerlink.h"
+#include "node/preemptionlog.h"
 #include "node/runlog.h"
 #include "node/tablefollower.h"
 #include "pool/poolscheduler.h"
@@ -104,6 +105,7 @@
 
     NodeContext context_;
     RunLog runLog_;
+    PreemptionLog preemptionLog_;
     ActivityTimes times_;
     std::int64_t epoch_;
     Listener listener_;
--- a/src/libfescuecleat/pool/healthreview.cpp
+++ b/src/libfescuecleat/pool/healthreview.cpp
@@ -15,12 +15,15 @@
     constexpr Duration slowWorkerAvoidance = std::chrono::seconds(3);
     /** Typical duration of a slow period. */
     constexpr Duration typicalSlowPeriod = std::chrono::seconds(4);
-    /** Cost of a restart, excluding repeated work. */
+    /** Cost of a restart, excluding repeated work, and excluding the stop and the restore if StopCosts has them. */
     constexpr Duration restartOverhead = std::chrono::milliseconds(1200);
+    constexpr Duration restartOverheadBesideStop = std::chrono::milliseconds(1000);
     /** Most work that is repeated when a task that saves its progress restarts. */
     constexpr Duration maxCheckpointLoss = std::chrono::seconds(1);
     /** Tasks that save their progress are moved off a draining worker this long before it may leave. */
     constexpr Duration drainMargin = std::chrono::milliseconds(900);
+    /** Reviews are 0.25 s apart, and the request to stop takes some time. */
+    constexpr Duration drainMarginBesideStop = std::chrono::milliseconds(400);
     /** Draining workers typically stay this much longer than announced. */
     constexpr Duration typicalDrainOverrun = std::chrono::seconds(2);
 
@@ -111,6 +114,7 @@
     const double medianSpeed = slow.medianSpeed_;
     Duration inPlace {};
     Duration afterRestart {};
+    const auto& costs = state_.stopCosts_;
     for (const RunId& id : unit.openRuns_) {
         const TaskRun& run = state_.runs_.at(id);
         const Duration fullDuration = normalDuration(run, step, medianSpeed);
@@ -122,9 +126,14 @@
                 leftInPlace = std::min(leftInPlace, fromSeconds((100 - run.percentDone_) / *run.percentPerSecond_));
         }
         inPlace = std::max(inPlace, leftInPlace);
-        afterRestart = std::max(afterRestart, step.savesProgress_ ? left + maxCheckpointLoss : fullDuration);
+        // A slow worker may not save once more at the stop.
+        const Duration checkpointLoss = costs ? std::min<Duration>(costs->checkpointInterval_, fullDuration - left) : maxCheckpointLoss;
+        afterRestart = std::max(afterRestart, step.savesProgress_ ? left + checkpointLoss : fullDuration);
     }
-    if (afterRestart + restartOverhead < inPlace)
+    Duration overhead = restartOverhead;
+    if (costs)
+        overhead = restartOverheadBesideStop + costs->stop_ + (step.savesProgress_ ? costs->restore_ : Duration::zero());
+    if (afterRestart + overhead < inPlace)
         state_.stopUnit(job, slow.unit_, "its workers are slow", now_);
 }
 
@@ -135,6 +144,16 @@
     return std::max(Duration::zero(), step.estimate_ - (now_ - run.startedAt_));
 }
 
+bool HealthReview::isExpectedToFinish(const Job& job, const TaskRun& run, Duration left) const
+{
+    const StepSpec& step = job.step(run.unit_.step_);
+    if (!state_.stopCosts_ || !run.unit_.isGang())
+        return remainingOnWorker(run, step) < left + typicalDrainOverrun;
+    // The gang ends with its slowest member, and all of it is lost if the worker leaves first.
+    const std::set<RunId>& members = job.unit(run.unit_).openRuns_;
+    return std::all_of(members.begin(), members.end(), [&](const RunId& member) { return remainingOnWorker(state_.runs_.at(member), step) < left; });
+}
+
 void HealthReview::evacuateDrainingWorkers()
 {
     std::set<UnitKey> leavingUnits;
@@ -148,8 +167,8 @@
                 continue;
             const StepSpec& step = job->step(run.unit_.step_);
             const Duration left = worker.leavesAt_ - now_;
-            const bool mayFinish = !step.isLongRunning_ && remainingOnWorker(run, step) < left + typicalDrainOverrun;
-            const bool waitsForMargin = step.savesProgress_ && left > drainMargin;
+            const bool mayFinish = !step.isLongRunning_ && isExpectedToFinish(*job, run, left);
+            const bool waitsForMargin = step.savesProgress_ && left > (state_.stopCosts_ ? state_.stopCosts_->stop_ + drainMarginBesideStop : drainMargin);
             if (!mayFinish && !waitsForMargin && step.maxUnavailable_ == 0)
                 leavingUnits.emplace(id.task_.job_, run.unit_);
         }
--- a/src/libfescuecleat/pool/healthreview.h
+++ b/src/libfescuecleat/pool/healthreview.h
@@ -40,6 +40,8 @@
     void detectSlowRuns(Job&, RunIterator first, RunIterator end, std::vector<SlowUnit>&);
     void restartIfFaster(const SlowUnit&);
     void evacuateDrainingWorkers();
+    /** Whether a run's unit is expected to end before its worker leaves in the given time. */
+    bool isExpectedToFinish(const Job&, const TaskRun&, Duration left) const;
     Duration remainingOnWorker(const TaskRun&, const StepSpec&) const;
 
     PoolState& state_;
--- a/src/libfescuecleat/pool/placementview.cpp
+++ b/src/libfescuecleat/pool/placementview.cpp
@@ -244,6 +244,12 @@
     unplaceableProjected_.clear();
 }
 
+void PlacementView::removeProjected(const PoolWorkerState* worker, const Resources& resources)
+{
+    if (const auto index = indexOf(worker))
+        adjustCapacity(entries_[*index], {}, Resources {} - resources);
+}
+
 void PlacementView::reserveHeadroom(std::size_t workers, const std::set<WorkerKey>& preferred)
 {
     const auto mark = [&workers](WorkerEntry& entry) {
--- a/src/libfescuecleat/pool/placementview.h
+++ b/src/libfescuecleat/pool/placementview.h
@@ -55,6 +55,8 @@
     void reserve(const Placement&, const Resources& each);
     /** Adds resources of a run that is to be stopped. */
     void addProjected(const PoolWorkerState*, const Resources&);
+    /** Reverts addProjected(). */
+    void removeProjected(const PoolWorkerState*, const Resources&);
     /** Marks up to `workers` idle workers as headroom, first those in `preferred`, then from the emptiest racks on. */
     void reserveHeadroom(std::size_t workers, const std::set<WorkerKey>& preferred);
     /** The workers that are marked as headroom. */
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -668,7 +668,8 @@
 void PoolScheduler::abortStalledStarts(Time now)
 {
     std::vector<std::pair<std::string, UnitId>> stalled;
-    while (!unansweredStarts_.empty() && unansweredStarts_.front().first + startTimeout < now) {
+    const Duration timeout = state_.stopCosts_ ? state_.stopCosts_->startTimeout(startTimeout) : startTimeout;
+    while (!unansweredStarts_.empty() && unansweredStarts_.front().first + timeout < now) {
         const auto entry = state_.runs_.find(unansweredStarts_.front().second);
         if (entry != state_.runs_.end() && entry->second.phase_ == RunPhase::Starting)
             stalled.emplace_back(entry->first.task_.job_, entry->second.unit_);
@@ -701,7 +702,7 @@
 {
     if (!isPassComplete_)
         return now;
-    Time wake = now + maxScheduleInterval;
+    Time wake = std::max(now, std::min<Time>(now + maxScheduleInterval, state_.nextPreemptionReview_));
     for (const std::string& id : timedJobs_) {
         const Job& job = state_.jobs_.at(id);
         if (!job.isOpen() || job.progress_.openedOccurrences() >= job.spec_.occurrences_)
--- a/src/libfescuecleat/pool/poolscheduler.h
+++ b/src/libfescuecleat/pool/poolscheduler.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -35,6 +36,8 @@
      */
     void setRunLimit(std::size_t runs) { state_.runLimit_ = runs; }
     void setGuaranteeLimit(Duration limit) { state_.guaranteeLimit_ = limit; }
+    /** Sets what stopping a task costs; without it, preemption uses fixed assumptions. */
+    void setStopCosts(const std::optional<StopCosts>& costs) { state_.stopCosts_ = costs; }
     /** Sends tasks that still wait to the services of their queues by this version of the configuration. Returns the queues whose jobs moved. */
     std::set<std::string> setQueueServices(std::uint64_t version, std::map<std::string, std::string> services);
     void setClosedDataCentres(std::set<std::string> dataCentres) { state_.closedDataCentres_ = std::move(dataCentres); }
--- a/src/libfescuecleat/pool/poolstate.h
+++ b/src/libfescuecleat/pool/poolstate.h
@@ -3,6 +3,8 @@
 #include "pool/decisions.h"
 #include "pool/job.h"
 #include "pool/poolworkerstate.h"
+#include "pool/preemptionaccount.h"
+#include "pool/stopcosts.h"
 #include "pool/taskrun.h"
 #include "pool/urgentdemand.h"
 
@@ -10,6 +12,7 @@
 #include <deque>
 #include <limits>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -36,6 +39,11 @@
     std::map<std::string, std::int64_t> guarantees_;
     /** Jobs within their organisation's guarantee must start within this time. */
     Duration guaranteeLimit_ = std::chrono::milliseconds(2700);
+    /** If unset, preemption and the review of health use fixed assumptions. */
+    std::optional<StopCosts> stopCosts_;
+    PreemptionAccount preemptionAccount_;
+    /** When a unit that waits for capacity which becomes free by itself must be looked at again. */
+    Time nextPreemptionReview_ = Time::max();
     UrgentDemand urgentDemand_;
     /** The headroom of a pass that ended early, for the one that continues it. */
     std::set<WorkerKey> headroom_;
--- a/src/libfescuecleat/pool/preemption.cpp
+++ b/src/libfescuecleat/pool/preemption.cpp
@@ -1,5 +1,7 @@
 #include "pool/preemption.h"
 
+#include "pool/stopestimate.h"
+
 #include <algorithm>
 #include <limits>
 #include <unordered_map>
@@ -8,9 +10,6 @@
 
 namespace {
 
-    /** Time lost when a task that saves its progress is stopped; it saves once more at the stop. */
-    constexpr double restartSeconds = 0.2;
-
     double seconds(Duration duration)
     {
         return std::chrono::duration<double>(duration).count();
@@ -45,7 +44,7 @@
             continue;
         const auto [known, isNew] = victimOfUnit.emplace(&unit, victims_.size());
         if (isNew)
-            victims_.push_back({ job, run.unit_, rank, std::max(0.0, seconds(now_ - unit.startedAt_)), {} });
+            victims_.push_back({ job, run.unit_, rank, std::max(0.0, seconds(now_ - unit.startedAt_)) });
         Victim& victim = victims_[known->second];
         victim.cost_ = std::max(victim.cost_, run.workDoneSeconds(job->step(unit).estimate_));
         if (const auto index = view_.indexOf(state.findWorker(run.worker_)))
@@ -55,11 +54,11 @@
     for (std::size_t i = 0; i < victims_.size(); ++i) {
         allVictims_[i] = i;
         Victim& victim = victims_[i];
-        const WorkUnit& unit = victim.job_->unit(victim.unit_);
-        const StepSpec& step = victim.job_->step(unit);
         // So far, the cost is the progress in seconds.
-        const double lostSeconds = step.savesProgress_ ? restartSeconds : victim.cost_;
-        victim.cost_ = lostSeconds * step.weightInCores() * unit.taskCount_;
+        const StopEstimate estimate = estimateStop(state, *victim.job_, victim.job_->unit(victim.unit_), victim.cost_, now_);
+        victim.cost_ = estimate.lostCoreSeconds_;
+        victim.freeAfter_ = estimate.freeAfter_;
+        victim.isTaken_ = estimate.endsAnyway_;
     }
     std::sort(allVictims_.begin(), allVictims_.end(), [this](std::size_t left, std::size_t right) {
         return std::tie(victims_[left].cost_, victims_[left].job_->id_, left) < std::tie(victims_[right].cost_, victims_[right].job_->id_, right);
@@ -82,7 +81,8 @@
     std::optional<Plan> best;
     for (std::size_t rack = 0; rack < victimsByRack_.size(); ++rack) {
         const double maxCost = best ? best->cost_ : std::numeric_limits<double>::infinity();
-        if (auto plan = planWithin(request, rank, view_.racks()[rack].workers_, victimsByRack_[rack], maxCost))
+        auto plan = planWithin(request, rank, view_.racks()[rack].workers_, victimsByRack_[rack], maxCost);
+        if (plan && (!best || std::tie(plan->cost_, plan->freeAfter_) < std::tie(best->cost_, best->freeAfter_)))
             best = std::move(plan);
     }
     if (best || request.taskCount_ == 1 || request.needsOneRack())
@@ -120,7 +120,7 @@
         const Victim& victim = victims_[index];
         if (victim.isTaken_ || victim.rank_ <= rank)
             continue;
-        if (plan.cost_ + victim.cost_ >= maxCost && plan.victims_.empty())
+        if (plan.cost_ + victim.cost_ > maxCost && plan.victims_.empty())
             return std::nullopt; // the others cost even more
         adjust(victim, true);
         plan.victims_.push_back(index);
@@ -139,8 +139,10 @@
             adjust(victim, true);
         }
     }
-    if (plan.cost_ >= maxCost)
+    if (plan.cost_ > maxCost)
         return std::nullopt;
+    for (const std::size_t index : plan.victims_)
+        plan.freeAfter_ = std::max(plan.freeAfter_, victims_[index].freeAfter_);
     return plan;
 }
 
--- a/src/libfescuecleat/pool/preemption.h
+++ b/src/libfescuecleat/pool/preemption.h
@@ -23,14 +23,17 @@
         int rank_;
         /** Work lost if it is stopped, in core-seconds. */
         double cost_;
+        Duration freeAfter_ {};
         /** Its runs that aren't being stopped yet, by index of the worker's entry. */
-        std::vector<std::pair<std::size_t, Resources>> runs_;
+        std::vector<std::pair<std::size_t, Resources>> runs_ {};
         bool isTaken_ = false;
     };
 
     struct Plan {
         std::vector<std::size_t> victims_;
         double cost_ = 0;
+        /** Time until the last of the victims has been stopped. */
+        Duration freeAfter_ {};
     };
 
     Preemption(PoolState&, const PlacementView&, std::function<int(const Job&)> rankOf, Time now);
--- a/src/libfescuecleat/pool/schedulingpass.cpp
+++ b/src/libfescuecleat/pool/schedulingpass.cpp
@@ -17,8 +17,6 @@
     constexpr double maxHeadroomShare = 0.2;
     /** Ordinary units may use the headroom when their latest start is nearer than this. */
     constexpr Duration headroomStartMargin = std::chrono::seconds(3);
-    /** Most work that may be thrown away for an urgent job beyond its organisation's guarantee, as a multiple of the job's own. */
-    constexpr double maxLostWorkShare = 2;
     /** A task that may crash its worker waits this long for one on which nothing else is starting. */
     constexpr Duration maxProbeWait = std::chrono::seconds(2);
     /** Share of the racks that may be reserved for waiting gangs. */
@@ -28,19 +26,14 @@
     /** One of so many runs is reserved for organisations that have less than their share of the reserved ones. */
     constexpr std::size_t dividedRunsDivisor = 4;
 
-    /** Estimated work of a request's tasks, in core-seconds. */
-    double workOf(const PlacementRequest& request)
-    {
-        const StepSpec& step = *request.step_;
-        return step.weightInCores() * request.taskCount_ * std::chrono::duration<double>(step.estimate_).count();
-    }
-
 }
 
 SchedulingPass::SchedulingPass(PoolState& state, Time now)
     : state_(state)
     , now_(now)
     , view_(state.workers_, state.closedDataCentres_, now)
+    , urgentRoom_(
+          state, view_, [this](const Job& job) { return rankOf(job); }, now)
 {
     for (const auto& [key, worker] : state.workers_) {
         for (const RunId& run : worker.unrecordedRuns_)
@@ -49,6 +42,14 @@
 }
 
 bool SchedulingPass::run()
+{
+    state_.nextPreemptionReview_ = Time::max();
+    const bool isComplete = placeCandidates();
+    state_.preemptionAccount_.endPass(isComplete);
+    return isComplete;
+}
+
+bool SchedulingPass::placeCandidates()
 {
     selectGuaranteedJobs();
     reserveHeadroom();
@@ -264,7 +265,8 @@
 {
     if (!request.step_->wantsOneRack_ || !view_.fitsEmptyRack(request))
         return false;
-    const Time timeoutAt = waitingSince + std::chrono::duration_cast<Duration>(state_.guaranteeLimit_ * rackWaitShare);
+    const auto rackWait = std::chrono::duration_cast<Duration>(state_.guaranteeLimit_ * rackWaitShare);
+    const Time timeoutAt = waitingSince + (state_.stopCosts_ ? std::min<Duration>(rackWait, state_.guaranteeLimit_ - state_.stopCosts_->leadTime()) : rackWait);
     return now_ < (candidate.rank_ == Guaranteed ? std::min(timeoutAt, candidate.latestStart_) : candidate.latestStart_);
 }
 
@@ -283,32 +285,13 @@
         view_.reserve(*placement, allocation);
         return Outcome::Reserved;
     }
-    if (candidate.rank_ > Urgent || !preempt(candidate, request))
+    if (candidate.rank_ > Urgent)
         return Outcome::Unplaced;
-    if (const auto placement = view_.find(request, CapacityKind::Projected))
-        view_.reserve(*placement, allocation);
-    return Outcome::Reserved;
-}
-
-bool SchedulingPass::preempt(const Candidate& candidate, const PlacementRequest& request)
-{
-    if (!preemption_)
-        preemption_.emplace(
-            state_, view_, [this](const Job& job) { return rankOf(job); }, now_);
-    const auto plan = preemption_->plan(request, candidate.rank_);
-    if (!plan)
-        return false;
-    // Only a guarantee is worth more lost work than the job itself brings.
-    if (candidate.rank_ > Guaranteed && plan->cost_ > maxLostWorkShare * workOf(request))
-        return false;
-    for (const std::size_t index : plan->victims_) {
-        preemption_->take(index);
-        const Preemption::Victim& victim = preemption_->victim(index);
-        for (const auto& [entry, resources] : victim.runs_)
-            view_.addProjected(view_.entries()[entry].worker_, resources);
-        state_.stopUnit(*victim.job_, victim.unit_, "its room goes to urgent job " + candidate.job_->id_, now_);
-    }
-    return true;
+    const WorkUnit* const started = candidate.job_->progress_.find(unit);
+    const Time waitingSince = started == nullptr ? candidate.job_->progress_.readySince(unit) : started->waitingSince_;
+    const bool hasTarget = !request.step_->isLongRunning_ && !candidate.job_->spec_.isTimed();
+    const UrgentUnit urgent { *candidate.job_, unit, candidate.rank_, candidate.rank_ == Guaranteed, waitingSince, hasTarget ? std::make_optional(candidate.latestStart_) : std::nullopt };
+    return urgentRoom_.reserve(urgent, request) ? Outcome::Reserved : Outcome::Unplaced;
 }
 
 }
--- a/src/libfescuecleat/pool/schedulingpass.h
+++ b/src/libfescuecleat/pool/schedulingpass.h
@@ -2,7 +2,7 @@
 
 #include "pool/placementview.h"
 #include "pool/poolstate.h"
-#include "pool/preemption.h"
+#include "pool/urgentroom.h"
 
 #include <optional>
 #include <set>
@@ -69,19 +69,19 @@
     bool hasStartedEnough() const;
     /** Whether the limit of runs leaves room for the unit. */
     bool isWithinRunLimit(const Candidate&, const PlacementRequest&) const;
+    /** Returns false if some have not been looked at. */
+    bool placeCandidates();
     void placeCandidate(const Candidate&);
     /** Places the step's units of one occurrence until one doesn't fit. */
     std::optional<UnplacedUnit> placeUnits(const Candidate&, int step, int occurrence);
     Outcome place(const Candidate&, const UnitId&, const PlacementRequest&);
-    bool preempt(const Candidate&, const PlacementRequest&);
     /** Reserves a rack for a gang that isn't urgent; returns false if it may not have one. */
     bool reserveRack(const Candidate&, const PlacementRequest&);
 
     PoolState& state_;
     Time now_;
     PlacementView view_;
-    /** Built when first needed. */
-    std::optional<Preemption> preemption_;
+    UrgentRoom urgentRoom_;
     std::set<std::string> guaranteedJobs_;
     int reservedRacks_ = 0;
     int startedTasks_ = 0;
--- a/tests/pool/poolday.cpp
+++ b/tests/pool/poolday.cpp
@@ -12,16 +12,12 @@
 
     constexpr Duration commitDelay = milliseconds(12);
     constexpr Duration passInterval = milliseconds(4);
-    constexpr Duration stopDelay = milliseconds(120);
     constexpr Duration reportDelay = milliseconds(4);
     /** How long a run lasts on a worker that fails all of them. */
     constexpr Duration failureDelay = milliseconds(130);
     constexpr Duration reportInterval = milliseconds(2000);
     constexpr Duration observeInterval = milliseconds(100);
     constexpr double crossRackFactor = 3;
-    constexpr double restoreSeconds = 0.1;
-    /** Within this time after its acceptance a guaranteed job must have begun. */
-    constexpr Duration guaranteeBound = milliseconds(2700);
 
     double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
     Duration fromSeconds(double value) { return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value)); }
@@ -103,6 +99,8 @@
     for (int i = 0; i < deployment_.organisations_; ++i)
         guarantees_["o" + std::to_string(i)] = static_cast<std::int64_t>(guaranteed * weights[static_cast<std::size_t>(i)] / sum);
     scheduler_.setGuarantees(guarantees_);
+    scheduler_.setGuaranteeLimit(deployment_.guaranteeLimit_);
+    scheduler_.setStopCosts(deployment_.stopCosts_);
 }
 
 void PoolDay::at(Time time, Event event)
@@ -318,7 +316,7 @@
     run.since_ = now_;
     run.workSeconds_ = job.workSeconds_;
     if (step.savesProgress_ && checkpoints_.count(unitKey(decision.run_, step)) > 0)
-        run.doneSeconds_ = checkpoints_[unitKey(decision.run_, step)] - restoreSeconds;
+        run.doneSeconds_ = checkpoints_[unitKey(decision.run_, step)] - seconds(deployment_.restore_);
     runs_.emplace(decision.run_, run);
     unitRuns_[unitKey(decision.run_, step)].insert(decision.run_);
     scheduler_.startAnswered(decision.run_, StartAnswer::Accepted, now_);
@@ -356,7 +354,7 @@
     for (const RunId& member : members) {
         RunModel& run = runs_.at(member);
         advance(run);
-        run.rate_ = rate;
+        run.rate_ = run.isSaving_ ? 0 : rate;
         ++run.generation_;
     }
     const RunModel& first = runs_.at(*members.begin());
@@ -382,7 +380,16 @@
 void PoolDay::stop(const StopDecision& decision)
 {
     ++result_.stops_;
-    at(now_ + stopDelay, [this, decision] {
+    const auto entry = runs_.find(decision.run_);
+    if (entry != runs_.end() && stepOf(decision.run_).savesProgress_) {
+        if (!stepOf(decision.run_).isGang_ || static_cast<int>(unitRuns_[unitKey(decision.run_, stepOf(decision.run_))].size()) == stepOf(decision.run_).taskCount_)
+            advance(entry->second);
+        entry->second.since_ = now_;
+        entry->second.rate_ = 0;
+        entry->second.isSaving_ = true;
+        ++entry->second.generation_;
+    }
+    at(now_ + deployment_.stop_, [this, decision] {
         scheduler_.stopConfirmed(decision.run_, now_);
         endRun(decision.run_, EndReason::Stopped, causeKind(decision.cause_));
     });
@@ -405,9 +412,11 @@
         const EndReason end = member == id || reason == EndReason::Done ? reason : EndReason::GangBroken;
         if (end == EndReason::Done)
             result_.completedWork_ += work;
-        else if (step.savesProgress_)
+        else if (step.savesProgress_) {
             checkpoints_[unit] = std::max(0.0, run.doneSeconds_);
-        else if (!jobs_.at(id.task_.job_).isCancelled_)
+            if (run.isSaving_ && !jobs_.at(id.task_.job_).isCancelled_)
+                result_.lostByCause_["stops and restores of saved work"] += seconds(deployment_.stop_ + std::min(deployment_.restore_, fromSeconds(checkpoints_[unit]))) * step.weightInCores();
+        } else if (!jobs_.at(id.task_.job_).isCancelled_)
             result_.lostByCause_[cause] += work;
         WorkerModel& worker = workers_.at(run.worker_);
         worker.ended_.push_back({ worker.nextEnd_++, member, end, step.savesProgress_ ? "saved" : "" });
@@ -498,7 +507,7 @@
 {
     DayResult result = result_;
     for (const auto& [id, job] : jobs_) {
-        const bool isLate = !job.startedAt_ || *job.startedAt_ > job.submittedAt_ + guaranteeBound;
+        const bool isLate = !job.startedAt_ || *job.startedAt_ > job.submittedAt_ + deployment_.guaranteeLimit_;
         result.lateGuarantees_ += job.isGuaranteed_ && !job.isCancelled_ && isLate ? 1 : 0;
         if (openJobs_.count(id) > 0 && !job.isCancelled_)
             addOwed(job, result.kinds_[static_cast<std::size_t>(job.kind_)]);
--- a/tests/pool/poolday.h
+++ b/tests/pool/poolday.h
@@ -53,6 +53,12 @@
     /** Duration factors of the workers, in turn. */
     std::vector<double> slowness_ { 1.0, 1.0, 1.3 };
     std::vector<DayJobKind> kinds_;
+    Duration stop_ = std::chrono::milliseconds(120);
+    Duration restore_ = std::chrono::milliseconds(100);
+    /** Within this time after its acceptance a guaranteed job must have begun. */
+    Duration guaranteeLimit_ = std::chrono::milliseconds(2700);
+    /** What the scheduler is told about stops. */
+    std::optional<StopCosts> stopCosts_;
 };
 
 enum class DayTroubleKind {
@@ -146,6 +152,8 @@
         double workSeconds_ = 0;
         double rate_ = 1;
         int generation_ = 0;
+        /** It is saving its progress in order to stop. */
+        bool isSaving_ = false;
     };
     using Event = std::function<void()>;
     struct Scheduled {
