--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -62,6 +62,7 @@
 PoolController::PoolController(const NodeContext& context, const AcquiredLease& lease, Listener listener)
     : context_(context)
     , runLog_(context.log_)
+    , preemptionLog_(context.log_)
     , times_(context.log_)
     , startGate_(context.log_, context.settings_)
     , epoch_(lease.epoch_)
@@ -97,6 +98,7 @@
 {
     scheduler_.setRunLimit(context.settings_.runLimit());
     scheduler_.setGuaranteeLimit(context.settings_.guaranteeLimit_);
+    scheduler_.setStopCosts(context.settings_.stopCosts_);
 }
 
 PoolController::~PoolController() = default;
@@ -390,6 +392,7 @@
     runLog_.moved(decisions.movedRuns_);
     runLog_.lost(decisions.lostRuns_);
     runLog_.stopped(decisions.stops_);
+    preemptionLog_.update(scheduler_.state().preemptionAccount_, bootTimeNow());
     for (const StopDecision& stop : decisions.stops_) {
         if (PoolWorkerLink* link = links_.find(stop.worker_))
             link->stop(stop.run_);
--- a/src/libfescuecleat/node/poolcontroller.h
+++ b/src/libfescuecleat/node/poolcontroller.h
@@ -9,6 +9,7 @@
 #include "node/poolconfiguration.h"
 #include "node/poolschedulerlease.h"
 #include "node/poolworkerlinks.h"
+#include "node/preemptionlog.h"
 #include "node/runlog.h"
 #include "node/startgate.h"
 #include "node/tablefollower.h"
@@ -103,6 +104,7 @@
 
     NodeContext context_;
     RunLog runLog_;
+    PreemptionLog preemptionLog_;
     ActivityTimes times_;
     StartGate startGate_;
     std::int64_t epoch_;
--- a/src/libfescuecleat/pool/poolscheduler.h
+++ b/src/libfescuecleat/pool/poolscheduler.h
@@ -41,6 +41,8 @@
     /** Postpones the jobs whose delay costs callers least while not all can be in time. */
     void setOverloadOrder(bool isEnabled) { state_.overload_.isEnabled_ = isEnabled; }
     void setGuaranteeLimit(Duration limit) { state_.guaranteeLimit_ = limit; }
+    /** Sets what stopping a task costs; without it, preemption uses fixed assumptions. */
+    void setStopCosts(const std::optional<StopCosts>& costs) { state_.stopCosts_ = costs; }
     /** Sends tasks that still wait to the services of their queues by this version of the configuration. Returns the queues whose jobs moved. */
     std::set<std::string> setQueueServices(std::uint64_t version, std::map<std::string, std::string> services);
     void setClosedDataCentres(std::set<std::string> dataCentres) { state_.closedDataCentres_ = std::move(dataCentres); }
