node tests: play outages of the store in the random histories

Cause: the histories only cut the lease holder off from a silent store. Outages for all instances, and stores that reset, refuse or are slow, were not played.

The histories storeOutages and storeOutagesBesideFailovers draw these faults for all instances or for the lease holder alone.

--- a/tests/node/orderhistory.cpp
+++ b/tests/node/orderhistory.cpp
@@ -200,6 +200,11 @@
 
 OrderHistory::ModelInstance* OrderHistory::holder()
 {
+    // A suspended holder may not have noticed yet that another instance has taken the lease.
+    for (const auto& instance : instances_) {
+        if (instance->scheduler_->lease().isHeld(bootTimeNow()))
+            return instance.get();
+    }
     for (const auto& instance : instances_) {
         if (instance->scheduler_->controller() != nullptr)
             return instance.get();
@@ -287,6 +292,18 @@
         instance->store_.setCutUntil(now + drawDuration(500ms, 6s));
 }
 
+void OrderHistory::disruptStore()
+{
+    constexpr StoreFault kinds[] = { StoreFault::Silent, StoreFault::Resetting, StoreFault::Refusing, StoreFault::Slow };
+    const StoreFault kind = kinds[std::uniform_int_distribution<std::size_t>(0, std::size(kinds) - 1)(random_)];
+    const Time until = bootTimeNow() + drawDuration(300ms, 7s);
+    const ModelInstance* const affected = draws(0.5) ? holder() : nullptr;
+    for (const auto& instance : instances_) {
+        if (affected == nullptr || instance.get() == affected)
+            instance->store_.setFault(kind, until);
+    }
+}
+
 void OrderHistory::disrupt()
 {
     std::vector<void (OrderHistory::*)()> kinds;
@@ -300,6 +317,8 @@
         kinds.push_back(&OrderHistory::hideWorker);
     if (faults_.instances_)
         kinds.push_back(&OrderHistory::disruptInstance);
+    if (faults_.store_)
+        kinds.push_back(&OrderHistory::disruptStore);
     if (faults_.capacities_)
         kinds.push_back(&OrderHistory::resizeWorkers);
     if (faults_.configurations_)
--- a/tests/node/orderhistory.h
+++ b/tests/node/orderhistory.h
@@ -25,6 +25,8 @@
     bool registry_ = false;
     /** Instances are killed, paused and cut off from the store. */
     bool instances_ = false;
+    /** The store is silent, resetting, refusing or slow, for all instances or for the lease holder alone. */
+    bool store_ = false;
     /** Some jobs have a task that crashes each worker that starts it. */
     bool deadlyTasks_ = false;
     /** Workers shrink and grow again while they run. */
@@ -66,6 +68,7 @@
     void resizeWorkers();
     void restoreCapacities();
     void disruptInstance();
+    void disruptStore();
     /** Sends the queue that changes its service to the other one. */
     void changeConfiguration();
     WorkerKind drawKind(const std::string& worker);
--- a/tests/node/orderhistorytest.cpp
+++ b/tests/node/orderhistorytest.cpp
@@ -62,6 +62,8 @@
     CPPUNIT_TEST(restartsUnderTheSameId);
     CPPUNIT_TEST(cutsWithRestartsBehindThem);
     CPPUNIT_TEST(failoversWithUnreachableWorkers);
+    CPPUNIT_TEST(storeOutages);
+    CPPUNIT_TEST(storeOutagesBesideFailovers);
     CPPUNIT_TEST(queuesThatChangeTheirService);
     CPPUNIT_TEST(workersThatShrink);
     CPPUNIT_TEST(workersThatShrinkUnderLateRequests);
@@ -102,6 +104,24 @@
         play(faults);
     }
 
+    /** Guards against two runs of a task around a suspension of the lease holder. */
+    void storeOutages()
+    {
+        HistoryFaults faults;
+        faults.store_ = true;
+        play(faults);
+    }
+
+    void storeOutagesBesideFailovers()
+    {
+        HistoryFaults faults;
+        faults.store_ = true;
+        faults.instances_ = true;
+        faults.cuts_ = true;
+        faults.delivery_ = true;
+        play(faults);
+    }
+
     void queuesThatChangeTheirService()
     {
         HistoryFaults faults;
