tests: limits of organisations in random histories

Cause: limits have to hold under any order of events, also with late requests and takeovers.

ModelWorkers check the limit in force when a start was sent, and two histories of instances change limits, one of them with failovers, cuts and late requests.

--- a/src/standins/poolmodel/modelworkers.cpp
+++ b/src/standins/poolmodel/modelworkers.cpp
@@ -442,6 +442,22 @@
     if (!fitsFormer && !worker.kind_.capacity_.contains(used))
         report("LIMIT", worker, run, "over its capacity");
     checkStepLimit(worker, run);
+    checkOrganisationLimit(worker, run, sentAt);
+}
+
+void ModelWorkers::checkOrganisationLimit(const Worker& worker, const RunId& run, Time sentAt)
+{
+    const std::string organisation = limits_.organisationOf(run.task_.job_);
+    const Resources& task = stepOf(run.task_).spec_.resources_;
+    Resources used = task;
+    for (const auto& [id, other] : workers_) {
+        for (const auto& [running, state] : other.runs_) {
+            if (limits_.organisationOf(running.job_) == organisation)
+                used += stepOf(running).spec_.resources_;
+        }
+    }
+    if (const auto kind = limits_.exceededBy(organisation, used, task, sentAt))
+        report("LIMIT", worker, run, "organisation " + organisation + " uses " + std::to_string(amountOf(used, *kind)) + " " + toString(*kind));
 }
 
 void ModelWorkers::checkKind(const Worker& worker, const RunId& run)
--- a/src/standins/poolmodel/modelworkers.h
+++ b/src/standins/poolmodel/modelworkers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "node/poolworkerclient.h"
+#include "poolmodel/organisationlimitcheck.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -59,7 +60,8 @@
  * Checks what must hold whatever arrives: one run of a task at a time, none after its
  * recorded end, no more than fits on a worker, no start on a worker that the job's
  * queue, the step's label or its limit of tasks per worker excludes, none of a task that
- * nobody declared, and no further tries of a task that has crashed worker after worker.
+ * nobody declared, no more than the limit of the job's organisation, and no further tries
+ * of a task that has crashed worker after worker.
  */
 class ModelWorkers {
 public:
@@ -89,6 +91,8 @@
     const WorkerKind& kind(const std::string& id) const { return workers_.at(id).kind_; }
     bool isUp(const std::string& id) const { return workers_.at(id).isUp_; }
 
+    /** The organisations of jobs and their limits; without any, none is checked. */
+    OrganisationLimitCheck& limits() { return limits_; }
     const std::vector<std::string>& violations() const { return violations_; }
     int startCount() const { return startCount_; }
     int runningCount() const;
@@ -164,6 +168,7 @@
     void checkStart(const Worker&, const RunId&, Time sentAt);
     void checkKind(const Worker&, const RunId&);
     void checkStepLimit(const Worker&, const RunId&);
+    void checkOrganisationLimit(const Worker&, const RunId&, Time sentAt);
     void checkCrashBudget(const Worker&, const RunId&);
     /** Crashes the worker some time later, unless the run has ended by then. */
     void scheduleCrash(const Worker&, const RunId&);
@@ -193,6 +198,7 @@
     std::map<TaskId, int> crashes_;
     /** Starts of a deadly task after the crashes that prove it. */
     std::map<TaskId, int> startsAfterProof_;
+    OrganisationLimitCheck limits_;
     std::vector<std::string> violations_;
     int startCount_ = 0;
     Time lastCrashAt_ {};
--- a/tests/node/orderhistory.cpp
+++ b/tests/node/orderhistory.cpp
@@ -28,6 +28,7 @@
     constexpr const char* otherService = "other";
     /** Queue whose service changes; its jobs fit on any worker of either service. */
     constexpr const char* movingQueue = "moving";
+    constexpr const char* organisations[] = { "a", "b", "c" };
 
     Resources capacityOf(std::int64_t accelerators)
     {
@@ -89,6 +90,8 @@
     configuration_.queues_.push_back(queue);
     configuration_.services_ = { mainService, otherService };
     changeConfiguration();
+    if (faults_.limits_)
+        changeLimits();
     for (int i = 0; i < instanceCount; ++i) {
         instances_.push_back(nullptr);
         startInstance(i);
@@ -137,6 +140,41 @@
     queue.service_ = queue.service_ == mainService ? otherService : mainService;
     ++configuration_.version_;
     workers_.addRoute(movingQueue, queue.service_);
+    applyConfiguration();
+}
+
+void OrderHistory::changeLimits()
+{
+    std::map<std::string, Resources> limits;
+    configuration_.organisations_.clear();
+    for (const char* const name : organisations) {
+        PoolOrganisationConfiguration organisation;
+        organisation.name_ = name;
+        const int accelerators = maxAccelerators * static_cast<int>(workerIds_.size());
+        if (draws(0.8))
+            organisation.policy_.limit_.accelerators_ = std::uniform_int_distribution<>(1, accelerators / 2)(random_);
+        if (draws(0.4))
+            organisation.policy_.limit_.cpuMillis_ = std::uniform_int_distribution<>(7, 70)(random_) * 1000;
+        if (draws(0.5))
+            organisation.policy_.weight_ = std::uniform_int_distribution<>(1, 4)(random_);
+        limits[name] = organisation.policy_.limit_;
+        configuration_.organisations_.push_back(std::move(organisation));
+    }
+    workers_.limits().setLimits(std::move(limits), bootTimeNow());
+    ++configuration_.version_;
+    applyConfiguration();
+}
+
+void OrderHistory::removeLimits()
+{
+    configuration_.organisations_.clear();
+    workers_.limits().setLimits({}, bootTimeNow());
+    ++configuration_.version_;
+    applyConfiguration();
+}
+
+void OrderHistory::applyConfiguration()
+{
     for (const auto& instance : instances_) {
         if (PoolController* controller = instance->scheduler_->controller())
             controller->setConfiguration(configuration_);
@@ -186,6 +224,8 @@
     intake.policy_.configurationVersion_ = configuration_.version_;
     intake.policy_.maxAttempts_ = 3;
     intake.policy_.stretch_ = 2;
+    if (faults_.limits_)
+        intake.policy_.organisation_ = organisations[std::uniform_int_distribution<>(0, 2)(random_)];
     intake.spec_.steps_.push_back(step);
     intake.submittedMs_ = wholeMilliseconds(bootTimeNow().time_since_epoch());
     char id[17];
@@ -195,6 +235,7 @@
     if (faults_.deadlyTasks_ && draws(deadlyShare))
         model.deadlyTask_ = std::uniform_int_distribution<>(0, step.taskCount_ - 1)(random_);
     workers_.addJob(id, intake.policy_.queue_, model);
+    workers_.limits().setOrganisation(id, intake.policy_.organisation_);
     store_.put(intakeTable, id, encodeJobIntake(intake), intakePartOf(id));
 }
 
@@ -323,6 +364,8 @@
         kinds.push_back(&OrderHistory::resizeWorkers);
     if (faults_.configurations_)
         kinds.push_back(&OrderHistory::changeConfiguration);
+    if (faults_.limits_)
+        kinds.push_back(&OrderHistory::changeLimits);
     if (!kinds.empty())
         (this->*kinds[std::uniform_int_distribution<std::size_t>(0, kinds.size() - 1)(random_)])();
 }
@@ -353,6 +396,7 @@
     Time nextFaultAt = start + 1s;
     Time nextHeartbeatAt = start;
     bool areCapacitiesRestored = !faults_.capacities_;
+    bool areLimitsRemoved = !faults_.limits_;
     // A deadly task disturbs for as long as it crashes workers.
     const auto end = [this] { return std::max(faultsEndAt_, workers_.lastCrashAt()) + settlingTime; };
     while (bootTimeNow() < faultsEndAt_ || (bootTimeNow() < end() && !openJobs().empty())) {
@@ -375,6 +419,11 @@
             restoreCapacities();
             areCapacitiesRestored = true;
         }
+        if (now >= faultsEndAt_ && !areLimitsRemoved) {
+            // What a lowered limit can't hold may run in the end.
+            removeLimits();
+            areLimitsRemoved = true;
+        }
         advance(100ms);
     }
 }
--- a/tests/node/orderhistory.h
+++ b/tests/node/orderhistory.h
@@ -33,6 +33,8 @@
     bool capacities_ = false;
     /** A configuration sends a queue to another service. */
     bool configurations_ = false;
+    /** Operators change the limits of organisations. */
+    bool limits_ = false;
 };
 
 /**
@@ -71,6 +73,9 @@
     void disruptStore();
     /** Sends the queue that changes its service to the other one. */
     void changeConfiguration();
+    void changeLimits();
+    void removeLimits();
+    void applyConfiguration();
     WorkerKind drawKind(const std::string& worker);
     void writeRegistryRow(const std::string& worker);
     void repeatRegistryRows();
--- a/tests/node/orderhistorytest.cpp
+++ b/tests/node/orderhistorytest.cpp
@@ -67,6 +67,8 @@
     CPPUNIT_TEST(queuesThatChangeTheirService);
     CPPUNIT_TEST(workersThatShrink);
     CPPUNIT_TEST(workersThatShrinkUnderLateRequests);
+    CPPUNIT_TEST(limitsThatChange);
+    CPPUNIT_TEST(limitsUnderFailoversAndLateRequests);
     CPPUNIT_TEST(allTogether);
     CPPUNIT_TEST_SUITE_END();
 
@@ -149,6 +151,26 @@
         play(faults);
     }
 
+    /** Guards against starts beyond the limit of an organisation, also after it was lowered. */
+    void limitsThatChange()
+    {
+        HistoryFaults faults;
+        faults.limits_ = true;
+        play(faults);
+    }
+
+    /** Guards against runs that a new lease holder or a silent worker hides from the limit. */
+    void limitsUnderFailoversAndLateRequests()
+    {
+        HistoryFaults faults;
+        faults.limits_ = true;
+        faults.delivery_ = true;
+        faults.cuts_ = true;
+        faults.registry_ = true;
+        faults.instances_ = true;
+        play(faults);
+    }
+
     void allTogether()
     {
         HistoryFaults faults;
--- a/tests/pool/virtualpool.cpp
+++ b/tests/pool/virtualpool.cpp
@@ -317,13 +317,72 @@
         if (step.savesProgress_)
             run.doneSeconds_ = checkpoints_[unitKey(start.run_, step.isGang_)];
         runs_.emplace(start.run_, run);
+        checkLimit(start.run_);
         startedAt_.emplace(start.run_.task_.job_, now_);
         scheduler_.startAnswered(start.run_, StartAnswer::Accepted, now_);
     }
 }
 
+void VirtualPool::setOrganisations(std::map<std::string, OrganisationPolicy> policies)
+{
+    policies_ = std::move(policies);
+    scheduler_.setOrganisations(policies_);
+}
+
+void VirtualPool::takeOver()
+{
+    PoolScheduler next;
+    next.setOrganisations(policies_);
+    for (const auto& [id, job] : scheduler_.state().jobs_) {
+        const PoolJobRecord record = scheduler_.record(id);
+        next.addJob(id, job.spec_, job.policy_, job.submittedAt_, &record, now_);
+    }
+    for (const auto& [name, worker] : workers_) {
+        next.putWorker(worker.info_, now_);
+        if (canReach(name))
+            next.setReachable(worker.info_.key_);
+    }
+    scheduler_ = std::move(next);
+}
+
+void VirtualPool::checkLimit(const RunId& started)
+{
+    const std::string& organisation = organisationOf(started);
+    const auto policy = policies_.find(organisation);
+    if (policy == policies_.end())
+        return;
+    Resources used;
+    for (const auto& [id, run] : runs_) {
+        if (organisationOf(id) == organisation)
+            used += stepOf(id).resources_;
+    }
+    for (const ResourceKind kind : resourceKinds) {
+        const std::int64_t limit = amountOf(policy->second.limit_, kind);
+        if (limit > 0 && amountOf(stepOf(started).resources_, kind) > 0 && amountOf(used, kind) > limit)
+            violations_.push_back("organisation " + organisation + " has " + std::to_string(amountOf(used, kind)) + " of " + std::to_string(limit) + " " + toString(kind));
+    }
+}
+
+void VirtualPool::checkUsage()
+{
+    std::map<std::string, Resources> used;
+    for (const auto& [id, run] : scheduler_.state().runs_)
+        used[organisationOf(id)] += stepOf(id).resources_;
+    for (const auto& [key, worker] : scheduler_.state().workers_) {
+        for (const RunId& run : worker.unrecordedRuns_)
+            used[organisationOf(run)] += stepOf(run).resources_;
+    }
+    for (const auto& [organisation, resources] : used) {
+        if (resources != scheduler_.state().usage_.used(organisation))
+            violations_.push_back("the use of organisation " + organisation + " is counted wrongly");
+    }
+    if (scheduler_.state().usage_.byOrganisation().size() > used.size())
+        violations_.push_back("use of organisations without runs is counted");
+}
+
 void VirtualPool::checkInvariants()
 {
+    checkUsage();
     std::map<std::string, Resources> used;
     std::map<std::string, int> members;
     for (const auto& [id, run] : runs_) {
--- a/tests/pool/virtualpool.h
+++ b/tests/pool/virtualpool.h
@@ -41,6 +41,10 @@
     void setDeadly(const std::string& job, int task, Duration timeToCrash = std::chrono::milliseconds(10));
     /** Crashes workers; each is replaced by one with another id on its machine. */
     void crash(const std::vector<int>& workers, Duration downtime = std::chrono::seconds(3));
+    /** Sets the limits and weights of organisations. Starts beyond a limit are violations. */
+    void setOrganisations(std::map<std::string, OrganisationPolicy>);
+    /** Replaces the scheduler by one that restores the jobs from their records. */
+    void takeOver();
     void advance(Duration);
 
     PoolJobState state(const std::string& job) const;
@@ -96,8 +100,14 @@
     const StepSpec& stepOf(const RunId&) const;
     double workSeconds(const RunId&) const;
     void checkInvariants();
+    /** Whether the runs at work of the started run's organisation are within its limit. */
+    void checkLimit(const RunId& started);
+    /** Compares the resources that the scheduler counts by organisation with its runs. */
+    void checkUsage();
+    const std::string& organisationOf(const RunId& run) const { return scheduler_.state().jobs_.at(run.task_.job_).policy_.organisation_; }
 
     PoolScheduler scheduler_;
+    std::map<std::string, OrganisationPolicy> policies_;
     Time now_ { std::chrono::seconds(1000) };
     std::map<std::string, WorkerModel> workers_;
     std::vector<std::string> names_;
