node: refuse submissions that would end after their credit

Cause: in a lasting overload, jobs are accepted that can't end before their credit expires, and callers learn of it only by waiting.

Change: the lease holder publishes its backlog, by queue and organisation, in the row `backlog` of the table `summary`, about once a second while work waits. Each instance follows it and answers 429 with Retry-After to a job that would certainly end after its credit has expired, unless the view is older than 2 s, a guarantee covers the job, or the job was accepted before. Log events job.postponed and job.refused, at most ten lines a second each, and metrics. The summary of waiting jobs is read by its key, as the table has a second row now.

--- a/src/libfescuecleat/node/instance.cpp
+++ b/src/libfescuecleat/node/instance.cpp
@@ -38,7 +38,8 @@
           { [this](const AcquiredLease& lease) { leaseAcquired(lease); }, [this](const std::string&) { leaseLost(); } })
     , directory_(context)
     , client_(client)
-    , jobApi_(context, { [this] { return configuration_; }, [this] { return isConfigurationCurrent(); }, [this] { return controller_.get(); }, [this](const StoredRow& row) { notifyScheduler(row); } })
+    , backlogView_(context)
+    , jobApi_(context, { [this] { return configuration_; }, [this] { return isConfigurationCurrent(); }, [this] { return controller_.get(); }, [this](const StoredRow& row) { notifyScheduler(row); }, [this](const AdmissionRequest& request) { return backlogView_.refusal(request, bootTimeNow()); } })
     , explainApi_(context, client, { [this] { return configuration_; }, [this] { return controller_.get(); }, [this] { return directory_.addressOf(lease_.holder()); } })
     , callers_(context.loop_, [this](ServerRequest request, AsyncHttpServer::Respond respond) { jobApi_.handle(std::move(request), std::move(respond)); })
     , readiness_(context.loop_, [this](const ServerRequest&, const AsyncHttpServer::Respond& respond) {
@@ -75,6 +76,7 @@
     if (auto listening = peers_.listen(context_.settings_.peers_); !listening)
         return listening;
     operatorFollower_.start();
+    backlogView_.start();
     lease_.start();
     directory_.start();
     return {};
@@ -257,6 +259,7 @@
     add("is_scheduler", controller_ ? 1 : 0);
     add("store_own_path_up", store_.failover_.isOwnPathUp() ? 1 : 0);
     add("exceptions_total", exceptions_);
+    add("jobs_refused_total", jobApi_.refusedJobs());
     add("log_lines_dropped_total", context_.log_.droppedLines());
     if (controller_) {
         add("jobs_open", controller_->openJobs());
@@ -265,6 +268,10 @@
         add("run_limit", controller_->state().runLimit_);
         add("worker_crashes_total", controller_->workerCrashes());
         add("deadly_tasks_total", controller_->deadlyTasks());
+        const OverloadState& overload = controller_->state().overload_;
+        add("jobs_postponed", overload.postponed_.size());
+        add("jobs_postponed_total", overload.postponedJobs_);
+        text += "fescuecleat_backlog_seconds " + std::to_string(overload.backlogSeconds_) + "\n";
         add("slow_activities_total", controller_->times().slowCount());
         text += controller_->times().metrics();
     }
--- a/src/libfescuecleat/node/instance.h
+++ b/src/libfescuecleat/node/instance.h
@@ -2,6 +2,7 @@
 
 #include "net/asynchttpserver.h"
 #include "net/timer.h"
+#include "node/backlogview.h"
 #include "node/explainapi.h"
 #include "node/failoverrowstore.h"
 #include "node/jobapi.h"
@@ -65,6 +66,7 @@
     std::unique_ptr<PoolController> controller_;
     PeerDirectory directory_;
     AsyncHttpClient& client_;
+    BacklogView backlogView_;
     JobApi jobApi_;
     ExplainApi explainApi_;
     AsyncHttpServer callers_;
--- a/src/libfescuecleat/node/instancesettings.cpp
+++ b/src/libfescuecleat/node/instancesettings.cpp
@@ -77,6 +77,10 @@
             settings.maxRequestDelay_ = readSeconds(json, "maxRequestDelaySeconds");
         if (json.contains("endedJobSeconds"))
             settings.endedJobTime_ = readSeconds(json, "endedJobSeconds", maxEndedJobSeconds);
+        if (json.contains("overloadOrder"))
+            settings.usesOverloadOrder_ = json.at("overloadOrder").get<bool>();
+        if (json.contains("admission"))
+            settings.refusesHopelessJobs_ = json.at("admission").get<bool>();
         settings.stopLimit_ = readSeconds(json, "stopLimitSeconds");
         return settings;
     } catch (const Json::exception& error) {
--- a/src/libfescuecleat/node/instancesettings.h
+++ b/src/libfescuecleat/node/instancesettings.h
@@ -36,6 +36,10 @@
     Duration maxRequestDelay_ = std::chrono::seconds(12);
     /** Callers may ask for the state of an ended job for this long. */
     Duration endedJobTime_ = std::chrono::seconds(120);
+    /** Refuses submissions that would certainly end after their credit has expired. */
+    bool refusesHopelessJobs_ = false;
+    /** Postpones the jobs whose delay costs callers least while not all can be in time. */
+    bool usesOverloadOrder_ = false;
     /** Time between the stop signal and the kill. */
     Duration stopLimit_ {};
 
--- a/src/libfescuecleat/node/jobapi.cpp
+++ b/src/libfescuecleat/node/jobapi.cpp
@@ -76,6 +76,8 @@
     bool mayHaveBeenWritten_ = false;
     /** A failed read of the store has been repeated. */
     bool hasRetried_ = false;
+    /** Seconds after which a refused caller may try again. */
+    std::string retryAfter_ = retryAfterSeconds;
 };
 
 JobApi::JobApi(const NodeContext& context, Dependencies dependencies)
@@ -137,6 +139,38 @@
     const std::size_t maxBytes = context_.settings_.storeLimits_.maxValueBytes();
     if (call->row_.size() > maxBytes)
         return answer(call, 413, errorBody("the job takes " + std::to_string(call->row_.size()) + " bytes when stored, and at most " + std::to_string(maxBytes) + " are possible"), "too large");
+    if (!dependencies_.refusal_)
+        return accept(call);
+    const PoolOrganisationConfiguration* const organisation = call->configuration_->findByKey(context_.callerFormat_.apiKey(call->request_));
+    const std::int64_t guaranteed = organisation == nullptr ? 0 : organisation->guaranteedAccelerators_;
+    if (const auto refusal = dependencies_.refusal_({ call->job_, &intake.spec_, &intake.policy_, guaranteed }))
+        return refuseHopelessJob(call, *refusal);
+    accept(call);
+}
+
+void JobApi::refuseHopelessJob(const CallPointer& call, const AdmissionRefusal& refusal)
+{
+    const Duration limit = std::min(probeTimeout, remaining(call->deadline_ - minWriteTimeout, bootTimeNow()));
+    if (limit <= Duration::zero())
+        return refuse(call, 503, "not enough time left before the deadline");
+    context_.store_.read({ intakeTable, intakePartOf(call->job_), call->job_, boundAfter(call->job_) }, limit, lifetime_.guard([this, call, refusal](const tl::expected<RowPage, StoreFailure>& page) {
+        // Whether the job was accepted before isn't known, and only the store can tell.
+        if (!page)
+            return accept(call);
+        context_.clock_.observe(page->timestamp_);
+        if (!page->rows_.empty())
+            return answer(call, 200, "{}", "already stored");
+        ++refusedJobs_;
+        const std::uint64_t omitted = refusalLines_.omitted();
+        if (refusalLines_.take(bootTimeNow()))
+            context_.log_.write("job.refused", { { "job", call->job_ }, { "queue", call->queue_->name_ }, { "organisation", call->organisation_ }, { "cause", "it would end after its credit has expired" }, { "endsInMs", static_cast<std::int64_t>(refusal.endsInSeconds_ * 1000) }, { "expiresInMs", static_cast<std::int64_t>(refusal.expiresInSeconds_ * 1000) }, { "retryAfterS", refusal.retryAfterSeconds_ }, { "omittedLines", omitted } });
+        call->retryAfter_ = std::to_string(refusal.retryAfterSeconds_);
+        refuse(call, 429, "the pool can't complete the job before its credit expires; nothing was stored");
+    }));
+}
+
+void JobApi::accept(const CallPointer& call)
+{
     if (context_.clock_.lastAnswerAt() + maxContactAge > bootTimeNow())
         return sendSubmission(call);
     probeStore(call);
@@ -269,7 +303,9 @@
             return answer(call, 200, context_.callerFormat_.encodeWaiting(*jobs), "from the scheduler");
     }
     const Duration limit = std::min(storeCallTimeout, remaining(call->deadline_, bootTimeNow()));
-    context_.store_.read({ PoolController::summaryTable, schedulerPart, {}, {} }, limit, lifetime_.guard([this, call](const tl::expected<RowPage, StoreFailure>& page) {
+    // The table has other rows, too.
+    const std::string key = PoolController::summaryKey;
+    context_.store_.read({ PoolController::summaryTable, schedulerPart, key, boundAfter(key) }, limit, lifetime_.guard([this, call](const tl::expected<RowPage, StoreFailure>& page) {
         if (!page)
             return retryOrRefuse(call, [this, call] { answerWaitingJobs(call); });
         int jobs = 0;
@@ -316,7 +352,7 @@
     response.status_ = status;
     response.body_ = std::move(body);
     if (status == 503 || status == 429)
-        response.headers_.emplace_back("Retry-After", retryAfterSeconds);
+        response.headers_.emplace_back("Retry-After", call->retryAfter_);
     call->respond_(std::move(response));
 }
 
--- a/src/libfescuecleat/node/jobapi.h
+++ b/src/libfescuecleat/node/jobapi.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "net/asynchttpserver.h"
+#include "node/admission.h"
 #include "node/lifetime.h"
+#include "node/linebudget.h"
 #include "node/nodecontext.h"
 #include "node/poolconfiguration.h"
 #include "node/poolcontroller.h"
@@ -10,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace fescuecleat {
@@ -31,6 +34,8 @@
         std::function<const PoolController*()> scheduler_;
         /** Sends a row that was just stored to the scheduler, on this or another instance. */
         std::function<void(const StoredRow&)> notifyScheduler_;
+        /** The refusal of a job that can't end before its credit expires; may be null. */
+        std::function<std::optional<AdmissionRefusal>(const AdmissionRequest&)> refusal_ = nullptr;
     };
 
     JobApi(const NodeContext&, Dependencies);
@@ -40,6 +45,8 @@
 
     /** Number of answers sent, by HTTP status. */
     const std::map<int, std::uint64_t>& answersByStatus() const { return answersByStatus_; }
+    /** Number of jobs refused because they would end after their credit has expired. */
+    std::uint64_t refusedJobs() const { return refusedJobs_; }
 
 private:
     struct Call;
@@ -47,6 +54,10 @@
 
     void serve(const CallPointer&);
     void submit(const CallPointer&);
+    /** Refuses the job unless it was accepted before. */
+    void refuseHopelessJob(const CallPointer&, const AdmissionRefusal&);
+    /** Stores the job, if need be after a read that shows whether the store answers. */
+    void accept(const CallPointer&);
     void probeStore(const CallPointer&);
     void sendSubmission(const CallPointer&);
     void handleSubmissionFailure(const CallPointer&, const StoreFailure&);
@@ -67,6 +78,9 @@
     Dependencies dependencies_;
     Lifetime lifetime_;
     std::map<int, std::uint64_t> answersByStatus_;
+    std::uint64_t refusedJobs_ = 0;
+    /** Bounds the lines about refused jobs. */
+    LineBudget refusalLines_;
 };
 
 }
--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -88,9 +88,11 @@
               [this] { requestPass(); } })
     , recordsTimer_(context.loop_)
     , passTimer_(context.loop_)
+    , backlog_(context)
 {
     scheduler_.setRunLimit(context.settings_.runLimit());
     scheduler_.setGuaranteeLimit(context.settings_.guaranteeLimit_);
+    scheduler_.setOverloadOrder(context.settings_.usesOverloadOrder_);
 }
 
 PoolController::~PoolController() = default;
@@ -360,6 +362,8 @@
         sendStarts(std::exchange(deferredStarts_, {}));
         scheduler_.schedule(now, unixMsNow());
         writeSummary();
+        if (auto row = backlog_.rowDue(scheduler_.state(), now))
+            recorder_.addToNextCommit(std::move(*row));
     }
     executeDecisions();
     recorder_.flush();
@@ -375,6 +379,7 @@
     runLog_.moved(decisions.movedRuns_);
     runLog_.lost(decisions.lostRuns_);
     runLog_.stopped(decisions.stops_);
+    runLog_.postponed(decisions.postponedJobs_, bootTimeNow());
     for (const StopDecision& stop : decisions.stops_) {
         if (PoolWorkerLink* link = links_.find(stop.worker_))
             link->stop(stop.run_);
--- a/src/libfescuecleat/node/poolcontroller.h
+++ b/src/libfescuecleat/node/poolcontroller.h
@@ -2,6 +2,7 @@
 
 #include "net/timer.h"
 #include "node/activitytimes.h"
+#include "node/backlogpublisher.h"
 #include "node/jobrecorder.h"
 #include "node/jobretention.h"
 #include "node/lifetime.h"
@@ -10,6 +11,7 @@
 #include "node/poolschedulerlease.h"
 #include "node/poolworkerlinks.h"
 #include "node/runlog.h"
+#include "node/storelayout.h"
 #include "node/tablefollower.h"
 #include "pool/poolscheduler.h"
 
@@ -61,7 +63,7 @@
     std::uint64_t deadlyTasks() const { return deadlyTasks_; }
     const ActivityTimes& times() const { return times_; }
 
-    static constexpr const char* summaryTable = "summary";
+    static constexpr const char* summaryTable = fescuecleat::summaryTable;
     static constexpr const char* summaryKey = "waiting";
 
 private:
@@ -121,6 +123,7 @@
     std::uint64_t deadlyTasks_ = 0;
     std::map<std::string, int> summary_;
     Time summaryWrittenAt_ {};
+    BacklogPublisher backlog_;
 };
 
 }
--- a/src/libfescuecleat/node/runlog.cpp
+++ b/src/libfescuecleat/node/runlog.cpp
@@ -101,6 +101,14 @@
         log_.write("task.deadly", { { "job", task.task_.job_ }, { "task", toString(task.task_) }, { "crashes", task.crashes_.total_ }, { "crashesAtStart", task.crashes_.atStart_ }, { "machines", task.crashes_.machines_ } });
 }
 
+void RunLog::postponed(const std::vector<PostponedJob>& jobs, Time now)
+{
+    for (const PostponedJob& job : jobs) {
+        if (postponedLines_.take(now))
+            log_.write("job.postponed", { { "job", job.job_ }, { "queue", job.queue_ }, { "organisation", job.organisation_ }, { "workS", job.work_ }, { "backlogS", job.backlogWork_ }, { "rate", job.rate_ }, { "omittedLines", postponedLines_.omitted() } });
+    }
+}
+
 void RunLog::moved(const std::vector<MovedRun>& runs)
 {
     std::map<GroupKey, TasksByWorker> groups;
--- a/src/libfescuecleat/node/runlog.h
+++ b/src/libfescuecleat/node/runlog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "node/jsoneventlog.h"
+#include "node/linebudget.h"
 #include "pool/decisions.h"
 #include "pool/poolworkerreport.h"
 
@@ -26,9 +27,12 @@
     void crashed(const std::vector<WorkerCrash>&, Time now);
     /** Logs tasks that were given up because they crash workers. */
     void givenUp(const std::vector<DeadlyTask>&);
+    /** Logs jobs that were postponed, at a bounded rate. */
+    void postponed(const std::vector<PostponedJob>&, Time now);
 
 private:
     JsonEventLog& log_;
+    LineBudget postponedLines_;
 };
 
 }
