--- a/src/libfescuecleat/node/instancesettings.cpp
+++ b/src/libfescuecleat/node/instancesettings.cpp
@@ -98,6 +98,10 @@
             if (json.contains(name))
                 *limit = readSeconds(json, name);
         }
+        if (json.contains("overloadOrder"))
+            settings.usesOverloadOrder_ = json.at("overloadOrder").get<bool>();
+        if (json.contains("admission"))
+            settings.refusesHopelessJobs_ = json.at("admission").get<bool>();
         settings.stopLimit_ = readSeconds(json, "stopLimitSeconds");
         return settings;
     } catch (const Json::exception& error) {
--- a/src/libfescuecleat/node/instancesettings.h
+++ b/src/libfescuecleat/node/instancesettings.h
@@ -48,6 +48,10 @@
     Duration closureLimit_ {};
     /** No start of a job may occur later than this after its cancellation; zero if nothing is checked. */
     Duration cancelLimit_ {};
+    /** Refuses submissions that would certainly end after their credit has expired. */
+    bool refusesHopelessJobs_ = false;
+    /** Postpones the jobs whose delay costs callers least while not all can be in time. */
+    bool usesOverloadOrder_ = false;
     /** Time between the stop signal and the kill. */
     Duration stopLimit_ {};
 
--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -95,11 +95,13 @@
               [this] { requestPass(); } })
     , recordsTimer_(context.loop_)
     , passTimer_(context.loop_)
+    , backlog_(context)
 {
     scheduler_.setRunLimit(context.settings_.runLimit());
     scheduler_.setGuaranteeLimit(context.settings_.guaranteeLimit_);
     scheduler_.setStopCosts(context.settings_.stopCosts_);
     scheduler_.setSubmissionWindow(context.settings_.submissionWindow_);
+    scheduler_.setOverloadOrder(context.settings_.usesOverloadOrder_);
 }
 
 PoolController::~PoolController() = default;
@@ -375,6 +377,8 @@
         if (!deferredStarts_.empty() && startGate_.isOpen(viewTimes(), now))
             sendStarts(std::exchange(deferredStarts_, {}));
         scheduler_.schedule(now, unixMsNow());
+        if (auto row = backlog_.rowDue(scheduler_.state(), now))
+            recorder_.addToNextCommit(std::move(*row));
     }
     if (isHolder)
         writeSummary(now);
@@ -395,6 +399,7 @@
     runLog_.lost(decisions.lostRuns_);
     runLog_.stopped(decisions.stops_);
     preemptionLog_.update(scheduler_.state().preemptionAccount_, bootTimeNow());
+    runLog_.postponed(decisions.postponedJobs_, bootTimeNow());
     for (const StopDecision& stop : decisions.stops_) {
         if (PoolWorkerLink* link = links_.find(stop.worker_))
             link->stop(stop.run_);
--- a/src/libfescuecleat/node/poolcontroller.h
+++ b/src/libfescuecleat/node/poolcontroller.h
@@ -2,6 +2,7 @@
 
 #include "net/timer.h"
 #include "node/activitytimes.h"
+#include "node/backlogpublisher.h"
 #include "node/jobrecorder.h"
 #include "node/jobretention.h"
 #include "node/lifetime.h"
@@ -12,6 +13,7 @@
 #include "node/preemptionlog.h"
 #include "node/runlog.h"
 #include "node/startgate.h"
+#include "node/storelayout.h"
 #include "node/tablefollower.h"
 #include "pool/poolscheduler.h"
 
@@ -67,7 +69,7 @@
     ViewTimes viewTimes() const;
     const StartGate& startGate() const { return startGate_; }
 
-    static constexpr const char* summaryTable = "summary";
+    static constexpr const char* summaryTable = fescuecleat::summaryTable;
     static constexpr const char* summaryKey = "waiting";
 
 private:
@@ -132,6 +134,7 @@
     std::uint64_t workerCrashes_ = 0;
     std::uint64_t deadlyTasks_ = 0;
     Time summaryDueAt_ {};
+    BacklogPublisher backlog_;
 };
 
 }
--- a/src/libfescuecleat/node/runlog.cpp
+++ b/src/libfescuecleat/node/runlog.cpp
@@ -107,6 +107,14 @@
         log_.write("organisation.limited", { { "organisation", change.organisation_ }, { "isWaiting", change.isWaiting_ }, { "resource", toString(change.resource_) }, { "limit", change.limit_ }, { "used", change.used_ } });
 }
 
+void RunLog::postponed(const std::vector<PostponedJob>& jobs, Time now)
+{
+    for (const PostponedJob& job : jobs) {
+        if (postponedLines_.take(now))
+            log_.write("job.postponed", { { "job", job.job_ }, { "queue", job.queue_ }, { "organisation", job.organisation_ }, { "workS", job.work_ }, { "backlogS", job.backlogWork_ }, { "rate", job.rate_ }, { "omittedLines", postponedLines_.omitted() } });
+    }
+}
+
 void RunLog::moved(const std::vector<MovedRun>& runs)
 {
     std::map<GroupKey, TasksByWorker> groups;
--- a/src/libfescuecleat/node/runlog.h
+++ b/src/libfescuecleat/node/runlog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "node/jsoneventlog.h"
+#include "node/linebudget.h"
 #include "pool/decisions.h"
 #include "pool/poolworkerreport.h"
 
@@ -28,9 +29,12 @@
     void givenUp(const std::vector<DeadlyTask>&);
     /** Logs organisations that start or stop to wait because of their limits. */
     void limited(const std::vector<LimitChange>&);
+    /** Logs jobs that were postponed, at a bounded rate. */
+    void postponed(const std::vector<PostponedJob>&, Time now);
 
 private:
     JsonEventLog& log_;
+    LineBudget postponedLines_;
 };
 
 }
