--- a/src/libfescuecleat/pool/stopcosts.h
+++ b/src/libfescuecleat/pool/stopcosts.h
@@ -18,12 +18,12 @@
     Duration gangWait_ = std::chrono::seconds(4);
 
     /** Time from the release of resources until a task has started on them: the report, the pass, the commit and the request. */
-    static constexpr Duration startDelay_ = std::chrono::milliseconds(200);
+    static constexpr Duration startDelay = std::chrono::milliseconds(200);
 
     /** Timeout of unanswered starts: the rest of a gang's wait must suffice to send them again. */
     Duration startTimeout(Duration standard) const { return std::min<Duration>(standard, gangWait_ * 3 / 8); }
     /** Time by which a stop must be decided before the resources are to be in use again. */
-    Duration leadTime() const { return stop_ + startDelay_; }
+    Duration leadTime() const { return stop_ + startDelay; }
 };
 
 }
