pool: suspend the lease holder during an outage of the store

Cause: a holder whose lease expired destroyed its controller. Afterwards nobody took the lease before the expiry in its row and the delay of candidates, and then all jobs and workers were read again.

Change: a holder whose lease expires without evidence of another holder is suspended. It starts, renews and stores nothing, and answers as an instance that isn't the holder. It reads the lease row each 150 ms, and any answer of the store prompts a renewal on the last seen version. If that is applied, nobody held the lease meanwhile, and the term goes on under its epoch: the commit without an answer is repeated, and the followers confirm their views at once. Another holder in the row, or a missing row, ends the term. Found on the way: a renewal could write an earlier expiry than the holder went by, and a renewal that was answered after a freeze of the process made the lease as long as two freezes. The own path of a store that is down is tried each 200 ms instead of 400 ms.

--- a/src/libfescuecleat/node/failoverrowstore.cpp
+++ b/src/libfescuecleat/node/failoverrowstore.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-    constexpr Duration probeInterval = std::chrono::milliseconds(400);
+    /** Short enough that starts go on within 0.5 s after an outage of the store. */
+    constexpr Duration probeInterval = std::chrono::milliseconds(200);
     /** A slow store answers reads in 240 ms. */
     constexpr Duration probeTimeout = std::chrono::milliseconds(400);
     /** An empty table, whose read is the cheapest call. */
@@ -31,11 +32,18 @@
 void FailoverRowStore::noteAnswer()
 {
     lastAnswerAt_ = bootTimeNow();
-    if (std::exchange(isOwnPathUp_, true))
-        return;
-    probeTimer_.cancel();
-    nextOwnAttemptAt_.clear();
-    log_.write("store.own_path_regained", nlohmann::json::object());
+    if (!std::exchange(isOwnPathUp_, true)) {
+        probeTimer_.cancel();
+        nextOwnAttemptAt_.clear();
+        log_.write("store.own_path_regained", nlohmann::json::object());
+    }
+    notifyListener();
+}
+
+void FailoverRowStore::notifyListener() const
+{
+    if (answerListener_)
+        answerListener_();
 }
 
 void FailoverRowStore::noteFailure(const StoreFailure& failure)
@@ -113,6 +121,8 @@
     }
     send(peers_, timeout, lifetime_.guard([this, target, deadline, send, isRefused, handler = std::move(handler)](tl::expected<Answer, StoreFailure> answer) mutable {
         const Duration left = remaining(deadline, bootTimeNow());
+        if (answer)
+            notifyListener();
         if (!isRefused(answer) || left < minOwnTimeout || !isOwnAttemptDue(target))
             return handler(std::move(answer));
         callOwn<Answer>(left, send, std::move(handler));
--- a/src/libfescuecleat/node/failoverrowstore.h
+++ b/src/libfescuecleat/node/failoverrowstore.h
@@ -6,6 +6,7 @@
 #include "node/rowstore.h"
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -26,6 +27,8 @@
     void read(const RowRange&, Duration timeout, PageHandler) override;
     void follow(const std::string& table, std::uint64_t after, Duration wait, Duration timeout, PageHandler) override;
 
+    /** Is called after each answer of the store, over whatever path, before the caller is answered. */
+    void setAnswerListener(std::function<void()> listener) { answerListener_ = std::move(listener); }
     /** Whether the store answers over the own path, or no call has failed yet. */
     bool isOwnPathUp() const { return isOwnPathUp_; }
 
@@ -42,6 +45,7 @@
     template <typename Answer>
     void callOwn(Duration timeout, const Send<Answer>&, Handler<Answer>);
     void noteAnswer();
+    void notifyListener() const;
     void noteFailure(const StoreFailure&);
     void markOwnPathDown(const StoreFailure&);
     /** Reads several parts; one answer shows that the path is up. */
@@ -53,6 +57,7 @@
     RowStore& own_;
     RowStore& peers_;
     JsonEventLog& log_;
+    std::function<void()> answerListener_;
     Timer probeTimer_;
     Lifetime lifetime_;
     std::vector<std::string> parts_;
--- a/src/libfescuecleat/node/instance.cpp
+++ b/src/libfescuecleat/node/instance.cpp
@@ -35,10 +35,10 @@
     , operatorFollower_(context.loop_, context.store_, context.clock_, context.log_, { context.operatorFormat_.table() }, operatorPollWait,
           { [this](const std::vector<StoredRow>& rows) { resetOperatorRows(rows); }, [this](const StoredRow& row) { applyOperatorRow(row); }, nullptr })
     , lease_(context.loop_, context.store_, context.clock_, context.log_, context.settings_.instance_, context.settings_.processorShare_,
-          { [this](const AcquiredLease& lease) { leaseAcquired(lease); }, [this](const std::string&) { leaseLost(); } })
+          { [this](const AcquiredLease& lease) { leaseAcquired(lease); }, [this](const std::string&) { leaseLost(); }, [this] { leaseResumed(); } })
     , directory_(context)
     , client_(client)
-    , jobApi_(context, { [this] { return configuration_; }, [this] { return isConfigurationCurrent(); }, [this] { return controller_.get(); }, [this](const StoredRow& row) { notifyScheduler(row); } })
+    , jobApi_(context, { [this] { return configuration_; }, [this] { return isConfigurationCurrent(); }, [this] { return activeController(); }, [this](const StoredRow& row) { notifyScheduler(row); } })
     , callers_(context.loop_, [this](ServerRequest request, AsyncHttpServer::Respond respond) { jobApi_.handle(std::move(request), std::move(respond)); })
     , readiness_(context.loop_, [this](const ServerRequest&, const AsyncHttpServer::Respond& respond) {
         ServerResponse response;
@@ -49,6 +49,11 @@
     , logTimer_(context.loop_)
     , stopTimer_(context.loop_)
 {
+    store_.failover_.setAnswerListener([this] {
+        // Posted, so that the answer itself is handled first: it may be that of a renewal.
+        if (lease_.isSuspended())
+            boost::asio::post(context_.loop_, lifetime_.guard([this] { lease_.storeAnswered(); }));
+    });
     HttpLimits limits;
     limits.maxBodyBytes_ = maxPeerBodyBytes;
     peers_.setLimits(limits);
@@ -61,7 +66,10 @@
         } });
 }
 
-Instance::~Instance() = default;
+Instance::~Instance()
+{
+    store_.failover_.setAnswerListener(nullptr);
+}
 
 Result<void> Instance::start()
 {
@@ -162,6 +170,18 @@
     boost::asio::post(context_.loop_, [controller = std::shared_ptr<PoolController>(std::move(controller_))] {});
 }
 
+void Instance::leaseResumed()
+{
+    operatorFollower_.refresh();
+    if (controller_)
+        controller_->resume();
+}
+
+PoolController* Instance::activeController() const
+{
+    return lease_.isHeld(bootTimeNow()) ? controller_.get() : nullptr;
+}
+
 void Instance::handleException(const std::string& cause)
 {
     ++exceptions_;
@@ -251,7 +271,10 @@
     for (const auto& [status, count] : jobApi_.answersByStatus())
         add("answers_total{status=\"" + std::to_string(status) + "\"}", count);
     add("configuration_version", configuration_ ? configuration_->version_ : 0);
-    add("is_scheduler", controller_ ? 1 : 0);
+    add("is_scheduler", activeController() != nullptr ? 1 : 0);
+    add("lease_suspended", lease_.isSuspended() ? 1 : 0);
+    add("lease_resumptions_total", lease_.resumptions());
+    text += "fescuecleat_lease_suspended_seconds_total " + std::to_string(std::chrono::duration<double>(lease_.suspendedTime(bootTimeNow())).count()) + "\n";
     add("store_own_path_up", store_.failover_.isOwnPathUp() ? 1 : 0);
     add("exceptions_total", exceptions_);
     add("log_lines_dropped_total", context_.log_.droppedLines());
--- a/src/libfescuecleat/node/instance.h
+++ b/src/libfescuecleat/node/instance.h
@@ -4,6 +4,7 @@
 #include "net/timer.h"
 #include "node/failoverrowstore.h"
 #include "node/jobapi.h"
+#include "node/lifetime.h"
 #include "node/nodecontext.h"
 #include "node/peerdirectory.h"
 #include "node/peerrowstore.h"
@@ -47,6 +48,9 @@
     bool isReady() const;
     void leaseAcquired(const AcquiredLease&);
     void leaseLost();
+    void leaseResumed();
+    /** The controller, while the lease is held; a suspended holder answers callers as any other instance. */
+    PoolController* activeController() const;
     void flushLog();
     void awaitIdle(Time deadline, std::function<void()> done);
     void handlePeerRequest(const ServerRequest&, const AsyncHttpServer::Respond&);
@@ -73,6 +77,7 @@
     Timer stopTimer_;
     bool isStopping_ = false;
     std::uint64_t exceptions_ = 0;
+    Lifetime lifetime_;
 };
 
 }
--- a/src/libfescuecleat/node/jobrecorder.cpp
+++ b/src/libfescuecleat/node/jobrecorder.cpp
@@ -92,7 +92,7 @@
 void JobRecorder::flush()
 {
     callReadyWaiters();
-    if (isCommitting_ || (order_.empty() && extraWrites_.empty()))
+    if (isCommitting_ || (order_.empty() && extraWrites_.empty()) || !mayWrite())
         return;
     prepareCommit();
     if (transaction_.writes_.empty() && transaction_.deletions_.empty())
@@ -170,12 +170,26 @@
     return isComplete;
 }
 
+void JobRecorder::resume()
+{
+    if (!isCommitting_)
+        return flush();
+    retryTimer_.cancel();
+    sendCommit();
+}
+
 void JobRecorder::sendCommit()
 {
+    // The attempt before may have been applied, or may be later; the chain row tells once writing is allowed again.
+    if (!mayWrite())
+        return retryTimer_.start(retryDelay, [this] { sendCommit(); });
+    const std::uint64_t attempt = ++attempt_;
     RowTransaction transaction = transaction_;
     transaction.expectations_.push_back({ PoolSchedulerLease::chainTable, PoolSchedulerLease::chainKey, chainVersion_ });
     transaction.writes_.push_back({ PoolSchedulerLease::chainTable, PoolSchedulerLease::chainKey, PoolSchedulerLease::chainValue(epoch_, sequence_) });
-    store_.commit(std::move(transaction), commitTimeout, lifetime_.guard([this](const tl::expected<StoreTimestamp, StoreFailure>& outcome) {
+    store_.commit(std::move(transaction), commitTimeout, lifetime_.guard([this, attempt](const tl::expected<StoreTimestamp, StoreFailure>& outcome) {
+        if (attempt != attempt_)
+            return;
         if (outcome)
             return handleCommitted(outcome->version_);
         const StoreFailure& failure = outcome.error();
--- a/src/libfescuecleat/node/jobrecorder.h
+++ b/src/libfescuecleat/node/jobrecorder.h
@@ -37,6 +37,8 @@
         std::function<void(const std::string& cause)> superseded_;
         /** The store has repeatedly rejected the record of a job. */
         std::function<void(const std::string& job)> unstorable_;
+        /** Whether commits may be sent now; always, if not set. */
+        std::function<bool()> mayWrite_ = {};
     };
 
     JobRecorder(boost::asio::io_context&, RowStore&, JsonEventLog&, const StoreLimits&, std::int64_t epoch, std::uint64_t chainVersion, Listener);
@@ -61,6 +63,8 @@
     void whenStored(const std::set<std::string>& jobs, std::function<void()>);
     /** Starts a commit if none is in flight and something is pending. */
     void flush();
+    /** Sends the commit without an answer again at once: a call that was sent during an outage may never be answered. */
+    void resume();
 
     static constexpr const char* table = "records";
 
@@ -92,6 +96,7 @@
     bool hasSpaceFor(const RowUpsert&) const;
     void addWrite(const RowUpsert&);
     void sendCommit();
+    bool mayWrite() const { return !listener_.mayWrite_ || listener_.mayWrite_(); }
     void handleCommitted(std::uint64_t version);
     void noteStored(const std::string& job, std::uint64_t mark);
     /** Sends what a rejected commit contained in smaller ones, or puts it off if it was only one record. */
@@ -133,6 +138,8 @@
     std::map<std::string, RecordChange> committing_;
     std::vector<RowUpsert> committingWrites_;
     bool isCommitting_ = false;
+    /** Number of the newest attempt of a commit; the answers of earlier ones say nothing new. */
+    std::uint64_t attempt_ = 0;
     std::uint64_t sequence_ = 0;
     /** Limit of a commit's size; halved by a rejection. */
     std::size_t maxCommitSize_;
--- a/src/libfescuecleat/node/jobretention.cpp
+++ b/src/libfescuecleat/node/jobretention.cpp
@@ -119,6 +119,8 @@
     collectDue(now);
     if (!removing_.empty())
         return;
+    if (listener_.mayWrite_ && !listener_.mayWrite_())
+        return reviewAfter(removalInterval);
     Time next = due_.empty() ? Time::max() : due_.begin()->first;
     for (const auto& [part, collected] : collected_) {
         const Time removalAt = removalTime(collected);
--- a/src/libfescuecleat/node/jobretention.h
+++ b/src/libfescuecleat/node/jobretention.h
@@ -28,6 +28,8 @@
         std::function<void(const std::string& job)> removeRecord_;
         /** Nothing is left of the job; `later` are rows of a new job with its id that were held back meanwhile. */
         std::function<void(const std::string& job, const std::vector<StoredRow>& later)> removed_;
+        /** Whether rows may be removed now; always, if not set. */
+        std::function<bool()> mayWrite_ = {};
     };
 
     JobRetention(boost::asio::io_context&, RowStore&, JsonEventLog&, const StoreLimits&, Listener);
--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -37,6 +37,8 @@
     constexpr Duration linkReviewInterval = std::chrono::milliseconds(250);
     /** Delay before starts are tried again that the lease didn't cover. */
     constexpr Duration deferredStartDelay = std::chrono::milliseconds(50);
+    /** Shortest time between two passes while the lease is not held: they only take in what has happened. */
+    constexpr Duration suspendedPassInterval = std::chrono::milliseconds(50);
     constexpr Duration minPassDelay = std::chrono::milliseconds(1);
     /** Longest time from the encoding of a record until callers may see it, as an outage delays its commit. */
     constexpr Duration maxRecordDelay = std::chrono::seconds(60);
@@ -83,10 +85,12 @@
     , recorder_(context.loop_, context.store_, context.log_, context.settings_.storeLimits_, lease.epoch_, lease.chainVersion_,
           { [this](const std::string& job) { return recordRows(job); },
               [this](const std::string& cause) { listener_.superseded_(cause); },
-              [this](const std::string& job) { handleUnstorableRecord(job); } })
+              [this](const std::string& job) { handleUnstorableRecord(job); },
+              [this] { return listener_.isLeaseHeld_(); } })
     , retention_(context.loop_, context.store_, context.log_, context.settings_.storeLimits_,
           { [this](const std::string& job) { removeRecord(job); },
-              [this](const std::string& job, const std::vector<StoredRow>& laterRows) { handleJobRemoved(job, laterRows); } })
+              [this](const std::string& job, const std::vector<StoredRow>& laterRows) { handleJobRemoved(job, laterRows); },
+              [this] { return listener_.isLeaseHeld_(); } })
     , intake_(context.loop_, context.store_, context.clock_, context.log_, { intakeTable, intakeParts() }, intakePollWait,
           { [this](const std::vector<StoredRow>&) {
                if (!isReady_)
@@ -118,6 +122,14 @@
     loadRecords({});
 }
 
+void PoolController::resume()
+{
+    recorder_.resume();
+    intake_.refresh();
+    registry_.refresh();
+    requestPass();
+}
+
 void PoolController::loadRecords(const std::string& from)
 {
     context_.store_.read({ JobRecorder::table, schedulerPart, from, {} }, readTimeout, lifetime_.guard([this, from](const tl::expected<RowPage, StoreFailure>& page) {
@@ -443,12 +455,8 @@
             endedJobs.insert(end.run_.task_.job_);
         }
         executeDecisions();
-        if (last > 0) {
-            recorder_.whenStored(endedJobs, [this, key = link.key(), last] {
-                if (PoolWorkerLink* current = findLink(key))
-                    current->acknowledgeEnds(last);
-            });
-        }
+        if (last > 0)
+            acknowledgeWhenStored(link.key(), last, endedJobs);
         requestPass();
     };
     listener.restarted_ = [this](const WorkerKey& former, const WorkerKey& current) {
@@ -481,7 +489,8 @@
     };
     listener.isLeaseHeld_ = [this] { return listener_.isLeaseHeld_(); };
     listener.isStartWanted_ = [this](const RunId& run) { return listener_.isLeaseHeld_() && scheduler_.isStartWanted(run); };
-    listener.isStartPending_ = [this](const RunId& run) { return listener_.isLeaseHeld_() && scheduler_.isStartPending(run); };
+    // Starts outlast a suspension; they are sent once the lease is held again.
+    listener.isStartPending_ = [this](const RunId& run) { return scheduler_.isStartPending(run); };
     listener.startSent_ = [this](const RunId& run) { scheduler_.startSent(run, bootTimeNow()); };
     listener.startUnanswered_ = [this](const RunId& run) { scheduler_.startUnanswered(run); };
     listener.startAnswered_ = [this, id](const RunId& run, StartAnswer answer) {
@@ -502,6 +511,22 @@
     return listener;
 }
 
+void PoolController::acknowledgeWhenStored(const WorkerKey& key, std::int64_t last, const std::set<std::string>& jobs)
+{
+    // Reports repeat ends that aren't acknowledged, during an outage of the store for long.
+    std::int64_t& awaited = awaitedEnds_[key];
+    if (awaited >= last)
+        return;
+    awaited = last;
+    recorder_.whenStored(jobs, [this, key, last] {
+        const auto entry = awaitedEnds_.find(key);
+        if (entry != awaitedEnds_.end() && entry->second == last)
+            awaitedEnds_.erase(entry);
+        if (PoolWorkerLink* current = findLink(key))
+            current->acknowledgeEnds(last);
+    });
+}
+
 void PoolController::logNewEnds(const PoolWorkerReport& report, const WorkerKey& key)
 {
     // Reports repeat the ends that are not acknowledged yet.
@@ -532,7 +557,9 @@
     if (isReady_ && registry_.isLoaded() && linksReviewedAt_ + linkReviewInterval < now)
         reviewLinks();
     Duration delay = std::max(minPassDelay, remaining(scheduler_.nextWake(now, unixMsNow()), now));
-    if (!deferredStarts_.empty())
+    if (!listener_.isLeaseHeld_())
+        delay = suspendedPassInterval;
+    else if (!deferredStarts_.empty())
         delay = std::min(delay, deferredStartDelay);
     passTimer_.start(delay, [this] { runPass(); });
 }
--- a/src/libfescuecleat/node/poolcontroller.h
+++ b/src/libfescuecleat/node/poolcontroller.h
@@ -42,6 +42,8 @@
     ~PoolController();
 
     void start();
+    /** The lease is held again after a suspension, in which nobody else held it. */
+    void resume();
     void setConfiguration(const PoolConfiguration&);
     void setClosedDataCentres(const std::set<std::string>&);
 
@@ -99,6 +101,8 @@
     void runScheduler();
     void executeDecisions();
     void sendStarts(const std::vector<StartDecision>&);
+    /** Acknowledges a worker's ends up to `last` once the records of these jobs are stored. */
+    void acknowledgeWhenStored(const WorkerKey&, std::int64_t last, const std::set<std::string>& jobs);
     void writeSummary();
     void logNewEnds(const PoolWorkerReport&, const WorkerKey&);
 
@@ -136,6 +140,8 @@
     std::deque<std::string> linksToOpen_;
     Timer linkTimer_;
     Time linksReviewedAt_ {};
+    /** Newest reported end of each worker whose record is awaited. */
+    std::map<WorkerKey, std::int64_t> awaitedEnds_;
     /** Starts whose record was stored while the lease was in doubt. */
     std::vector<StartDecision> deferredStarts_;
     std::uint64_t workerCrashes_ = 0;
--- a/src/libfescuecleat/node/poolschedulerlease.cpp
+++ b/src/libfescuecleat/node/poolschedulerlease.cpp
@@ -4,25 +4,15 @@
 #include "node/storelayout.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace fescuecleat {
 
 namespace {
 
-    using Json = nlohmann::json;
-
     constexpr const char* leaseTable = "lease";
     constexpr const char* leaseKey = "pool";
-    /** Longer than two commits of 0.9 s in a row and the safety margin. */
-    constexpr Duration minLeaseDuration = std::chrono::milliseconds(2100);
-    /** Added to twice the duration of a renewal, so that the next one is in time even if it is as slow. */
-    constexpr Duration leaseDurationMargin = std::chrono::milliseconds(600);
-    /** Share of the slowest recent renewal's duration that counts at the next one. */
-    constexpr double renewalDurationDecay = 0.75;
+    constexpr Duration renewalRetryDelay = std::chrono::milliseconds(100);
     constexpr Duration renewalInterval = std::chrono::milliseconds(500);
-    /** A slow store needs 300 ms per transaction, and a commit of records and another write may precede it. */
-    constexpr Duration renewalTimeout = std::chrono::milliseconds(1300);
     /** Short, so that another candidate can acquire the lease when this one gets no answer. */
     constexpr Duration acquireTimeout = std::chrono::milliseconds(600);
     /** After this long without an answer to a renewal, a read checks whether the store is reachable. */
@@ -35,50 +25,19 @@
     constexpr std::int64_t safetyMarginMs = 150;
     /** Minimum time between two reads that verify the lease. */
     constexpr Duration verificationInterval = std::chrono::milliseconds(2000);
+    /** A suspended holder sends renewals without a sign of life of the store this long after the last one ended. */
+    constexpr Duration blindRenewalInterval = std::chrono::milliseconds(1000);
     constexpr Duration leaseCheckInterval = std::chrono::milliseconds(100);
     constexpr Duration leasePollWait = std::chrono::milliseconds(1000);
-    /** Range of the delays that keep candidates from trying at the same time. */
-    constexpr int acquireJitterMs = 80;
-    /** With this share of a processor an instance easily schedules 350 workers; one with less tries later. */
-    constexpr double sufficientProcessorShare = 0.45;
-    /** Additional delay of an instance with almost no processor share. */
-    constexpr double maxLowShareDelayMs = 700;
-
-    Duration acquireDelayOf(const std::string& instance, double processorShare)
-    {
-        const auto jitter = static_cast<std::int64_t>(std::hash<std::string>()(instance) % acquireJitterMs);
-        const double shortage = std::clamp((sufficientProcessorShare - processorShare) / sufficientProcessorShare, 0.0, 1.0);
-        return std::chrono::milliseconds(jitter + static_cast<std::int64_t>(shortage * maxLowShareDelayMs));
-    }
-
-    std::string encodeLease(const PoolLeaseRecord& lease)
-    {
-        return Json { { "holder", lease.holder_ }, { "epoch", lease.epoch_ }, { "untilMs", lease.untilMs_ } }.dump();
-    }
-
-    std::optional<PoolLeaseRecord> decodeLease(const std::string& text)
-    {
-        try {
-            const Json json = Json::parse(text);
-            return PoolLeaseRecord { json.at("holder"), json.at("epoch"), json.at("untilMs") };
-        } catch (const Json::exception&) {
-            return std::nullopt;
-        }
-    }
 
 }
 
-std::string PoolSchedulerLease::chainValue(std::int64_t epoch, std::uint64_t sequence)
-{
-    return std::to_string(epoch) + ":" + std::to_string(sequence);
-}
-
 PoolSchedulerLease::PoolSchedulerLease(boost::asio::io_context& context, RowStore& store, StoreClock& clock, JsonEventLog& log, std::string instance, double processorShare, Listener listener)
     : store_(store)
     , clock_(clock)
     , log_(log)
     , instance_(std::move(instance))
-    , acquireDelay_(acquireDelayOf(instance_, processorShare))
+    , acquireDelay_(LeasePacing::acquireDelay(instance_, processorShare))
     , listener_(std::move(listener))
     , follower_(context, store, clock, log, { leaseTable, { schedulerPart } }, leasePollWait,
           { [this](const std::vector<StoredRow>& rows) {
@@ -86,14 +45,22 @@
                    lastSeen_.reset();
                    lastSeenVersion_ = 0;
                }
-               for (const StoredRow& row : rows)
-                   observe(row);
+               observeRows(rows);
            },
-              [this](const StoredRow& row) { observe(row); }, [this] { tryAcquire(); } })
+              [this](const StoredRow& row) { observe(row); },
+              [this] {
+                  storeAnswered();
+                  tryAcquire();
+              } })
     , acquireTimer_(context)
     , renewalTimer_(context)
     , leaseCheckTimer_(context)
     , renewalCheckTimer_(context)
+    , probe_(context, store, { leaseTable, schedulerPart, leaseKey, boundAfter(leaseKey) }, [this](const RowPage& page) {
+        clock_.observe(page.timestamp_);
+        observeRows(page.rows_);
+        storeAnswered();
+    })
 {
 }
 
@@ -106,39 +73,88 @@
 void PoolSchedulerLease::scheduleLeaseCheck()
 {
     leaseCheckTimer_.start(leaseCheckInterval, [this] {
-        if (isHolder_ && !isHeld(bootTimeNow()))
-            loseLease("the lease could not be renewed in time");
-        else if (!isHolder_)
-            tryAcquire();
+        reviewTerm();
+        tryAcquire();
         scheduleLeaseCheck();
     });
 }
 
-bool PoolSchedulerLease::isHeld(Time now) const
+bool PoolSchedulerLease::isCovered(Time now) const
 {
     return isHolder_ && clock_.latestMs(now) + safetyMarginMs < untilMs_;
 }
 
+void PoolSchedulerLease::reviewTerm()
+{
+    const Time now = bootTimeNow();
+    if (isHolder_ && isCovered(now) == isSuspended())
+        isSuspended() ? resume(now) : suspend(now);
+}
+
+void PoolSchedulerLease::suspend(Time now)
+{
+    suspendedAt_ = now;
+    log_.write("lease.suspended", { { "epoch", epoch_ }, { "version", lastSeenVersion_ }, { "cause", "the lease could not be renewed in time" } });
+    renewalTimer_.start(blindRenewalInterval, [this] { renew(false); });
+    probe_.start();
+}
+
+void PoolSchedulerLease::resume(Time now)
+{
+    const Duration suspended = now - *suspendedAt_;
+    endSuspension(now);
+    ++resumptions_;
+    log_.write("lease.resumed", { { "epoch", epoch_ }, { "version", lastSeenVersion_ }, { "suspendedMs", wholeMilliseconds(suspended) } });
+    scheduleRenewal(pacing_.lastWriteAt());
+    if (listener_.resumed_)
+        listener_.resumed_();
+}
+
+void PoolSchedulerLease::endSuspension(Time now)
+{
+    suspendedTime_ = suspendedTime(now);
+    suspendedAt_.reset();
+    probe_.stop();
+}
+
+void PoolSchedulerLease::extend(std::int64_t untilMs)
+{
+    // The lease may have expired unnoticed, for example while the process was frozen.
+    reviewTerm();
+    untilMs_ = std::max(untilMs_, untilMs);
+    reviewTerm();
+}
+
+void PoolSchedulerLease::storeAnswered()
+{
+    if (!suspendedAt_ || isStopping_ || !pacing_.isRenewalDue(bootTimeNow(), isWriteOpen()))
+        return;
+    isWriting_ = false;
+    renew(true);
+}
+
+void PoolSchedulerLease::observeRows(const std::vector<StoredRow>& rows)
+{
+    for (const StoredRow& row : rows)
+        observe(row);
+}
+
 void PoolSchedulerLease::observe(const StoredRow& row)
 {
     if (row.key_ != leaseKey || row.version_ < lastSeenVersion_)
         return;
-    const auto lease = decodeLease(row.value_);
-    if (!lease) {
-        log_.write("lease.unreadable", { { "version", row.version_ } });
-        return;
-    }
+    const auto lease = decodePoolLease(row.value_);
+    if (!lease)
+        return log_.write("lease.unreadable", { { "version", row.version_ } });
     if (!lastSeen_ || lastSeen_->holder_ != lease->holder_ || lastSeen_->epoch_ != lease->epoch_)
         log_.write("lease.seen", { { "holder", lease->holder_ }, { "epoch", lease->epoch_ }, { "version", row.version_ } });
     lastSeen_ = lease;
     lastSeenVersion_ = row.version_;
-    if (!isHolder_)
-        return;
-    if (lease->epoch_ > epoch_)
+    if (isHolder_ && !isOurs(*lease))
         return loseLease("another instance took the lease");
     // A renewal of ours was applied, but its answer is late or lost.
-    if (lease->epoch_ == epoch_ && lease->holder_ == instance_)
-        untilMs_ = std::max(untilMs_, lease->untilMs_);
+    if (isHolder_)
+        extend(lease->untilMs_);
 }
 
 void PoolSchedulerLease::tryAcquire()
@@ -146,10 +162,8 @@
     if (isHolder_ || isWriting_ || isAcquirePending_ || isStopping_ || !follower_.isLoaded() || !clock_.isKnown())
         return;
     const Time now = bootTimeNow();
-    if (!isVacant(now))
-        return;
     // Without recent contact the row may have been renewed in the meantime.
-    if (now - follower_.currentAsOf() > 2 * leasePollWait)
+    if (!isVacant(now) || now - follower_.currentAsOf() > 2 * leasePollWait)
         return;
     isAcquirePending_ = true;
     acquireTimer_.start(acquireDelay_, [this] {
@@ -165,26 +179,32 @@
     return !lastSeen_ || lastSeen_->untilMs_ <= clock_.earliestMs(now) || (lastSeen_->holder_ == instance_ && epoch_ == 0);
 }
 
-void PoolSchedulerLease::write(const PoolLeaseRecord& lease, bool isNew, std::function<void(tl::expected<StoreTimestamp, StoreFailure>)> handler)
+void PoolSchedulerLease::write(const PoolLeaseRecord& lease, bool isNew, WriteHandler handler)
 {
     isWriting_ = true;
+    writeExpectation_ = lastSeenVersion_;
+    const std::uint64_t number = ++lastWrite_;
     RowTransaction transaction;
     transaction.part_ = schedulerPart;
     transaction.expectations_.push_back({ leaseTable, leaseKey, lastSeenVersion_ });
-    transaction.writes_.push_back({ leaseTable, leaseKey, encodeLease(lease) });
+    transaction.writes_.push_back({ leaseTable, leaseKey, encodePoolLease(lease) });
     if (isNew)
         transaction.writes_.push_back({ chainTable, chainKey, chainValue(lease.epoch_, 0) });
-    store_.commit(std::move(transaction), isNew ? acquireTimeout : renewalTimeout, lifetime_.guard([this, lease, handler = std::move(handler)](tl::expected<StoreTimestamp, StoreFailure> outcome) {
-        isWriting_ = false;
+    store_.commit(std::move(transaction), isNew ? acquireTimeout : LeasePacing::renewalTimeout, lifetime_.guard([this, lease, number, handler = std::move(handler)](const tl::expected<StoreTimestamp, StoreFailure>& outcome) {
+        const bool isNewest = number == lastWrite_;
+        // An earlier write that was applied makes the newer ones fail.
+        if (isNewest || outcome)
+            isWriting_ = false;
         if (outcome) {
-            lastSeen_ = lease;
-            lastSeenVersion_ = outcome->version_;
             clock_.observe(*outcome);
+            if (outcome->version_ > lastSeenVersion_) {
+                lastSeen_ = lease;
+                lastSeenVersion_ = outcome->version_;
+            }
         } else {
-            for (const StoredRow& row : outcome.error().rows_)
-                observe(row);
+            observeRows(outcome.error().rows_);
         }
-        handler(std::move(outcome));
+        handler(outcome, isNewest);
     }));
 }
 
@@ -192,14 +212,12 @@
 {
     const std::int64_t epoch = (lastSeen_ ? lastSeen_->epoch_ : 0) + 1;
     const Time now = bootTimeNow();
-    const std::int64_t until = clock_.earliestMs(now) + wholeMilliseconds(leaseDuration());
+    const std::int64_t until = clock_.earliestMs(now) + wholeMilliseconds(pacing_.leaseDuration());
     const Time formerHolderActiveUntil = lastSeen_ ? std::max(now, clock_.localTime(lastSeen_->untilMs_, now)) : now;
-    write({ instance_, epoch, until }, true, [this, epoch, until, formerHolderActiveUntil, now](const tl::expected<StoreTimestamp, StoreFailure>& outcome) {
-        if (!outcome) {
-            // If the write was applied after all, the lease expires unused.
-            log_.write("lease.acquire_failed", { { "epoch", epoch }, { "cause", storeFailureName(outcome.error().kind_) } });
-            return;
-        }
+    write({ instance_, epoch, until }, true, [this, epoch, until, formerHolderActiveUntil, now](const tl::expected<StoreTimestamp, StoreFailure>& outcome, bool) {
+        // If the write was applied after all, the lease expires unused.
+        if (!outcome)
+            return log_.write("lease.acquire_failed", { { "epoch", epoch }, { "cause", storeFailureName(outcome.error().kind_) } });
         if (isStopping_)
             return;
         isHolder_ = true;
@@ -211,54 +229,58 @@
     });
 }
 
-Duration PoolSchedulerLease::leaseDuration() const
-{
-    return std::max(minLeaseDuration, 2 * slowestRenewal_ + leaseDurationMargin);
-}
-
 void PoolSchedulerLease::scheduleRenewal(Time lastAttemptAt)
 {
-    renewalTimer_.start(remaining(lastAttemptAt + renewalInterval, bootTimeNow()), [this] { renew(); });
+    renewalTimer_.start(remaining(lastAttemptAt + renewalInterval, bootTimeNow()), [this] { renew(false); });
 }
 
-void PoolSchedulerLease::renew()
+void PoolSchedulerLease::renew(bool isPrompted)
 {
     if (!isHolder_ || isStopping_)
         return;
     const Time now = bootTimeNow();
-    if (isWriting_)
+    if (isWriteOpen())
         return scheduleRenewal(now);
-    const std::int64_t until = clock_.earliestMs(now) + wholeMilliseconds(leaseDuration());
-    renewalCheckTimer_.start(renewalCheckDelay, [this, until] { checkRenewal(until); });
-    write({ instance_, epoch_, until }, false, [this, until, now](const tl::expected<StoreTimestamp, StoreFailure>& outcome) {
-        renewalCheckTimer_.cancel();
-        if (!isHolder_)
-            return;
-        slowestRenewal_ = std::max(bootTimeNow() - now, std::chrono::duration_cast<Duration>(slowestRenewal_ * renewalDurationDecay));
-        if (outcome) {
-            untilMs_ = std::max(untilMs_, until);
-            return scheduleRenewal(now);
-        }
-        const StoreFailure& failure = outcome.error();
-        const bool isOurs = lastSeen_ && lastSeen_->epoch_ == epoch_ && lastSeen_->holder_ == instance_;
-        if (failure.kind_ == StoreFailureKind::Conflict && isOurs) {
-            // An earlier renewal was applied, but its answer was lost.
-            untilMs_ = std::max(untilMs_, lastSeen_->untilMs_);
-            return renew();
-        }
-        log_.write("lease.renewal_failed", { { "epoch", epoch_ }, { "cause", storeFailureName(failure.kind_) }, { "detail", failure.message_ } });
-        renewalTimer_.start(std::chrono::milliseconds(100), [this] { renew(); });
+    // A row that doesn't exist has no version that would show whether another instance held the lease meanwhile.
+    if (suspendedAt_ && lastSeenVersion_ == 0)
+        return loseLease("the lease row is gone");
+    // Never earlier than what the row may show already: candidates go by the row, this instance by the latest expiry.
+    const std::int64_t until = std::max(untilMs_, clock_.earliestMs(now) + wholeMilliseconds(pacing_.leaseDuration()));
+    if (!suspendedAt_)
+        renewalCheckTimer_.start(renewalCheckDelay, [this, until] { checkRenewal(until); });
+    pacing_.writeSent(now, isPrompted);
+    write({ instance_, epoch_, until }, false, [this, epoch = epoch_, until, now](const tl::expected<StoreTimestamp, StoreFailure>& outcome, bool isNewest) {
+        if (isHolder_ && epoch == epoch_)
+            handleRenewal(outcome, isNewest, until, now);
     });
 }
 
+void PoolSchedulerLease::handleRenewal(const tl::expected<StoreTimestamp, StoreFailure>& outcome, bool isNewest, std::int64_t until, Time sentAt)
+{
+    if (isNewest || outcome)
+        renewalCheckTimer_.cancel();
+    pacing_.renewalAnswered(bootTimeNow() - sentAt);
+    if (outcome) {
+        extend(until);
+        return scheduleRenewal(sentAt);
+    }
+    if (!isNewest)
+        return;
+    const StoreFailure& failure = outcome.error();
+    // An earlier renewal was applied, but its answer was lost.
+    if (failure.kind_ == StoreFailureKind::Conflict && lastSeen_ && isOurs(*lastSeen_))
+        return renew(true);
+    log_.write("lease.renewal_failed", { { "epoch", epoch_ }, { "cause", storeFailureName(failure.kind_) }, { "detail", failure.message_ } });
+    renewalTimer_.start(suspendedAt_ ? blindRenewalInterval : renewalRetryDelay, [this] { renew(false); });
+}
+
 void PoolSchedulerLease::checkRenewal(std::int64_t until)
 {
-    store_.read({ leaseTable, schedulerPart, leaseKey, boundAfter(leaseKey) }, checkTimeout, lifetime_.guard([this, until](const tl::expected<RowPage, StoreFailure>& page) {
-        if (!isHolder_ || isStopping_)
+    readRow([this, until](const tl::expected<RowPage, StoreFailure>& page) {
+        // While the term is suspended, the probe decides when to send renewals.
+        if (!isHolder_ || isStopping_ || suspendedAt_)
             return;
         if (page) {
-            for (const StoredRow& row : page->rows_)
-                observe(row);
             // A slow store may still be processing the renewal; a fast one would have answered.
             const bool isSlow = page->timestamp_.answeredAt_ - page->timestamp_.askedAt_ > slowReadThreshold;
             if (isSlow && untilMs_ < until)
@@ -266,8 +288,8 @@
         }
         // The answer is lost or the connection is dead. Another attempt, possibly over a peer, may still be in time.
         isWriting_ = false;
-        renew();
-    }));
+        renew(page.has_value());
+    });
 }
 
 void PoolSchedulerLease::loseLease(const std::string& cause)
@@ -276,15 +298,12 @@
         return;
     isHolder_ = false;
     renewalTimer_.cancel();
+    if (suspendedAt_)
+        endSuspension(bootTimeNow());
     log_.write("lease.lost", { { "epoch", epoch_ }, { "cause", cause } });
     listener_.lost_(cause);
 }
 
-void PoolSchedulerLease::abandon(const std::string& cause)
-{
-    loseLease(cause);
-}
-
 void PoolSchedulerLease::verify(const std::string& cause)
 {
     const Time now = bootTimeNow();
@@ -292,11 +311,16 @@
         return;
     verifiedAt_ = now;
     log_.write("lease.doubted", { { "epoch", epoch_ }, { "cause", cause } });
-    store_.read({ leaseTable, schedulerPart, leaseKey, boundAfter(leaseKey) }, checkTimeout, lifetime_.guard([this](const tl::expected<RowPage, StoreFailure>& page) {
-        if (!page)
-            return; // the lease expires soon unless a renewal succeeds
-        for (const StoredRow& row : page->rows_)
-            observe(row);
+    // Without an answer the lease expires soon unless a renewal succeeds.
+    readRow([](const tl::expected<RowPage, StoreFailure>&) {});
+}
+
+void PoolSchedulerLease::readRow(RowStore::PageHandler handler)
+{
+    store_.read({ leaseTable, schedulerPart, leaseKey, boundAfter(leaseKey) }, checkTimeout, lifetime_.guard([this, handler = std::move(handler)](const tl::expected<RowPage, StoreFailure>& page) {
+        if (page)
+            observeRows(page->rows_);
+        handler(page);
     }));
 }
 
@@ -306,7 +330,16 @@
     if (!isHolder_)
         return done();
     loseLease("the instance stops");
-    write({ instance_, epoch_, 0 }, false, [this, done = std::move(done)](const tl::expected<StoreTimestamp, StoreFailure>& outcome) {
+    sendRelease(std::move(done));
+}
+
+void PoolSchedulerLease::sendRelease(std::function<void()> done)
+{
+    write({ instance_, epoch_, 0 }, false, [this, done = std::move(done)](const tl::expected<StoreTimestamp, StoreFailure>& outcome, bool) {
+        const bool isRenewed = !outcome && outcome.error().kind_ == StoreFailureKind::Conflict && lastSeen_ && isOurs(*lastSeen_) && lastSeen_->untilMs_ > 0;
+        // A renewal on its way was applied before the release.
+        if (isRenewed)
+            return sendRelease(done);
         log_.write("lease.released", { { "epoch", epoch_ }, { "isConfirmed", outcome.has_value() } });
         done();
     });
--- a/src/libfescuecleat/node/tablefollower.cpp
+++ b/src/libfescuecleat/node/tablefollower.cpp
@@ -36,10 +36,25 @@
     readPage();
 }
 
+void TableFollower::refresh()
+{
+    if (!isLoading_ && !isLoaded_)
+        return;
+    retryTimer_.cancel();
+    failures_ = 0;
+    if (isLoading_)
+        readPage();
+    else
+        followChanges(Duration::zero()); // an answer without changes confirms the view as well
+}
+
 void TableFollower::readPage()
 {
+    const std::uint64_t call = ++call_;
     const std::string from = lastLoadedKey_.empty() ? std::string() : boundAfter(lastLoadedKey_);
-    store_.read({ table_.name_, table_.parts_[loadingPart_], from, {} }, readTimeout, lifetime_.guard([this](const tl::expected<RowPage, StoreFailure>& page) {
+    store_.read({ table_.name_, table_.parts_[loadingPart_], from, {} }, readTimeout, lifetime_.guard([this, call](const tl::expected<RowPage, StoreFailure>& page) {
+        if (call != call_)
+            return;
         if (!page)
             return handleFailure(page.error());
         // The first page's version is kept: the feed then delivers all changes made while the other pages were read.
@@ -68,9 +83,12 @@
     }));
 }
 
-void TableFollower::followChanges()
+void TableFollower::followChanges(Duration wait)
 {
-    store_.follow(table_.name_, version_, wait_, wait_ + followTimeoutMargin, lifetime_.guard([this](const tl::expected<RowPage, StoreFailure>& page) {
+    const std::uint64_t call = ++call_;
+    store_.follow(table_.name_, version_, wait, wait + followTimeoutMargin, lifetime_.guard([this, call](const tl::expected<RowPage, StoreFailure>& page) {
+        if (call != call_)
+            return;
         if (!page)
             return handleFailure(page.error());
         version_ = std::max(version_, page->timestamp_.version_);
@@ -103,9 +121,9 @@
     }
     auto next = lifetime_.guard([this] {
         if (pollPause_ > Duration::zero())
-            retryTimer_.start(pollPause_, [this] { followChanges(); });
+            retryTimer_.start(pollPause_, [this] { followChanges(wait_); });
         else
-            followChanges();
+            followChanges(wait_);
     });
     if (listener_.contacted_)
         listener_.contacted_();
@@ -128,7 +146,7 @@
         if (isLoading_)
             readPage();
         else
-            followChanges();
+            followChanges(wait_);
     });
 }
 
--- a/src/libfescuecleat/node/tablefollower.h
+++ b/src/libfescuecleat/node/tablefollower.h
@@ -6,6 +6,7 @@
 #include "node/rowstore.h"
 #include "node/storeclock.h"
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
@@ -46,6 +47,8 @@
     TableFollower(boost::asio::io_context&, RowStore&, StoreClock&, JsonEventLog&, FollowedTable, Duration wait, Listener);
 
     void start();
+    /** Asks again at once and forgets the call without an answer: one that was sent during an outage may never be answered. */
+    void refresh();
     /** Sets a pause between two polls, so that frequent changes are received together. */
     void setPollPause(Duration pause) { pollPause_ = pause; }
     bool isLoaded() const { return isLoaded_; }
@@ -55,7 +58,7 @@
 
 private:
     void readPage();
-    void followChanges();
+    void followChanges(Duration wait);
     /** Passes a row to a callback of the listener; an exception concerns only this row. */
     void deliver(const std::function<void(const StoredRow&)>& callback, const StoredRow&);
     void handleFailure(const StoreFailure&);
@@ -81,6 +84,8 @@
     bool isLoaded_ = false;
     bool isInContact_ = false;
     int failures_ = 0;
+    /** Number of the newest call; answers of earlier ones are ignored. */
+    std::uint64_t call_ = 0;
     Time currentAsOf_ {};
 };
 
--- a/tests/node/jobretentiontest.cpp
+++ b/tests/node/jobretentiontest.cpp
@@ -62,6 +62,7 @@
     std::vector<std::string> recordsToRemove_;
     std::vector<std::string> removed_;
     std::vector<StoredRow> later_;
+    bool mayWrite_ = true;
     JobRetention retention_ { pool_.loop_, pool_.store_, pool_.log_, {},
         { [this](const std::string& job) {
              CPPUNIT_ASSERT(isResubmitted_ || !isStored(job));
@@ -70,7 +71,8 @@
             [this](const std::string& job, const std::vector<StoredRow>& later) {
                 removed_.push_back(job);
                 later_ = later;
-            } } };
+            },
+            [this] { return mayWrite_; } } };
     bool isResubmitted_ = false;
 };
 
@@ -103,8 +105,23 @@
     CPPUNIT_TEST(removesOrphanedRecords);
     CPPUNIT_TEST(runsNewJobWithTheIdOfARemovedOne);
     CPPUNIT_TEST(cancelRowOfUnknownJobIsRemovedInTime);
+    CPPUNIT_TEST(removesNothingWhileWritingIsNotAllowed);
     CPPUNIT_TEST_SUITE_END();
 
+    /** Guards against a suspended lease holder that removes rows. */
+    void removesNothingWhileWritingIsNotAllowed()
+    {
+        RetentionUnderTest pool;
+        pool.mayWrite_ = false;
+        pool.addEndedJob(jobId);
+        pool.retention_.start();
+        pool.runFor(collection);
+        CPPUNIT_ASSERT(pool.isStored(jobId));
+        pool.mayWrite_ = true;
+        pool.runFor(2s);
+        CPPUNIT_ASSERT(!pool.isStored(jobId));
+    }
+
     void removesIntakeThenRecord()
     {
         RetentionUnderTest test;
--- a/tests/node/poolfixture.cpp
+++ b/tests/node/poolfixture.cpp
@@ -51,6 +51,10 @@
            },
               [this](const std::string&) {
                   boost::asio::post(context_.loop_, [controller = std::shared_ptr<PoolController>(std::move(controller_))] {});
+              },
+              [this] {
+                  if (controller_)
+                      controller_->resume();
               } })
 {
     lease_.start();
--- a/tests/node/storepathtest.cpp
+++ b/tests/node/storepathtest.cpp
@@ -140,6 +140,7 @@
     CPPUNIT_TEST(doesNotRetryUnknownOutcome);
     CPPUNIT_TEST(keepsPathAfterLostAnswer);
     CPPUNIT_TEST(failsOverFromSilentPathAndBack);
+    CPPUNIT_TEST(reportsAnswersOfEitherPath);
     CPPUNIT_TEST(keepsPathWhenWritesAreRefused);
     CPPUNIT_TEST(refusesWhenBothPathsAreDown);
     CPPUNIT_TEST(servesOtherPartsWhileOneIsUnavailable);
@@ -197,6 +198,23 @@
         CPPUNIT_ASSERT_EQUAL(1, paths.peers_.commitsSeen());
     }
 
+    /** Guards against a lease holder that isn't told that the store answers again, whichever way the answer came. */
+    void reportsAnswersOfEitherPath()
+    {
+        PathsUnderTest paths;
+        int answers = 0;
+        paths.failover_.setAnswerListener([&answers] { ++answers; });
+        CPPUNIT_ASSERT(paths.commit().has_value());
+        CPPUNIT_ASSERT_EQUAL(1, answers);
+        paths.own_.setSilent(true);
+        CPPUNIT_ASSERT(!paths.commit().has_value());
+        CPPUNIT_ASSERT(paths.pool_.runUntil([&paths] { return !paths.failover_.isOwnPathUp(); }));
+        CPPUNIT_ASSERT_EQUAL(1, answers);
+        CPPUNIT_ASSERT(paths.commit().has_value());
+        CPPUNIT_ASSERT_EQUAL(1, paths.peers_.commitsSeen());
+        CPPUNIT_ASSERT_EQUAL(2, answers);
+    }
+
     /** A slow store refuses writes of every instance; sending them over peers as well would only add load. */
     void keepsPathWhenWritesAreRefused()
     {
