soak: draw outages of the store that outlast the scheduler's lease

Cause: outages of the whole store lasted at most 3 s, and mostly ended before the lease of 2.1 s had expired and the holder was suspended.

Change: silent, refusing, resetting and slow stores last up to 7 s. Links of single instances already did.

--- a/src/fescuecleat-soak/soakschedule.cpp
+++ b/src/fescuecleat-soak/soakschedule.cpp
@@ -191,9 +191,10 @@
 
         DisturbPlatform store()
         {
-            const Milliseconds duration = time(200, 3000);
             Json faults { { "mode", "up" } };
             const int kind = below(8);
+            // Outages of the whole store also outlast the scheduler's lease.
+            const Milliseconds duration = time(200, kind < 4 ? 7000 : 3000);
             if (kind < 3)
                 faults["mode"] = std::array<const char*, 3> { "silent", "refusing", "reset" }[static_cast<std::size_t>(kind)];
             if (kind == 3)
