node tests: a suspended holder stores no end of a run

Cause: startsNothingAndWritesOnlyRenewals held also if the recorder ignored that the lease is not held, since nothing changed in it while the holder was suspended.

Change: a run ends meanwhile; its record must be stored only after the term goes on.

--- a/tests/node/suspendedholdertest.cpp
+++ b/tests/node/suspendedholdertest.cpp
@@ -44,17 +44,23 @@
     {
         SuspensionFixture fixture;
         CPPUNIT_ASSERT(fixture.settle());
+        const std::string laterJob = "00000000000000ab";
+        fixture.pool_.submit(jobId, oneTask());
+        CPPUNIT_ASSERT(fixture.runUntil([&] { return fixture.pool_.workers_.startCount(task()) == 1; }));
         // Only renewals fail, so that everything else would work.
         fixture.pool_.store_.setRejectedTable("lease");
         CPPUNIT_ASSERT(fixture.runUntil([&] { return fixture.lease().isSuspended(); }));
-        fixture.pool_.submit(jobId, oneTask());
+        fixture.pool_.workers_.finish("w1", task(), EndReason::Done);
+        fixture.pool_.submit(laterJob, oneTask());
         fixture.runFor(2s);
         CPPUNIT_ASSERT(fixture.lease().isSuspended());
-        CPPUNIT_ASSERT_EQUAL(0, fixture.starts());
-        CPPUNIT_ASSERT(!fixture.pool_.store_.value(JobRecorder::table, jobId).has_value());
+        CPPUNIT_ASSERT_EQUAL(1, fixture.starts());
+        CPPUNIT_ASSERT(fixture.pool_.recordedState(jobId) != PoolJobState::Completed);
+        CPPUNIT_ASSERT(!fixture.pool_.store_.value(JobRecorder::table, laterJob).has_value());
         CPPUNIT_ASSERT(!fixture.controller()->stateOf(jobId).has_value());
         fixture.pool_.store_.setRejectedTable({});
-        CPPUNIT_ASSERT(fixture.runUntil([&] { return fixture.starts() == 1; }, 1500ms));
+        CPPUNIT_ASSERT(fixture.runUntil([&] { return fixture.starts() == 2; }, 1500ms));
+        CPPUNIT_ASSERT(fixture.runUntil([&] { return fixture.pool_.recordedState(jobId) == PoolJobState::Completed; }, 1500ms));
     }
 
     /** Guards against a next holder that believes a worker's lease expired which this one has extended. */
