--- a/src/libfescuecleat/node/poolcontroller.cpp
+++ b/src/libfescuecleat/node/poolcontroller.cpp
@@ -22,6 +22,8 @@
     constexpr Duration deferredStartDelay = std::chrono::milliseconds(50);
     /** Longest time between two passes. Reports of progress alone don't cause one; it is judged in the next. */
     constexpr Duration progressPassInterval = std::chrono::milliseconds(100);
+    /** Shortest time between two passes while the lease is not held: they only take in what has happened. */
+    constexpr Duration suspendedPassInterval = std::chrono::milliseconds(50);
     constexpr Duration minPassDelay = std::chrono::milliseconds(1);
     /** Longest time from the encoding of a record until callers may see it, as an outage delays its commit. */
     constexpr Duration maxRecordDelay = std::chrono::seconds(60);
@@ -70,10 +72,12 @@
     , recorder_(context.loop_, context.store_, context.log_, context.settings_.storeLimits_, lease.epoch_, lease.chainVersion_,
           { [this](const std::string& job) { return recordRows(job); },
               [this](const std::string& cause) { listener_.superseded_(cause); },
-              [this](const std::string& job) { handleUnstorableRecord(job); } })
+              [this](const std::string& job) { handleUnstorableRecord(job); },
+              [this] { return listener_.isLeaseHeld_(); } })
     , retention_(context.loop_, context.store_, context.log_, context.settings_.storeLimits_,
           { [this](const std::string& job) { removeRecord(job); },
-              [this](const std::string& job, const std::vector<StoredRow>& laterRows) { handleJobRemoved(job, laterRows); } })
+              [this](const std::string& job, const std::vector<StoredRow>& laterRows) { handleJobRemoved(job, laterRows); },
+              [this] { return listener_.isLeaseHeld_(); } })
     , intake_(context.loop_, context.store_, context.clock_, context.log_, { intakeTable, intakeParts() },
           pollWaitFor(maxViewAge(context.settings_.cancelLimit_, PoolWorkerLink::requestTimeout), intakePollWait, Duration::zero()),
           { [this](const std::vector<StoredRow>&) {
@@ -111,6 +115,14 @@
     loadRecords({});
 }
 
+void PoolController::resume()
+{
+    recorder_.resume();
+    intake_.refresh();
+    links_.refresh();
+    requestPass();
+}
+
 void PoolController::loadRecords(const std::string& from)
 {
     context_.store_.read({ JobRecorder::table, schedulerPart, from, {} }, readTimeout, lifetime_.guard([this, from](const tl::expected<RowPage, StoreFailure>& page) {
@@ -321,17 +333,29 @@
         endedJobs.insert(end.run_.task_.job_);
     }
     const bool hasChanged = executeDecisions() || !report.ended_.empty();
-    if (last > 0) {
-        recorder_.whenStored(endedJobs, [this, worker, last] {
-            if (PoolWorkerLink* current = links_.find(worker))
-                current->acknowledgeEnds(last);
-        });
-    }
+    if (last > 0)
+        acknowledgeWhenStored(worker, last, endedJobs);
     // A pass looks at all workers, and most reports say only that the runs go on.
     if (hasChanged)
         requestPass();
 }
 
+void PoolController::acknowledgeWhenStored(const WorkerKey& key, std::int64_t last, const std::set<std::string>& jobs)
+{
+    // Reports repeat ends that aren't acknowledged, during an outage of the store for long.
+    std::int64_t& awaited = awaitedEnds_[key];
+    if (awaited >= last)
+        return;
+    awaited = last;
+    recorder_.whenStored(jobs, [this, key, last] {
+        const auto entry = awaitedEnds_.find(key);
+        if (entry != awaitedEnds_.end() && entry->second == last)
+            awaitedEnds_.erase(entry);
+        if (PoolWorkerLink* current = links_.find(key))
+            current->acknowledgeEnds(last);
+    });
+}
+
 void PoolController::logNewEnds(const PoolWorkerReport& report, const WorkerKey& key)
 {
     // Reports repeat the ends that are not acknowledged yet.
@@ -362,7 +386,9 @@
     if (isReady_)
         links_.reviewIfDue(now);
     Duration delay = std::max(minPassDelay, remaining(scheduler_.nextWake(now, unixMsNow()), now));
-    if (!deferredStarts_.empty())
+    if (!listener_.isLeaseHeld_())
+        delay = suspendedPassInterval;
+    else if (!deferredStarts_.empty())
         delay = std::min(delay, deferredStartDelay);
     if (isReady_ && listener_.isLeaseHeld_())
         delay = std::max(minPassDelay, std::min({ delay, progressPassInterval, remaining(summaryDueAt_, now) }));
--- a/src/libfescuecleat/node/poolcontroller.h
+++ b/src/libfescuecleat/node/poolcontroller.h
@@ -47,6 +47,8 @@
     ~PoolController();
 
     void start();
+    /** The lease is held again after a suspension, in which nobody else held it. */
+    void resume();
     void setConfiguration(const PoolConfiguration&);
     void setClosedDataCentres(const std::set<std::string>&);
 
@@ -98,6 +100,8 @@
     /** Returns whether there were any. */
     bool executeDecisions();
     void sendStarts(const std::vector<StartDecision>&);
+    /** Acknowledges a worker's ends up to `last` once the records of these jobs are stored. */
+    void acknowledgeWhenStored(const WorkerKey&, std::int64_t last, const std::set<std::string>& jobs);
     /** Whether a request for the start may be sent now; gives up a start that is no longer permitted. */
     bool mayStart(const RunId&);
     /** Publishes the number of waiting jobs if that is due. */
@@ -129,6 +133,8 @@
     std::set<std::string> unstorableJobs_;
     std::map<std::string, std::shared_ptr<const std::string>> payloads_;
     std::map<std::string, PoolJobState> storedStates_;
+    /** Newest reported end of each worker whose record is awaited. */
+    std::map<WorkerKey, std::int64_t> awaitedEnds_;
     /** Starts whose record was stored while the lease was in doubt or a view too old. */
     std::vector<StartDecision> deferredStarts_;
     std::uint64_t workerCrashes_ = 0;
--- a/src/libfescuecleat/node/poolworkerlinks.cpp
+++ b/src/libfescuecleat/node/poolworkerlinks.cpp
@@ -238,7 +238,8 @@
     };
     listener.isLeaseHeld_ = listener_.isLeaseHeld_;
     listener.isStartWanted_ = listener_.mayStart_;
-    listener.isStartPending_ = [this](const RunId& run) { return listener_.isLeaseHeld_() && scheduler_.isStartPending(run); };
+    // Starts outlast a suspension; they are sent once the lease is held again.
+    listener.isStartPending_ = [this](const RunId& run) { return scheduler_.isStartPending(run); };
     listener.startSent_ = [this](const RunId& run) { scheduler_.startSent(run, bootTimeNow()); };
     listener.startUnanswered_ = [this](const RunId& run) { scheduler_.startUnanswered(run); };
     listener.startAnswered_ = [this, id](const RunId& run, StartAnswer answer) {
--- a/src/libfescuecleat/node/poolworkerlinks.h
+++ b/src/libfescuecleat/node/poolworkerlinks.h
@@ -36,6 +36,8 @@
     PoolWorkerLinks(const NodeContext&, PoolScheduler&, const AcquiredLease&, Listener);
 
     void start() { registry_.start(); }
+    /** Asks for the changes of the registry at once, after an outage of the store. */
+    void refresh() { registry_.refresh(); }
     /** Whether the registry has been read. */
     bool isLoaded() const { return registry_.isLoaded(); }
     /** The registry is known as of this local time or later. */
