node: a feed that always has more changes is as new as the versions it covers

Change: StoreClock keeps the newest versions that answers have shown and when they were asked for; a follower that has read up to a version is at least as new as the newest of these. Ruled out: larger pages, which the store bounds.

--- a/src/libfescuecleat/node/storeclock.cpp
+++ b/src/libfescuecleat/node/storeclock.cpp
@@ -1,6 +1,7 @@
 #include "node/storeclock.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace fescuecleat {
 
@@ -10,6 +11,10 @@
     constexpr double maxStoreClockDriftRatio = 0.02;
     /** The store truncates its clock to whole milliseconds. */
     constexpr Duration clockResolution = std::chrono::milliseconds(1);
+    /** Views older than this permit nothing, so earlier versions need not be known. */
+    constexpr Duration versionMemory = std::chrono::seconds(10);
+    /** Bounds the number of versions that are kept. */
+    constexpr Duration versionSpacing = std::chrono::milliseconds(20);
 
 }
 
@@ -33,6 +38,20 @@
     boundsAt_ = std::max(boundsAt_, now);
     lastAnswerAt_ = std::max(lastAnswerAt_, now);
     isKnown_ = true;
+    const bool isNewer = versions_.empty() || (timestamp.version_ > versions_.back().first && timestamp.askedAt_ >= versions_.back().second + versionSpacing);
+    if (isNewer)
+        versions_.emplace_back(timestamp.version_, timestamp.askedAt_);
+    while (versions_.front().second + versionMemory < now && versions_.size() > 1)
+        versions_.pop_front();
+}
+
+std::optional<Time> StoreClock::asOf(std::uint64_t version) const
+{
+    // An answer shows all changes that were made before it was asked for.
+    const auto later = std::upper_bound(versions_.begin(), versions_.end(), version, [](std::uint64_t value, const auto& entry) { return value < entry.first; });
+    if (later == versions_.begin())
+        return std::nullopt;
+    return std::prev(later)->second;
 }
 
 std::int64_t StoreClock::earliestMs(Time now) const
--- a/src/libfescuecleat/node/storeclock.h
+++ b/src/libfescuecleat/node/storeclock.h
@@ -3,6 +3,9 @@
 #include "node/rowstore.h"
 
 #include <cstdint>
+#include <deque>
+#include <optional>
+#include <utility>
 
 namespace fescuecleat {
 
@@ -23,6 +26,8 @@
     std::int64_t latestMs(Time now) const;
     /** Latest local time that corresponds to a time of the store's clock. */
     Time localTime(std::int64_t storeClockMs, Time now) const;
+    /** A local time before which all changes have at most this version, as recent answers show; nothing if none does. */
+    std::optional<Time> asOf(std::uint64_t version) const;
 
 private:
     /** How far the clocks may have drifted apart since the bounds were computed. */
@@ -34,6 +39,8 @@
     Duration maxOffset_ {};
     Time boundsAt_ {};
     Time lastAnswerAt_ {};
+    /** Newest versions of the store and when they were asked for, both increasing. */
+    std::deque<std::pair<std::uint64_t, Time>> versions_;
 };
 
 }
--- a/src/libfescuecleat/node/tablefollower.cpp
+++ b/src/libfescuecleat/node/tablefollower.cpp
@@ -102,8 +102,9 @@
                 deliver(listener_.changed_, row);
         }
         hasMoreChanges_ = page->hasMore_;
-        if (!hasMoreChanges_)
-            currentAsOf_ = std::max(currentAsOf_, page->timestamp_.askedAt_);
+        // A feed that always has more, as that of thousands of workers, is still as new as the answers that its version covers.
+        const auto asOf = hasMoreChanges_ ? clock_.asOf(version_) : page->timestamp_.askedAt_;
+        currentAsOf_ = std::max(currentAsOf_, asOf.value_or(currentAsOf_));
         handleSuccess(page->timestamp_);
     }));
 }
@@ -119,7 +120,11 @@
 
 void TableFollower::handleSuccess(const StoreTimestamp& timestamp)
 {
-    clock_.observe(timestamp);
+    StoreTimestamp observed = timestamp;
+    // The version of an incomplete page is older than the answer.
+    if (hasMoreChanges_)
+        observed.version_ = 0;
+    clock_.observe(observed);
     failures_ = 0;
     if (!isInContact_) {
         isInContact_ = true;
