tests: findings of the linter

Cause: clang-tidy refuses multiplications that are widened afterwards and vectors that grow in a loop. Change: 64-bit factors and reserved vectors; the tests check the same. Result: built; the fixtures of the pool that it touches pass.

--- a/tests/node/orderhistory.cpp
+++ b/tests/node/orderhistory.cpp
@@ -154,7 +154,7 @@
         if (draws(0.8))
             organisation.policy_.limit_.accelerators_ = std::uniform_int_distribution<>(1, accelerators / 2)(random_);
         if (draws(0.4))
-            organisation.policy_.limit_.cpuMillis_ = std::uniform_int_distribution<>(7, 70)(random_) * 1000;
+            organisation.policy_.limit_.cpuMillis_ = std::uniform_int_distribution<>(7, 70)(random_) * std::int64_t(1000);
         if (draws(0.5))
             organisation.policy_.weight_ = std::uniform_int_distribution<>(1, 4)(random_);
         limits[name] = organisation.policy_.limit_;
--- a/tests/pool/limithistorytest.cpp
+++ b/tests/pool/limithistorytest.cpp
@@ -65,7 +65,7 @@
         step.wantsOneRack_ = draw(0, 3) == 0;
         step.isFiller_ = draw(0, 9) == 0;
         step.savesProgress_ = draw(0, 1) == 0;
-        step.resources_ = { draw(1, 8) * 1000, draw(1, 30) * 1000, draw(0, 4) };
+        step.resources_ = { draw(1, 8) * std::int64_t(1000), draw(1, 30) * std::int64_t(1000), draw(0, 4) };
         step.estimate_ = std::chrono::milliseconds(draw(300, 3000));
         jobs_.push_back(pool_.submit(step, draw(0, 2), organisation()));
     }
--- a/tests/pool/organisationordertest.cpp
+++ b/tests/pool/organisationordertest.cpp
@@ -99,6 +99,7 @@
         pool.scheduler_.setSubmissionWindow(2s);
         pool.scheduler_.setOrganisations({ { "a", weighted(1) }, { "b", weighted(1) } });
         std::vector<std::string> jobs;
+        jobs.reserve(4);
         for (int i = 0; i < 4; ++i)
             jobs.push_back(pool.submit(LimitedPool::step(1, 4), "a"));
         pool.now_ += 10ms;
--- a/tests/pool/overloadordertest.cpp
+++ b/tests/pool/overloadordertest.cpp
@@ -146,6 +146,7 @@
         pool.scheduler().setOverloadOrder(true);
         pool.scheduler().setGuarantees({ { "a", 16 } });
         std::vector<std::string> guaranteed;
+        guaranteed.reserve(2);
         for (int i = 0; i < 40; ++i)
             pool.submit(gangOf(1 + i % 3, 8, 2s), 0, "b");
         for (int i = 0; i < 2; ++i)
--- a/tests/pool/overloadplantest.cpp
+++ b/tests/pool/overloadplantest.cpp
@@ -53,6 +53,7 @@
     void nothingIsPostponedWithinCapacity()
     {
         std::vector<OverloadJob> jobs;
+        jobs.reserve(10);
         for (int i = 0; i < 10; ++i)
             jobs.push_back(jobOf(ordinary, 10s + i * 1s, 1));
         CPPUNIT_ASSERT(planOverload(inputOf(std::move(jobs))).empty());
