tests: count the allocations of stable sorts

Cause: the tests' own operator new lacked the form that doesn't throw, so the address sanitizer reported a mismatch with their operator delete at the first stable sort that takes a buffer. Change: this form is counted and allocated like the other. Result: DeclaredSizeTest passes.

--- a/tests/pool/allocations.cpp
+++ b/tests/pool/allocations.cpp
@@ -22,6 +22,13 @@
     throw std::bad_alloc();
 }
 
+// The temporary buffers of stable sorts are allocated this way and released by the operator below.
+void* operator new(std::size_t size, const std::nothrow_t&) noexcept
+{
+    bytes += size;
+    return std::malloc(size == 0 ? 1 : size);
+}
+
 void operator delete(void* memory) noexcept
 {
     std::free(memory);
