node: versions of feeds don't tell how new other tables are

The version of a feed's answer may be that of its last change, while other tables have later ones; kept by StoreClock, it could make a busy view seem newer than it is. Change: only answers of reads and commits enter StoreClock's versions.

--- a/src/libfescuecleat/node/tablefollower.cpp
+++ b/src/libfescuecleat/node/tablefollower.cpp
@@ -105,7 +105,10 @@
         // A feed that always has more, as that of thousands of workers, is still as new as the answers that its version covers.
         const auto asOf = hasMoreChanges_ ? clock_.asOf(version_) : page->timestamp_.askedAt_;
         currentAsOf_ = std::max(currentAsOf_, asOf.value_or(currentAsOf_));
-        handleSuccess(page->timestamp_);
+        // A feed's version may be that of its last change, and other tables may have later ones.
+        StoreTimestamp timestamp = page->timestamp_;
+        timestamp.version_ = 0;
+        handleSuccess(timestamp);
     }));
 }
 
@@ -120,11 +123,7 @@
 
 void TableFollower::handleSuccess(const StoreTimestamp& timestamp)
 {
-    StoreTimestamp observed = timestamp;
-    // The version of an incomplete page is older than the answer.
-    if (hasMoreChanges_)
-        observed.version_ = 0;
-    clock_.observe(observed);
+    clock_.observe(timestamp);
     failures_ = 0;
     if (!isInContact_) {
         isInContact_ = true;
