Review: a late acknowledgement makes the next boot forget its ends

Cause: a poll acknowledges ends by a number alone, and what it addresses is an id that both boots of a worker share. The stand-ins learn it; ports are taken below the range for connections, and daemons inherit no sockets.

--- a/review/bed-3/bed.cpp
+++ b/review/bed-3/bed.cpp
@@ -16,6 +16,7 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <spawn.h>
 #include <stdexcept>
 #include <sys/socket.h>
@@ -185,6 +186,7 @@
     barred_.clear();
     ends_.clear();
     lastEnd_ = 0;
+    lastReported_ = 0;
     sequence_ = 0;
     start();
     bed_.record("worker " + kind_.id_ + " is up again");
@@ -255,17 +257,56 @@
 void Worker::poll(const PollRequest& request, const AsyncHttpServer::Respond& respond)
 {
     namespace workerserver = fescuecleat::workerserver;
+    if (lostAcknowledgement_ && request.acknowledgedEnds_ >= *lostAcknowledgement_) {
+        bed_.record("a poll that acknowledges ends up to " + std::to_string(request.acknowledgedEnds_) + " gets no answer from " + kind_.id_);
+        lostAcknowledgement_.reset();
+        latePoll_ = request;
+        latePollSentAt_ = bootTimeNow();
+        unanswered_.push_back(respond);
+        return;
+    }
     if (!accepts(request.epoch_))
         return respond(withClock(workerserver::encodePollAnswer(tl::unexpected<WorkerFailure>(WorkerFailure::StaleEpoch)), clockMs()));
     if (request.leaseUntilMs_)
         extendLease(*request.leaseUntilMs_);
-    ends_.erase(std::remove_if(ends_.begin(), ends_.end(), [&request](const ReportedEnd& end) { return end.sequence_ <= request.acknowledgedEnds_; }), ends_.end());
+    forgetEnds(request.acknowledgedEnds_);
     if (!ends_.empty() || request.wait_ <= Duration::zero())
         return respond(withClock(workerserver::encodePollAnswer(report()), clockMs()));
     polls_.push_back({ bootTimeNow() + request.wait_, respond });
 }
 
-PoolWorkerReport Worker::report() const
+void Worker::forgetEnds(std::int64_t upTo)
+{
+    std::vector<ReportedEnd> kept;
+    for (const ReportedEnd& end : ends_) {
+        if (end.sequence_ > upTo) {
+            kept.push_back(end);
+            continue;
+        }
+        for (RunEvent& event : bed_.runs_) {
+            if (event.run_ == end.run_ && event.worker_ == kind_.id_)
+                event.isNoted_ = true;
+        }
+    }
+    ends_ = std::move(kept);
+}
+
+void Worker::carryOutLatePoll()
+{
+    // The pages let an order be carried out 2 to 12 s later.
+    const Time now = bootTimeNow();
+    if (!latePoll_ || isLatePollDone_ || now < latePollSentAt_ + std::chrono::seconds(2) || now > latePollSentAt_ + std::chrono::seconds(12) || lastEnd_ <= lastReported_)
+        return;
+    isLatePollDone_ = true;
+    bed_.record("the poll with the acknowledgement up to " + std::to_string(latePoll_->acknowledgedEnds_) + " is carried out on " + kind_.id_ + " " + std::to_string(wholeMilliseconds(now - latePollSentAt_)) + " ms after it was sent; " + std::to_string(lastEnd_) + " runs have ended in this boot, " + std::to_string(lastReported_) + " of them were reported");
+    if (!accepts(latePoll_->epoch_))
+        return;
+    if (latePoll_->leaseUntilMs_)
+        extendLease(*latePoll_->leaseUntilMs_);
+    forgetEnds(latePoll_->acknowledgedEnds_);
+}
+
+PoolWorkerReport Worker::report()
 {
     PoolWorkerReport report;
     report.startedUnixMs_ = born_;
@@ -279,6 +320,7 @@
         report.running_.push_back({ run.id_, {}, std::clamp(percent, 0, 100) });
     }
     report.ended_ = ends_;
+    lastReported_ = std::max(lastReported_, lastEnd_);
     return report;
 }
 
@@ -404,6 +446,7 @@
     }
     for (const auto& [task, reason] : due)
         end(task, reason);
+    carryOutLatePoll();
     if (isDark_)
         return;
     if (nextHeartbeat_ <= now)
@@ -453,19 +496,23 @@
 
 std::uint16_t Bed::freePort()
 {
-    while (true) {
+    // Below the range from which the system takes ports for connections, so that none takes a port before it is used.
+    constexpr int firstPort = 10000;
+    constexpr int lastPort = 29999;
+    static std::mt19937 random(std::random_device {}());
+    for (int attempt = 0; attempt < 1000; ++attempt) {
+        const auto port = static_cast<std::uint16_t>(std::uniform_int_distribution<int>(firstPort, lastPort)(random));
         const int probe = socket(AF_INET, SOCK_STREAM, 0);
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof(address);
-        const bool isBound = bind(probe, reinterpret_cast<sockaddr*>(&address), size) == 0 && getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size) == 0;
+        address.sin_port = htons(port);
+        const bool isFree = bind(probe, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
         close(probe);
-        if (!isBound)
-            throw std::runtime_error("no free port");
-        if (ports_.insert(ntohs(address.sin_port)).second)
-            return ntohs(address.sin_port);
+        if (isFree && ports_.insert(port).second)
+            return port;
     }
+    throw std::runtime_error("no free port");
 }
 
 void Bed::record(const std::string& line)
@@ -514,6 +561,9 @@
         const std::string variable = "FESCUECLEAT_CONFIG=" + settingsPath;
         char* arguments[] = { const_cast<char*>(program.c_str()), nullptr };
         char* environment[] = { const_cast<char*>(variable.c_str()), nullptr };
+        // Sockets stay with this process, so that a port is free once its worker has crashed.
+        for (int descriptor = 3; descriptor < 4096; ++descriptor)
+            fcntl(descriptor, F_SETFD, FD_CLOEXEC);
         posix_spawn_file_actions_t actions;
         posix_spawn_file_actions_init(&actions);
         posix_spawn_file_actions_addopen(&actions, 1, logPath.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
@@ -601,14 +651,18 @@
 
 std::optional<PoolJobState> Bed::stateOf(std::size_t daemon, const std::string& job)
 {
-    std::optional<std::pair<int, std::string>> result;
-    askState(daemon, job, [&](int status, const std::string& body) { result = { status, body }; });
-    runUntil(callTimeout + std::chrono::seconds(1), [&] { return result.has_value(); });
-    record("GET of job " + job + " is answered " + std::to_string(result ? result->first : 0) + " " + (result ? result->second : ""));
-    if (!result || result->first != 200)
-        return std::nullopt;
-    const auto state = callerrequests::decodeState(result->second);
-    return state ? std::make_optional(*state) : std::nullopt;
+    // An idle connection may have been closed, so a call without an answer is sent once more.
+    for (int i = 0; i < 2; ++i) {
+        std::optional<std::pair<int, std::string>> result;
+        askState(daemon, job, [&](int status, const std::string& body) { result = { status, body }; });
+        runUntil(callTimeout + std::chrono::seconds(1), [&] { return result.has_value(); });
+        record("GET of job " + job + " is answered " + std::to_string(result ? result->first : 0) + " " + (result ? result->second : ""));
+        if (!result || result->first != 200)
+            continue;
+        const auto state = callerrequests::decodeState(result->second);
+        return state ? std::make_optional(*state) : std::nullopt;
+    }
+    return std::nullopt;
 }
 
 bool Bed::hasBegun(const std::string& job) const
--- a/review/bed-3/bed.h
+++ b/review/bed-3/bed.h
@@ -44,6 +44,8 @@
     std::optional<Time> endedAt_;
     /** How it ended; `lost` if its worker crashed. */
     std::string how_;
+    /** An acknowledgement has reached its end, so that the worker has forgotten it. */
+    bool isNoted_ = false;
 };
 
 class Bed;
@@ -77,6 +79,10 @@
 
     /** Ends runs before their time. */
     void endRuns(const std::function<bool(const RunId&)>& isMeant, EndReason);
+    /** A call that gets no answer may be carried out seconds later: loses the next poll with this acknowledgement. */
+    void loseNextPoll(std::int64_t acknowledgedEnds) { lostAcknowledgement_ = acknowledgedEnds; }
+    bool hasLostPoll() const { return latePoll_.has_value(); }
+    bool hasCarriedOutLatePoll() const { return isLatePollDone_; }
     void endGangMember(const RunId&, EndReason);
     void gangComplete(const RunId&, Time endsAt);
 
@@ -103,9 +109,11 @@
     bool accepts(std::int64_t epoch);
     void extendLease(std::int64_t untilMs);
     std::int64_t clockMs() const;
-    PoolWorkerReport report() const;
+    PoolWorkerReport report();
     void end(const TaskId&, EndReason);
     void answerPolls(bool all);
+    void forgetEnds(std::int64_t upTo);
+    void carryOutLatePoll();
 
     Bed& bed_;
     Kind kind_;
@@ -124,6 +132,12 @@
     std::map<TaskId, int> barred_;
     std::vector<ReportedEnd> ends_;
     std::int64_t lastEnd_ = 0;
+    /** The last end that was in an answer. */
+    std::int64_t lastReported_ = 0;
+    std::optional<std::int64_t> lostAcknowledgement_;
+    std::optional<PollRequest> latePoll_;
+    Time latePollSentAt_ {};
+    bool isLatePollDone_ = false;
     std::uint64_t sequence_ = 0;
     Time nextHeartbeat_ {};
     Time lastHeartbeat_ {};
--- a/review/bed-3/cases.cpp
+++ b/review/bed-3/cases.cpp
@@ -135,75 +135,6 @@
     return wrong > 0 ? bed.finish(broken, "MIXED broken: " + result) : bed.finish(held, "held: " + result);
 }
 
-/**
- * The tasks of two jobs that last fail soon after each start, as a task that lasts may at any time. A gang that was
- * accepted has to begin all the same, as the workers are sound and almost idle.
- */
-int failingLastingTasks(Bed& bed)
-{
-    constexpr int workers = 6;
-    constexpr Duration finish = seconds(14);
-    constexpr Duration span = seconds(3);
-    bool fails = false;
-    bed.behaviour_ = [&fails](const RunId&, const std::string& payload) {
-        if (payload == "gang")
-            return Behaviour { seconds(2), EndReason::Done, 2 };
-        if (fails)
-            return Behaviour { milliseconds(600), EndReason::Failed, 1 };
-        return Behaviour { std::nullopt, EndReason::Done, 1 };
-    };
-    addWorkers(bed, workers, 3);
-    bed.setConfiguration(configuration());
-    bed.startDaemons(2);
-    if (!settle(bed))
-        return bed.finish(notRun, "the daemons did not become ready");
-    for (int i = 1; i <= 2; ++i) {
-        PoolJobSpec lasting = job("lasting", 3, 1, seconds(10));
-        lasting.steps_[0].isLongRunning_ = true;
-        lasting.steps_[0].maxTasksPerWorker_ = 1;
-        if (!bed.submitAndWait(jobId(i), lasting))
-            return bed.finish(notRun, "a job was not accepted");
-    }
-    bed.runUntil(seconds(6));
-    if (hasTrouble()) {
-        bed.record("from now on, tasks of the jobs that last fail 0.6 s after their start");
-        fails = true;
-        for (const auto& worker : bed.workers())
-            worker->endRuns([](const RunId&) { return true; }, EndReason::Failed);
-    }
-    bed.runUntil(seconds(12));
-    const std::string gang = jobId(100);
-    PoolJobSpec spec = job("gang", 2, 1, seconds(2));
-    spec.steps_[0].isGang_ = true;
-    if (!bed.submitAndWait(gang, spec))
-        return bed.finish(notRun, "the gang was not accepted");
-    const Time acceptedAt = bootTimeNow();
-    // The last request of the traffic was that one. Observed until three spans after the time to finish have passed.
-    Time idleSince = acceptedAt + finish;
-    Duration longest {};
-    while (bootTimeNow() < acceptedAt + finish + seconds(20)) {
-        bed.runUntil(milliseconds(50));
-        const Time now = bootTimeNow();
-        // Each of its tasks holds one accelerator.
-        std::size_t used = 0;
-        for (const auto& worker : bed.workers())
-            used += worker->runCount();
-        const bool isRunning = bed.workerOf(gang) != nullptr;
-        const bool isDone = std::any_of(bed.runs().begin(), bed.runs().end(), [&](const RunEvent& event) { return event.run_.task_.job_ == gang && event.how_ == "done"; });
-        // A gang of two needs 2 of 48 accelerators; at most 6 tasks that last hold one each.
-        const bool hasRoom = used * 2 < workers * 8 && workers * 8 - used >= 4 * 2;
-        if (isDone)
-            break;
-        if (isRunning || !hasRoom)
-            idleSince = now;
-        longest = std::max<Duration>(longest, now - std::min(now, idleSince));
-    }
-    const auto state = bed.stateOf(0, gang);
-    const bool isComplete = state == PoolJobState::Completed;
-    const std::string result = "after the time to finish, the gang had nothing running for " + std::to_string(wholeMilliseconds(longest)) + " ms on end beside idle workers" + (isComplete ? "; it is completed" : "");
-    return longest >= span ? bed.finish(broken, "LOST broken: " + result) : bed.finish(held, "held: " + result);
-}
-
 /**
  * Small tasks that last hold one accelerator of most workers. Two jobs take the two idle workers, and a third one that
  * needs a whole worker waits for them. When they have ended, it has to begin.
@@ -260,6 +191,116 @@
     return longest >= span ? bed.finish(broken, "LOST broken: " + result) : bed.finish(held, "held: " + result);
 }
 
+/**
+ * Small tasks that last hold one accelerator of most workers, and a task that lasts holds a whole one. That worker is
+ * lost for good, and the task has to be started again; two workers are idle.
+ */
+int lostLastingTask(Bed& bed)
+{
+    constexpr int workers = 11;
+    constexpr Duration span = seconds(9); // 3 s, from 6 s after its last run
+    bed.behaviour_ = [](const RunId&, const std::string&) { return Behaviour { std::nullopt, EndReason::Done, 1 }; };
+    addWorkers(bed, workers, 5);
+    bed.setConfiguration(configuration(1, 1.5, milliseconds(250)));
+    bed.startDaemons(2);
+    if (!settle(bed))
+        return bed.finish(notRun, "the daemons did not become ready");
+    PoolJobSpec small = job("small", 8, 1, seconds(1));
+    small.steps_[0].isLongRunning_ = true;
+    small.steps_[0].maxTasksPerWorker_ = 1;
+    PoolJobSpec whole = job("whole", 1, 8, seconds(1));
+    whole.steps_[0].isLongRunning_ = true;
+    const std::string lasting = jobId(100);
+    if (!bed.submitAndWait(jobId(1), small) || !bed.submitAndWait(lasting, whole))
+        return bed.finish(notRun, "a job was not accepted");
+    const auto idle = [&bed] { return std::count_if(bed.workers().begin(), bed.workers().end(), [](const auto& worker) { return worker->isIdle(); }); };
+    const auto soundAndIdle = [&bed] { return std::count_if(bed.workers().begin(), bed.workers().end(), [](const auto& worker) { return worker->isSound() && worker->isIdle(); }); };
+    if (!bed.runUntil(seconds(10), [&] { return idle() == 2 && bed.workerOf(lasting) != nullptr; }))
+        return bed.finish(notRun, "the tasks that last did not begin");
+    bed.runUntil(seconds(15));
+    if (hasTrouble())
+        bed.workerOf(lasting)->crash();
+    Time lastRunAt = bootTimeNow();
+    Duration longest {};
+    const Time until = lastRunAt + seconds(40);
+    while (bootTimeNow() < until) {
+        bed.runUntil(milliseconds(50));
+        const Time now = bootTimeNow();
+        // Two workers are idle: room for the task twice over.
+        if (bed.workerOf(lasting) != nullptr || soundAndIdle() < 2)
+            lastRunAt = now;
+        longest = std::max<Duration>(longest, now - lastRunAt);
+    }
+    bed.stateOf(0, lasting);
+    const std::string result = "the task that lasts had nothing running for " + std::to_string(wholeMilliseconds(longest)) + " ms on end beside two idle workers";
+    return longest >= span ? bed.finish(broken, "LOST broken: " + result) : bed.finish(held, "held: " + result);
+}
+
+/**
+ * A poll that acknowledges ends gets no answer. Its worker restarts under its id and runs further tasks; then the poll is
+ * carried out, and the worker forgets ends that it has not reported yet. None of these tasks may be started again.
+ */
+int lateAcknowledgement(Bed& bed)
+{
+    constexpr int tasks = 8;
+    // The tasks of a job end together, as those of one size that began together.
+    bed.behaviour_ = [](const RunId&, const std::string&) {
+        const std::int64_t nowMs = wholeMilliseconds(bootTimeNow().time_since_epoch());
+        return Behaviour { milliseconds(1000 - nowMs % 500), EndReason::Done, 1 };
+    };
+    addWorkers(bed, 11, 4);
+    bed.addWorker({ "w12", "m12", "b", "r2", { 64000, 262144, 8 } });
+    Worker& worker = *bed.workers().back();
+    bed.setConfiguration(configuration());
+    // As on the sheets: a transaction takes 5 ms.
+    bed.store_.setCommitDelay(milliseconds(5));
+    bed.startDaemons(2);
+    if (!settle(bed))
+        return bed.finish(notRun, "the daemons did not become ready");
+    PoolJobSpec spec = job("short", tasks, 1, seconds(1));
+    spec.steps_[0].requiredLabel_ = "b";
+    const auto doneTasks = [&bed](const std::string& id) {
+        std::set<TaskId> done;
+        for (const RunEvent& event : bed.runs()) {
+            if (event.run_.task_.job_ == id && event.how_ == "done")
+                done.insert(event.run_.task_);
+        }
+        return done.size();
+    };
+    if (hasTrouble())
+        worker.loseNextPoll(tasks);
+    if (!bed.submitAndWait(jobId(1), spec) || !bed.runUntil(seconds(10), [&] { return doneTasks(jobId(1)) == tasks; }))
+        return bed.finish(notRun, "the first job was not done");
+    if (hasTrouble()) {
+        if (!bed.runUntil(seconds(3), [&] { return worker.hasLostPoll(); }))
+            return bed.finish(notRun, "no poll with that acknowledgement came");
+        bed.runUntil(milliseconds(200));
+        worker.crash();
+        bed.runUntil(milliseconds(500));
+        worker.restart();
+    }
+    bed.runUntil(milliseconds(1500));
+    for (int i = 2; i <= 6; ++i) {
+        if (!bed.submitAndWait(jobId(i), spec) || !bed.runUntil(seconds(15), [&] { return doneTasks(jobId(i)) == tasks; }))
+            return bed.finish(notRun, "a later job was not done");
+        if (worker.hasCarriedOutLatePoll())
+            break;
+    }
+    if (hasTrouble() && !worker.hasCarriedOutLatePoll())
+        return bed.finish(notRun, "the poll was not carried out");
+    bed.runUntil(seconds(10));
+    // Started again after a run has ended done, with the end taken note of, on a worker that was up with its lease.
+    std::set<TaskId> again;
+    for (const RunEvent& ended : bed.runs()) {
+        for (const RunEvent& later : bed.runs()) {
+            if (ended.how_ == "done" && ended.isNoted_ && later.run_.task_ == ended.run_.task_ && later.startedAt_ > *ended.endedAt_)
+                again.insert(ended.run_.task_);
+        }
+    }
+    const std::string result = std::to_string(again.size()) + " tasks were started again after a run had ended done and its end had been taken note of";
+    return again.empty() ? bed.finish(held, "held: " + result) : bed.finish(broken, "TWICE broken: " + result);
+}
+
 /**
  * A gang is accepted that no set of workers can ever hold, as a hopeless job. A small job that is accepted after it has
  * to begin all the same.
@@ -306,8 +347,10 @@
         const std::string name = argv[1];
         if (name == "waiting-count")
             return waitingCount(bed);
-        if (name == "failing-lasting-tasks")
-            return failingLastingTasks(bed);
+        if (name == "lost-lasting-task")
+            return lostLastingTask(bed);
+        if (name == "late-acknowledgement")
+            return lateAcknowledgement(bed);
         if (name == "job-behind-others")
             return jobBehindOthers(bed);
         if (name == "job-behind-hopeless-gang")
