pool: headroom opens to work that finds no room elsewhere

Cause: a fifth of the workers, idle ones, are headroom for urgent jobs. Work past its credit got them only if it would not fit on the other workers at all, which was decided by their whole capacity. Tasks that last hold a part of it for good. Jobs that last "expired" too, by the estimate of one task; jobs in time waited until just before their latest start, which may be minutes away in an idle pool; and the headroom's share was taken of all known workers, so that it could be all that were left.

Ruled out: opening the headroom to all work past its credit. In an overload, that work would take what urgent jobs need first.

Change: a unit that finds no room elsewhere may use the headroom if tasks that last keep it from the other workers, if less than half of the service's capacity is in use, if it lasts itself, or 12 s past its credit. Jobs that last don't expire. The share is taken of workers that take work.

--- a/src/libfescuecleat/pool/job.cpp
+++ b/src/libfescuecleat/pool/job.cpp
@@ -35,9 +35,14 @@
     return widest;
 }
 
+bool Job::isLasting() const
+{
+    return std::any_of(spec_.steps_.begin(), spec_.steps_.end(), [](const StepSpec& step) { return step.isLongRunning_; });
+}
+
 bool Job::hasTarget() const
 {
-    return !spec_.isTimed() && std::none_of(spec_.steps_.begin(), spec_.steps_.end(), [](const StepSpec& step) { return step.isLongRunning_; });
+    return !spec_.isTimed() && !isLasting();
 }
 
 bool Job::isSuspect() const
--- a/src/libfescuecleat/pool/job.h
+++ b/src/libfescuecleat/pool/job.h
@@ -43,6 +43,8 @@
     TaskCrashes crashesOf(const TaskId&) const;
     /** Whether the job has a completion to be in time for: it neither recurs nor runs until it is cancelled. */
     bool hasTarget() const;
+    /** Whether a step runs until the job is cancelled. */
+    bool isLasting() const;
     bool isOpen() const { return !isFinal(state_); }
     /** Length of the longest chain of dependent steps, from their estimates. */
     Duration criticalPath() const;
--- a/src/libfescuecleat/pool/placementrequest.h
+++ b/src/libfescuecleat/pool/placementrequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/time.h"
 #include "pool/pooljobspec.h"
 #include "pool/taskid.h"
 #include "pool/workerinfo.h"
@@ -23,6 +24,7 @@
     /** A task of the unit. */
     TaskId task_;
     int taskCount_ = 1;
+    Time waitingSince_ {};
     /** Tasks of the step that are already placed, per worker; filled only if the step limits tasks per worker. */
     std::map<WorkerKey, int> placedTasks_;
     /** Ids of workers that are used only if no others fit. */
--- a/src/libfescuecleat/pool/placementview.cpp
+++ b/src/libfescuecleat/pool/placementview.cpp
@@ -7,6 +7,9 @@
 namespace {
 
     /** A reservation of projected capacity can exceed the free capacity. */
+    /** Any number of tasks that need nothing fit on a worker. */
+    constexpr std::int64_t maxAttainableTasks = 1 << 20;
+
     Resources nonNegative(const Resources& resources)
     {
         return { std::max<std::int64_t>(0, resources.cpuMillis_), std::max<std::int64_t>(0, resources.memoryMb_), std::max<std::int64_t>(0, resources.accelerators_) };
@@ -49,11 +52,14 @@
         Rack& rack = racks_[known->second];
         const Resources free = info.capacity_ - worker.used_ - worker.unrecorded_;
         const Resources projected = free + worker.stopping_;
+        ServiceLoad& load = serviceLoads_[info.service_];
+        load.capacity_ += info.capacity_.weightInCores();
+        load.used_ += (info.capacity_ - free).weightInCores();
         rack.workers_.push_back(entries_.size());
         rack.free_ += nonNegative(free);
         rack.projected_ += nonNegative(projected);
         entryIndexes_[&worker] = entries_.size();
-        entries_.push_back({ &worker, free, projected, known->second, worker.health_.isAvoided(now) });
+        entries_.push_back({ &worker, free, projected, info.capacity_ - worker.lasting_, known->second, worker.health_.isAvoided(now) });
         entries_.back().isOnProbation_ = worker.health_.isOnProbation(now);
     }
 }
@@ -231,8 +237,10 @@
 void PlacementView::reserve(const Placement& placement, const Resources& each)
 {
     const Resources delta = Resources {} - each;
-    for (const PoolWorkerState* worker : placement)
+    for (const PoolWorkerState* worker : placement) {
         adjustCapacity(entries_[entryIndexes_.at(worker)], delta, delta);
+        serviceLoads_[worker->info_.service_].used_ += each.weightInCores();
+    }
 }
 
 void PlacementView::addProjected(const PoolWorkerState* worker, const Resources& resources)
@@ -326,19 +334,56 @@
     return known->second >= request.taskCount_;
 }
 
-bool PlacementView::fitsOutsideHeadroom(const PlacementRequest& request) const
+std::int64_t PlacementView::countAttainableTasks(const WorkerEntry& entry, const PlacementRequest& request) const
 {
     const StepSpec& step = *request.step_;
-    std::int64_t missing = request.taskCount_;
-    for (const WorkerEntry& entry : entries_) {
-        if (entry.isHeadroom_ || !isEligible(entry.worker_->info_, step, *request.service_))
-            continue;
-        const std::int64_t limit = step.maxTasksPerWorker_ > 0 ? std::min<std::int64_t>(missing, step.maxTasksPerWorker_) : missing;
-        missing -= entry.worker_->info_.capacity_.countFitting(step.allocation(), limit);
-        if (missing <= 0)
-            return true;
+    if (!isEligible(entry.worker_->info_, step, *request.service_))
+        return 0;
+    std::int64_t limit = maxAttainableTasks;
+    if (step.maxTasksPerWorker_ > 0) {
+        // Other tasks of the step end, unless they last.
+        const auto placed = request.placedTasks_.find(entry.worker_->info_.key_);
+        const bool isTaken = step.isLongRunning_ && placed != request.placedTasks_.end();
+        limit = step.maxTasksPerWorker_ - (isTaken ? placed->second : 0);
+    }
+    // Workers on probation take single tasks only.
+    if (limit <= 0 || (entry.isOnProbation_ && request.taskCount_ > 1))
+        return 0;
+    return entry.attainable_.countFitting(step.allocation(), limit);
+}
+
+PlacementView::AttainableTasks PlacementView::attainableTasks(const PlacementRequest& request) const
+{
+    const bool dependsOnPlacedTasks = request.step_->isLongRunning_ && !request.placedTasks_.empty();
+    const auto key = std::make_tuple(shapeOf(request), request.step_->maxTasksPerWorker_, request.taskCount_ > 1);
+    const auto known = dependsOnPlacedTasks ? attainableTasks_.end() : attainableTasks_.find(key);
+    if (known != attainableTasks_.end())
+        return known->second;
+    AttainableTasks result;
+    for (const Rack& rack : racks_) {
+        std::int64_t outsideHeadroom = 0;
+        for (const std::size_t index : rack.workers_) {
+            if (!entries_[index].isHeadroom_)
+                outsideHeadroom += countAttainableTasks(entries_[index], request);
+        }
+        result.outsideHeadroom_ += outsideHeadroom;
+        result.outsideHeadroomInOneRack_ = std::max(result.outsideHeadroomInOneRack_, outsideHeadroom);
     }
-    return false;
+    if (!dependsOnPlacedTasks)
+        attainableTasks_.emplace(key, result);
+    return result;
+}
+
+bool PlacementView::fitsOutsideHeadroom(const PlacementRequest& request) const
+{
+    const AttainableTasks tasks = attainableTasks(request);
+    return request.taskCount_ <= (request.needsOneRack() ? tasks.outsideHeadroomInOneRack_ : tasks.outsideHeadroom_);
+}
+
+bool PlacementView::isLightlyUsed(const std::string& service) const
+{
+    const auto load = serviceLoads_.find(service);
+    return load != serviceLoads_.end() && load->second.used_ < load->second.capacity_ / 2;
 }
 
 }
--- a/src/libfescuecleat/pool/placementview.h
+++ b/src/libfescuecleat/pool/placementview.h
@@ -31,6 +31,8 @@
         PoolWorkerState* worker_;
         Resources free_;
         Resources projected_;
+        /** Capacity that is free once all runs that end by themselves have ended. */
+        Resources attainable_;
         /** Index of the rack. */
         std::size_t rack_;
         bool isAvoided_;
@@ -70,8 +72,10 @@
     std::int64_t countFittingTasks(const WorkerEntry&, const PlacementRequest&, const Resources& available, std::int64_t limit) const;
     /** Whether the request would fit into an empty rack. */
     bool fitsEmptyRack(const PlacementRequest&) const;
-    /** Whether the request would fit on empty workers without the headroom. */
+    /** Whether the request would fit outside the headroom once all runs that end by themselves have ended. */
     bool fitsOutsideHeadroom(const PlacementRequest&) const;
+    /** Whether less than half of the capacity of the workers of a service is in use. */
+    bool isLightlyUsed(const std::string& service) const;
 
     const std::vector<WorkerEntry>& entries() const { return entries_; }
     const std::vector<Rack>& racks() const { return racks_; }
@@ -81,10 +85,25 @@
     std::int64_t maxWorkerAccelerators() const { return maxWorkerAccelerators_; }
 
 private:
+    /** Sums over the workers of a service, in cores. */
+    struct ServiceLoad {
+        double capacity_ = 0;
+        double used_ = 0;
+    };
+
     /** Requirements that decide whether a request fits, apart from the number of its tasks. */
     using Shape = std::tuple<std::int64_t, std::int64_t, std::int64_t, bool, bool, std::string, std::string>;
 
+    /** Tasks of a request that all workers together could hold once all runs that end by themselves have ended. */
+    struct AttainableTasks {
+        std::int64_t outsideHeadroom_ = 0;
+        std::int64_t outsideHeadroomInOneRack_ = 0;
+    };
+
     bool isAvoided(const WorkerEntry&, const PlacementRequest&) const;
+    /** Number of tasks that a worker could hold once all runs that end by themselves have ended. */
+    std::int64_t countAttainableTasks(const WorkerEntry&, const PlacementRequest&) const;
+    AttainableTasks attainableTasks(const PlacementRequest&) const;
     static Shape shapeOf(const PlacementRequest&);
     std::optional<Placement> findSingle(const PlacementRequest&, CapacityKind) const;
     std::optional<Placement> findGang(const PlacementRequest&, CapacityKind, bool allowAvoided) const;
@@ -96,6 +115,7 @@
     std::vector<WorkerEntry> entries_;
     std::vector<Rack> racks_;
     std::unordered_map<const PoolWorkerState*, std::size_t> entryIndexes_;
+    std::map<std::string, ServiceLoad> serviceLoads_;
     std::int64_t maxWorkerAccelerators_ = 1;
     /** Smallest number of tasks that didn't fit, by shape. Free capacity only shrinks during a pass. */
     mutable std::map<Shape, int> unplaceableFree_;
@@ -103,6 +123,8 @@
     mutable std::map<Shape, int> unplaceableProjected_;
     /** Most tasks that an empty rack holds, by shape. */
     mutable std::map<Shape, std::int64_t> emptyRackCounts_;
+    /** By shape, limit of tasks for each worker, and whether it is a gang. Headroom is marked before the first request. */
+    mutable std::map<std::tuple<Shape, int, bool>, AttainableTasks> attainableTasks_;
 };
 
 }
--- a/src/libfescuecleat/pool/pooljobspec.h
+++ b/src/libfescuecleat/pool/pooljobspec.h
@@ -39,11 +39,7 @@
     std::string image_;
 
     /** Cores of one task, with its accelerators counted as cores of the same value. */
-    double weightInCores() const
-    {
-        constexpr double coresPerAccelerator = 8;
-        return static_cast<double>(resources_.cpuMillis_) / 1000 + coresPerAccelerator * static_cast<double>(resources_.accelerators_);
-    }
+    double weightInCores() const { return resources_.weightInCores(); }
 
     /** Resources that one task occupies on a worker. */
     Resources allocation() const
--- a/src/libfescuecleat/pool/poolstate.cpp
+++ b/src/libfescuecleat/pool/poolstate.cpp
@@ -80,6 +80,7 @@
         workers[i]->health_.runStarted(now);
         taskRun.resources_ = allocation;
         taskRun.unit_ = id;
+        taskRun.isLasting_ = job.step(unit).isLongRunning_;
         taskRun.startedAt_ = now;
         addRun(run, taskRun, job);
         decisions_.starts_.push_back({ run, taskRun.worker_, unit.checkpoint_ });
@@ -92,7 +93,7 @@
 void PoolState::addRun(const RunId& run, const TaskRun& taskRun, Job& job)
 {
     PoolWorkerState& worker = workers_[taskRun.worker_];
-    worker.used_ += taskRun.resources_;
+    worker.addAllocation(taskRun);
     worker.runs_.insert(run);
     if (!taskRun.hasSurvivedStart_) {
         worker.startingRuns_.insert(run);
@@ -111,28 +112,24 @@
 {
     if (taskRun.phase_ == RunPhase::Stopping)
         return;
+    PoolWorkerState* const worker = findWorker(taskRun.worker_);
+    if (worker != nullptr)
+        worker->removeAllocation(taskRun);
     taskRun.phase_ = RunPhase::Stopping;
     taskRun.acknowledgedAt_.reset();
     taskRun.stopRequestedAt_ = now;
-    if (PoolWorkerState* worker = findWorker(taskRun.worker_))
-        worker->stopping_ += taskRun.resources_;
+    if (worker != nullptr)
+        worker->addAllocation(taskRun);
     decisions_.stops_.push_back({ run, taskRun.worker_, cause });
 }
 
 void PoolState::rebindRun(const RunId& run, TaskRun& taskRun, const WorkerKey& key, Time now)
 {
-    const auto move = [&](PoolWorkerState& worker, bool isAdded) {
-        const Resources none;
-        const Resources allocation = isAdded ? taskRun.resources_ : none - taskRun.resources_;
-        worker.used_ += allocation;
-        if (taskRun.phase_ == RunPhase::Stopping)
-            worker.stopping_ += allocation;
-    };
     Job* const job = findJob(run.task_.job_);
     if (job != nullptr)
         job->unit(taskRun.unit_).confirmedAt_.reset();
     if (PoolWorkerState* former = findWorker(taskRun.worker_)) {
-        move(*former, false);
+        former->removeAllocation(taskRun);
         former->runs_.erase(run);
         former->startingRuns_.erase(run);
         former->probes_.erase(run);
@@ -141,7 +138,7 @@
     taskRun.hasSurvivedStart_ = false;
     taskRun.startConfirmedAt_.reset();
     PoolWorkerState& current = workers_[key];
-    move(current, true);
+    current.addAllocation(taskRun);
     current.runs_.insert(run);
     current.startingRuns_.insert(run);
     if (job != nullptr && job->unit(taskRun.unit_).isSuspect())
@@ -188,9 +185,7 @@
     const TaskRun taskRun = entry->second;
     runs_.erase(entry);
     if (PoolWorkerState* worker = findWorker(taskRun.worker_)) {
-        worker->used_ -= taskRun.resources_;
-        if (taskRun.phase_ == RunPhase::Stopping)
-            worker->stopping_ -= taskRun.resources_;
+        worker->removeAllocation(taskRun);
         worker->runs_.erase(run);
         worker->startingRuns_.erase(run);
         worker->probes_.erase(run);
--- a/src/libfescuecleat/pool/poolworkerstate.h
+++ b/src/libfescuecleat/pool/poolworkerstate.h
@@ -2,6 +2,7 @@
 
 #include "base/time.h"
 #include "pool/taskid.h"
+#include "pool/taskrun.h"
 #include "pool/workerhealth.h"
 #include "pool/workerinfo.h"
 
@@ -27,6 +28,8 @@
     Resources used_;
     /** The part of `used_` that is being stopped. */
     Resources stopping_;
+    /** The part of `used_` by tasks that run until their job is cancelled, except those being stopped. */
+    Resources lasting_;
     /** Runs that the last report listed and the scheduler has no record of. */
     std::vector<RunId> unrecordedRuns_;
     /** Resources of these runs. */
@@ -46,6 +49,10 @@
     /** Earliest time at which a draining worker may be gone. */
     Time leavesAt_ {};
 
+    /** Adds what a run occupies. */
+    void addAllocation(const TaskRun&);
+    /** Reverts addAllocation(). */
+    void removeAllocation(const TaskRun&);
     /** The machine that the worker runs on, or the worker if the registry doesn't tell. */
     const std::string& machine() const { return info_.machine_.empty() ? info_.key_.id_ : info_.machine_; }
     /** Whether the worker is known, stays, and is in a data centre that takes new work. */
--- a/src/libfescuecleat/pool/resources.h
+++ b/src/libfescuecleat/pool/resources.h
@@ -30,6 +30,12 @@
         accelerators_ -= other.accelerators_;
         return *this;
     }
+    /** An accelerator is worth as much as 8 cores. */
+    double weightInCores() const
+    {
+        constexpr double coresPerAccelerator = 8;
+        return static_cast<double>(cpuMillis_) / 1000 + coresPerAccelerator * static_cast<double>(accelerators_);
+    }
     bool operator==(const Resources& other) const
     {
         return std::tie(cpuMillis_, memoryMb_, accelerators_) == std::tie(other.cpuMillis_, other.memoryMb_, other.accelerators_);
--- a/src/libfescuecleat/pool/schedulingpass.cpp
+++ b/src/libfescuecleat/pool/schedulingpass.cpp
@@ -19,6 +19,8 @@
     constexpr double maxHeadroomShare = 0.2;
     /** Ordinary units may use the headroom when their latest start is nearer than this. */
     constexpr Duration headroomStartMargin = std::chrono::seconds(3);
+    /** Longest wait for room outside the headroom past the credit of a job; urgent demand rises and falls within this time. */
+    constexpr Duration maxHeadroomWait = std::chrono::seconds(12);
     /** A task that may crash its worker waits this long for one on which nothing else is starting. */
     constexpr Duration maxProbeWait = std::chrono::seconds(2);
     /** Share of the racks that may be reserved for waiting gangs. */
@@ -208,7 +210,7 @@
     state_.urgentDemand_.observe(state_.urgentAccelerators_, now_);
     const std::int64_t perWorker = view_.maxWorkerAccelerators();
     const auto rise = static_cast<std::size_t>((state_.urgentDemand_.expectedRise() + perWorker - 1) / perWorker);
-    const auto maxWorkers = static_cast<std::size_t>(maxHeadroomShare * static_cast<double>(state_.workers_.size()));
+    const auto maxWorkers = static_cast<std::size_t>(maxHeadroomShare * static_cast<double>(view_.entries().size()));
     view_.reserveHeadroom(std::min(rise + baseHeadroomWorkers, maxWorkers), std::exchange(state_.headroom_, {}));
 }
 
@@ -236,7 +238,8 @@
         }
         organisations.insert(job.policy_.organisation_);
         const int rank = rankOf(job);
-        const bool isExpired = now_ > job.creditExpiry_;
+        // Work that lasts earns for as long as it runs.
+        const bool isExpired = now_ > job.creditExpiry_ && !job.isLasting();
         for (auto& [latestStart, steps] : stepsByLatestStart)
             result.push_back({ &job, std::move(steps), rank, isExpired, isBehind(job, rank, latestStart), latestStart });
     }
@@ -281,32 +284,43 @@
     request.service_ = &job.policy_.service_;
     request.task_ = { job.id_, unit.occurrence_, unit.step_, unit.index_ };
     request.taskCount_ = job.progress_.step(unit.step_).taskCount();
-    const Time waitingSince = started == nullptr ? job.progress_.readySince(unit) : started->waitingSince_;
+    request.waitingSince_ = started == nullptr ? job.progress_.readySince(unit) : started->waitingSince_;
     if (started != nullptr) {
         request.avoidedWorkers_ = &started->failedOn_;
         for (const auto& [index, crashes] : started->crashes_)
             request.avoidedMachines_.insert(crashes.machines_.begin(), crashes.machines_.end());
-        request.isProbe_ = started->isSuspect() && now_ < waitingSince + maxProbeWait;
+        request.isProbe_ = started->isSuspect() && now_ < request.waitingSince_ + maxProbeWait;
     }
-    request.maySpanRacks_ = !shouldWaitForRack(candidate, waitingSince, request);
+    request.maySpanRacks_ = !shouldWaitForRack(candidate, request);
     // Tasks that save their progress leave the headroom at almost no cost.
-    request.mayUseHeadroom_ = candidate.rank_ <= Urgent || request.step_->savesProgress_ || (!candidate.isExpired_ && candidate.latestStart_ - headroomStartMargin < now_);
-    // The headroom is chosen whatever the workers are, and an expired unit has no time at which it takes it anyway.
-    if (!request.mayUseHeadroom_ && candidate.isExpired_)
-        request.mayUseHeadroom_ = !view_.fitsOutsideHeadroom(request);
+    const bool isDue = !candidate.isExpired_ && !request.step_->isLongRunning_ && candidate.latestStart_ - headroomStartMargin < now_;
+    request.mayUseHeadroom_ = candidate.rank_ <= Urgent || request.step_->savesProgress_ || isDue;
     return request;
 }
 
-bool SchedulingPass::shouldWaitForRack(const Candidate& candidate, Time waitingSince, const PlacementRequest& request) const
+bool SchedulingPass::isHeadroomOpen(const Candidate& candidate, const PlacementRequest& request) const
+{
+    if (request.mayUseHeadroom_)
+        return false;
+    // Tasks that last have no latest start before which they could wait.
+    if (request.step_->isLongRunning_)
+        return true;
+    if (candidate.isExpired_ && now_ > std::max(candidate.job_->creditExpiry_, request.waitingSince_) + maxHeadroomWait)
+        return true;
+    // Without load, what keeps the unit from the other workers is fragmentation, which no end of other work need change.
+    return view_.isLightlyUsed(*request.service_) || !view_.fitsOutsideHeadroom(request);
+}
+
+bool SchedulingPass::shouldWaitForRack(const Candidate& candidate, const PlacementRequest& request) const
 {
     if (!request.step_->wantsOneRack_ || !view_.fitsEmptyRack(request))
         return false;
     const auto rackWait = std::chrono::duration_cast<Duration>(state_.guaranteeLimit_ * rackWaitShare);
-    const Time timeoutAt = waitingSince + (state_.stopCosts_ ? std::min<Duration>(rackWait, state_.guaranteeLimit_ - state_.stopCosts_->leadTime()) : rackWait);
+    const Time timeoutAt = request.waitingSince_ + (state_.stopCosts_ ? std::min<Duration>(rackWait, state_.guaranteeLimit_ - state_.stopCosts_->leadTime()) : rackWait);
     return now_ < (candidate.rank_ == Guaranteed ? std::min(timeoutAt, candidate.latestStart_) : candidate.latestStart_);
 }
 
-SchedulingPass::Outcome SchedulingPass::place(const Candidate& candidate, const UnitId& unit, const PlacementRequest& request)
+SchedulingPass::Outcome SchedulingPass::place(const Candidate& candidate, const UnitId& unit, PlacementRequest& request)
 {
     if (!isWithinRunLimit(candidate, request))
         return Outcome::Limited;
@@ -314,6 +328,21 @@
         if (const auto outcome = placeOverLimit(candidate, unit, request, *resource))
             return *outcome;
     }
+    Outcome outcome = placeInCapacity(candidate, unit, request);
+    if (outcome == Outcome::Unplaced && isHeadroomOpen(candidate, request)) {
+        request.mayUseHeadroom_ = true;
+        outcome = placeInCapacity(candidate, unit, request);
+    }
+    if (outcome != Outcome::Unplaced || candidate.rank_ > Urgent || mustLeaveCapacity(candidate))
+        return outcome;
+    if (!urgentRoom_.reserve(urgentUnit(candidate, unit, request), request))
+        return Outcome::Unplaced;
+    limits_.reserve(*candidate.job_, request);
+    return Outcome::Reserved;
+}
+
+SchedulingPass::Outcome SchedulingPass::placeInCapacity(const Candidate& candidate, const UnitId& unit, const PlacementRequest& request)
+{
     const Resources allocation = request.step_->allocation();
     if (const auto placement = view_.find(request, CapacityKind::Free)) {
         view_.reserve(*placement, allocation);
@@ -326,20 +355,13 @@
         limits_.reserve(*candidate.job_, request);
         return Outcome::Reserved;
     }
-    if (candidate.rank_ > Urgent || mustLeaveCapacity(candidate))
-        return Outcome::Unplaced;
-    if (!urgentRoom_.reserve(urgentUnit(candidate, unit, request), request))
-        return Outcome::Unplaced;
-    limits_.reserve(*candidate.job_, request);
-    return Outcome::Reserved;
+    return Outcome::Unplaced;
 }
 
 UrgentUnit SchedulingPass::urgentUnit(const Candidate& candidate, const UnitId& unit, const PlacementRequest& request) const
 {
-    const WorkUnit* const started = candidate.job_->progress_.find(unit);
-    const Time waitingSince = started == nullptr ? candidate.job_->progress_.readySince(unit) : started->waitingSince_;
     const bool hasTarget = !request.step_->isLongRunning_ && !candidate.job_->spec_.isTimed();
-    return { *candidate.job_, unit, candidate.rank_, candidate.rank_ == Guaranteed, waitingSince, hasTarget ? std::make_optional(candidate.latestStart_) : std::nullopt };
+    return { *candidate.job_, unit, candidate.rank_, candidate.rank_ == Guaranteed, request.waitingSince_, hasTarget ? std::make_optional(candidate.latestStart_) : std::nullopt };
 }
 
 }
--- a/src/libfescuecleat/pool/schedulingpass.h
+++ b/src/libfescuecleat/pool/schedulingpass.h
@@ -51,6 +51,8 @@
     bool isBehind(const Job&, int rank, Time latestStart) const;
     /** Whether the candidate is postponed and must leave capacity to jobs in time that wait. */
     bool mustLeaveCapacity(const Candidate&) const;
+    /** Whether a unit that finds no room elsewhere may use the workers that are kept free for urgent jobs. */
+    bool isHeadroomOpen(const Candidate&, const PlacementRequest&) const;
     /** What became of a unit that waits. */
     enum class Outcome {
         Placed,
@@ -78,7 +80,7 @@
     PlacementRequest placementRequest(const Candidate&, const UnitId&, const WorkUnit* started) const;
     /** Adds the unit's runs to the number of tasks on each worker. */
     void countPlacedTasks(const WorkUnit&, std::map<WorkerKey, int>& placed) const;
-    bool shouldWaitForRack(const Candidate&, Time waitingSince, const PlacementRequest&) const;
+    bool shouldWaitForRack(const Candidate&, const PlacementRequest&) const;
     bool hasStartedEnough() const;
     /** Whether the limit of runs leaves room for the unit. */
     bool isWithinRunLimit(const Candidate&, const PlacementRequest&) const;
@@ -87,7 +89,10 @@
     void placeCandidate(const Candidate&);
     /** Places the step's units of one occurrence until one doesn't fit. */
     std::optional<UnplacedUnit> placeUnits(const Candidate&, int step, int occurrence);
-    Outcome place(const Candidate&, const UnitId&, const PlacementRequest&);
+    /** Allows the request the headroom if the unit needs it. */
+    Outcome place(const Candidate&, const UnitId&, PlacementRequest&);
+    /** Places the unit into capacity that is free or about to be, within what the request may use. */
+    Outcome placeInCapacity(const Candidate&, const UnitId&, const PlacementRequest&);
     UrgentUnit urgentUnit(const Candidate&, const UnitId&, const PlacementRequest&) const;
     /** The outcome for a unit that its organisation's limit blocks; nothing if room has been made for it at once. */
     std::optional<Outcome> placeOverLimit(const Candidate&, const UnitId&, const PlacementRequest&, ResourceKind);
--- a/src/libfescuecleat/pool/taskrun.h
+++ b/src/libfescuecleat/pool/taskrun.h
@@ -24,6 +24,8 @@
     RunPhase phase_ = RunPhase::Recording;
     Resources resources_;
     UnitId unit_;
+    /** It runs until its job is cancelled. */
+    bool isLasting_ = false;
     /**
      * When the worker acknowledged the run or its stop. If a report that was requested
      * later doesn't list the run, it has ended.
