pool: no room within a limit for gangs that lasting tasks keep beyond it

A gang whose start is due reserves room within the limit of its organisation, so that smaller units don't take it one by one. If tasks of the organisation that last hold too much of the limit, the gang can't start before they are cancelled, and the organisation's other jobs waited for it until its credit had expired, below the limit.

--- a/src/libfescuecleat/pool/limittracker.cpp
+++ b/src/libfescuecleat/pool/limittracker.cpp
@@ -13,6 +13,12 @@
     return !exceededResource(state_.usage_.policy(job.policy_.organisation_).limit_, {}, request.step_->resources_, request.taskCount_);
 }
 
+bool LimitTracker::canFitBesideLasting(const Job& job, const PlacementRequest& request) const
+{
+    const std::string& organisation = job.policy_.organisation_;
+    return !exceededResource(state_.usage_.policy(organisation).limit_, state_.usage_.lasting(organisation), request.step_->resources_, request.taskCount_);
+}
+
 void LimitTracker::reserve(const Job& job, const PlacementRequest& request)
 {
     const Resources& limit = state_.usage_.policy(job.policy_.organisation_).limit_;
--- a/src/libfescuecleat/pool/limittracker.h
+++ b/src/libfescuecleat/pool/limittracker.h
@@ -22,6 +22,8 @@
     std::optional<ResourceKind> exceededBy(const Job&, const PlacementRequest&) const;
     /** Whether the unit would fit if the organisation had no other runs. */
     bool canEverFit(const Job&, const PlacementRequest&) const;
+    /** Whether the unit would fit if only the organisation's runs that don't end by themselves were left. */
+    bool canFitBesideLasting(const Job&, const PlacementRequest&) const;
     /** Keeps room within the limit for a unit that waits, so that less important units of its organisation don't take it. */
     void reserve(const Job&, const PlacementRequest&);
     Resources reserved(const std::string& organisation) const;
--- a/src/libfescuecleat/pool/organisationusage.cpp
+++ b/src/libfescuecleat/pool/organisationusage.cpp
@@ -4,6 +4,32 @@
 
 namespace fescuecleat {
 
+namespace {
+
+    void addTo(std::map<std::string, Resources>& sums, const std::string& organisation, const Resources& resources)
+    {
+        if (resources != Resources {})
+            sums[organisation] += resources;
+    }
+
+    void subtractFrom(std::map<std::string, Resources>& sums, const std::string& organisation, const Resources& resources)
+    {
+        const auto sum = sums.find(organisation);
+        if (sum == sums.end())
+            return;
+        sum->second -= resources;
+        if (sum->second == Resources {})
+            sums.erase(sum);
+    }
+
+    Resources sumOf(const std::map<std::string, Resources>& sums, const std::string& organisation)
+    {
+        const auto sum = sums.find(organisation);
+        return sum == sums.end() ? Resources {} : sum->second;
+    }
+
+}
+
 const OrganisationPolicy& OrganisationUsage::policy(const std::string& organisation) const
 {
     static const OrganisationPolicy none;
@@ -13,18 +39,22 @@
 
 void OrganisationUsage::add(const std::string& organisation, const Resources& resources)
 {
-    if (resources != Resources {})
-        used_[organisation] += resources;
+    addTo(used_, organisation, resources);
 }
 
 void OrganisationUsage::subtract(const std::string& organisation, const Resources& resources)
 {
-    const auto used = used_.find(organisation);
-    if (used == used_.end())
-        return;
-    used->second -= resources;
-    if (used->second == Resources {})
-        used_.erase(used);
+    subtractFrom(used_, organisation, resources);
+}
+
+void OrganisationUsage::addLasting(const std::string& organisation, const Resources& resources)
+{
+    addTo(lasting_, organisation, resources);
+}
+
+void OrganisationUsage::subtractLasting(const std::string& organisation, const Resources& resources)
+{
+    subtractFrom(lasting_, organisation, resources);
 }
 
 void OrganisationUsage::setUnrecorded(const WorkerKey& worker, std::map<std::string, Resources> runs)
@@ -43,8 +73,12 @@
 
 Resources OrganisationUsage::used(const std::string& organisation) const
 {
-    const auto used = used_.find(organisation);
-    return used == used_.end() ? Resources {} : used->second;
+    return sumOf(used_, organisation);
+}
+
+Resources OrganisationUsage::lasting(const std::string& organisation) const
+{
+    return sumOf(lasting_, organisation);
 }
 
 std::optional<ResourceKind> OrganisationUsage::exceededBy(const std::string& organisation, const Resources& each, std::int64_t count, const Resources& reserved) const
--- a/src/libfescuecleat/pool/organisationusage.h
+++ b/src/libfescuecleat/pool/organisationusage.h
@@ -24,11 +24,17 @@
 
     void add(const std::string& organisation, const Resources&);
     void subtract(const std::string& organisation, const Resources&);
+    /** Counts a task that runs until its job is cancelled, beside add(). */
+    void addLasting(const std::string& organisation, const Resources&);
+    /** Reverts addLasting(). */
+    void subtractLasting(const std::string& organisation, const Resources&);
     /** Sets what a worker runs without a record, by organisation, in place of what it ran before. */
     void setUnrecorded(const WorkerKey&, std::map<std::string, Resources>);
 
     /** Resources of all runs of the organisation, with and without a record. */
     Resources used(const std::string& organisation) const;
+    /** The part of used() that doesn't end by itself. */
+    Resources lasting(const std::string& organisation) const;
     /** Use of all organisations that have any. */
     const std::map<std::string, Resources>& byOrganisation() const { return used_; }
     /** What workers run without a record, by organisation. */
@@ -39,6 +45,7 @@
 private:
     std::map<std::string, OrganisationPolicy> policies_;
     std::map<std::string, Resources> used_;
+    std::map<std::string, Resources> lasting_;
     /** The part of `used_` that workers run without a record. */
     std::map<WorkerKey, std::map<std::string, Resources>> unrecorded_;
 };
--- a/src/libfescuecleat/pool/poolstate.cpp
+++ b/src/libfescuecleat/pool/poolstate.cpp
@@ -103,6 +103,8 @@
     job.unit(taskRun.unit_).openRuns_.insert(run);
     ++runsByOrganisation_[job.policy_.organisation_];
     usage_.add(job.policy_.organisation_, job.step(taskRun.unit_.step_).resources_);
+    if (taskRun.isLasting_)
+        usage_.addLasting(job.policy_.organisation_, job.step(taskRun.unit_.step_).resources_);
     if (job.policy_.priority_ == 0)
         urgentAccelerators_ += taskRun.resources_.accelerators_;
     runs_.emplace(run, taskRun);
@@ -199,6 +201,8 @@
     if (--runsByOrganisation_[job->policy_.organisation_] == 0)
         runsByOrganisation_.erase(job->policy_.organisation_);
     usage_.subtract(job->policy_.organisation_, job->step(taskRun.unit_.step_).resources_);
+    if (taskRun.isLasting_)
+        usage_.subtractLasting(job->policy_.organisation_, job->step(taskRun.unit_.step_).resources_);
     WorkUnit& unit = job->unit(taskRun.unit_);
     unit.openRuns_.erase(run);
     unit.confirmedAt_.reset();
--- a/src/libfescuecleat/pool/schedulingpasslimits.cpp
+++ b/src/libfescuecleat/pool/schedulingpasslimits.cpp
@@ -35,7 +35,7 @@
     if (request.taskCount_ == 1 || candidate.isExpired_ || limits_.reserved(candidate.job_->policy_.organisation_) != Resources {})
         return false;
     const bool isDue = candidate.rank_ <= Urgent || candidate.latestStart_ - request.step_->estimate_ < now_;
-    return isDue && view_.isPlaceable(request);
+    return isDue && limits_.canFitBesideLasting(*candidate.job_, request) && view_.isPlaceable(request);
 }
 
 }
--- a/tests/pool/organisationlimittest.cpp
+++ b/tests/pool/organisationlimittest.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(eachResourceHasItsLimit);
     CPPUNIT_TEST(fillersCountWithTheirProcessors);
     CPPUNIT_TEST(blockedUnitsReserveNothing);
+    CPPUNIT_TEST(gangBesideLastingTasksReservesNothing);
     CPPUNIT_TEST(otherStepsGoOn);
     CPPUNIT_TEST(loweredAndRaised);
     CPPUNIT_TEST(loweredBeforeTheStartIsSent);
@@ -105,6 +106,30 @@
         CPPUNIT_ASSERT_EQUAL(16, pool.runsOf("b"));
     }
 
+    /** Guards against tasks that wait below the limit of their organisation: a gang that tasks which last keep beyond the limit reserved what is left of it. */
+    void gangBesideLastingTasksReservesNothing()
+    {
+        LimitedPool pool(4);
+        pool.limit("a", 16);
+        StepSpec lasting = LimitedPool::step(2);
+        lasting.isLongRunning_ = true;
+        const std::string job = pool.submit(lasting, "a");
+        pool.startAll();
+        pool.submit(LimitedPool::step(16, 1, true), "a");
+        pool.now_ += 8s;
+        pool.submit(LimitedPool::step(8), "a", 2);
+        pool.startAll();
+        CPPUNIT_ASSERT_EQUAL(10, pool.runsOf("a"));
+        // Nothing else of the organisation starts before the gang once the tasks that last are gone.
+        pool.scheduler_.cancelJob(job, pool.now_);
+        pool.startAll();
+        pool.endStopped();
+        CPPUNIT_ASSERT(pool.used("a") == (Resources { 8000, 8000, 8 }));
+        CPPUNIT_ASSERT(pool.scheduler_.state().usage_.lasting("a") == Resources {});
+        pool.submit(LimitedPool::step(8), "a", 2);
+        CPPUNIT_ASSERT(pool.startAll().empty());
+    }
+
     /** Guards against a blocked step that holds up the other steps of its job. */
     void otherStepsGoOn()
     {
