pool: jobs count as waiting until a worker has started a task of theirs

Cause: the count took jobs in state queued, which they leave when their first placement is decided. If that start is never carried out, or is refused, nothing sets the state back.

Change: a job has begun when a worker has accepted a start, lists a run, or lists one that ended by itself. What isn't known counts as waiting.

--- a/src/libfescuecleat/pool/job.h
+++ b/src/libfescuecleat/pool/job.h
@@ -21,6 +21,8 @@
     WorkProgress progress_;
     /** Workers on which runs failed. */
     std::set<WorkerKey> failedOn_;
+    /** A worker has started one of its tasks, as far as this scheduler knows. */
+    bool hasBegun_ = false;
     /** A run has progressed or succeeded. */
     bool hasHealthyRun_ = false;
     /** Jobs that its organisation had submitted within the window of the rate, itself included; 0 until the next pass. */
--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -81,6 +81,7 @@
     job.state_ = record.state_;
     const std::map<UnitId, UnitRecord> units = unitRecords(job, record);
     job.progress_.restoreDone(record.done_, job.occurrences(), now);
+    job.hasBegun_ = !record.done_.empty();
     int started = job.spec_.isTimed() ? job.progress_.doneOccurrencesEnd() : 1;
     for (const auto& [unit, stored] : units)
         started = std::max(started, unit.occurrence_ + 1);
@@ -127,6 +128,7 @@
     unit.failures_ = stored.failures_;
     unit.lastFailedRun_ = stored.lastFailedRun_;
     unit.checkpoint_ = stored.checkpoint_;
+    job.hasBegun_ = job.hasBegun_ || isDone || unit.failures_ > 0 || !unit.checkpoint_.empty();
     for (const CrashRecord& crash : stored.crashes_)
         unit.crashes_[crash.index_] = crash.crashes_;
     const Resources allocation = job.step(unit).allocation();
@@ -429,6 +431,9 @@
         const auto entry = state_.runs_.find(end.run_);
         if (entry == state_.runs_.end() || entry->second.worker_ != key)
             continue;
+        // A run that is stopped before its start arrives ends as stopped, too.
+        if (Job* const job = state_.findJob(end.run_.task_.job_); job != nullptr && end.reason_ != EndReason::Stopped)
+            job->hasBegun_ = true;
         applyEnd(end.run_, end.reason_, end.checkpoint_, now);
     }
     worker->unrecorded_ = {};
@@ -453,6 +458,7 @@
         Job* job = state_.findJob(reported.run_.task_.job_);
         if (job == nullptr)
             continue;
+        job->hasBegun_ = true;
         if (!run.hasSurvivedStart_ && state_.isAtWorkSince(job->unit(run.unit_), requestedAt - minHealthyRunTime))
             state_.noteSurvivedStart(reported.run_, run);
         clearOfCrashes(*job, reported.run_, run, requestedAt);
@@ -698,6 +704,9 @@
     // A refusal says nothing about earlier requests.
     if (answer == StartAnswer::Refused)
         return;
+    Job* const started = state_.findJob(run.task_.job_);
+    if (answer == StartAnswer::Accepted && started != nullptr)
+        started->hasBegun_ = true;
     if (!taskRun.startConfirmedAt_)
         taskRun.startConfirmedAt_ = now;
     // An answer to the start doesn't confirm a stop that was decided meanwhile.
@@ -815,7 +824,7 @@
 {
     std::map<std::string, int> waiting;
     for (const auto& [id, job] : state_.jobs_)
-        waiting[job.policy_.queue_] += job.state_ == PoolJobState::Queued && !job.spec_.isTimed() ? 1 : 0;
+        waiting[job.policy_.queue_] += job.isOpen() && !job.hasBegun_ && !job.spec_.isTimed() ? 1 : 0;
     return waiting;
 }
 
--- a/src/libfescuecleat/pool/poolscheduler.h
+++ b/src/libfescuecleat/pool/poolscheduler.h
@@ -108,7 +108,7 @@
      */
     std::map<std::string, std::string> recordRows(const std::string& job, std::size_t maxRowBytes, std::int64_t nowMs = 0) const;
     const PoolState& state() const { return state_; }
-    /** Number of accepted jobs per queue of which no task has started. Recurring jobs don't count. */
+    /** Number of accepted jobs per queue of which no task is known to have started on a worker. Recurring jobs don't count. */
     std::map<std::string, int> waitingJobs() const;
 
 private:
