--- a/src/libfescuecleat/pool/placementview.cpp
+++ b/src/libfescuecleat/pool/placementview.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-    /** A reservation of projected capacity can exceed the free capacity. */
     /** Any number of tasks that need nothing fit on a worker. */
     constexpr std::int64_t maxAttainableTasks = 1 << 20;
 
+    /** A reservation of projected capacity can exceed the free capacity. */
     Resources nonNegative(const Resources& resources)
     {
         return { std::max<std::int64_t>(0, resources.cpuMillis_), std::max<std::int64_t>(0, resources.memoryMb_), std::max<std::int64_t>(0, resources.accelerators_) };
