--- a/tests/pool/headroomtest.cpp
+++ b/tests/pool/headroomtest.cpp
@@ -171,9 +171,7 @@
         VirtualPool pool;
         pool.addWorkers(10, 5, workerCapacity);
         pool.crash({ 0, 1, 2, 3, 4, 5, 6, 7 }, 1h);
-        std::vector<std::string> jobs;
-        for (int i = 0; i < 2; ++i)
-            jobs.push_back(pool.submit(wholeWorkers(1, 60s), 1));
+        const std::vector<std::string> jobs = { pool.submit(wholeWorkers(1, 60s), 1), pool.submit(wholeWorkers(1, 60s), 1) };
         pool.advance(1s);
         for (const std::string& job : jobs)
             CPPUNIT_ASSERT(pool.timeToStart(job));
--- a/tests/pool/rackreservationtest.cpp
+++ b/tests/pool/rackreservationtest.cpp
@@ -30,7 +30,7 @@
     step.resources_.accelerators_ = accelerators;
     step.isLongRunning_ = true;
     step.maxTasksPerWorker_ = 1;
-    const std::string job = pool.submit(step, 1);
+    std::string job = pool.submit(step, 1);
     pool.setDurationFactor(job, 1e6);
     pool.advance(1s);
     CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(tasks), pool.workersOf(job).size());
