pool: one place tells which runs last, and one how long a unit waits under light use

PoolState::addRun sets TaskRun::isLasting_ for placed and restored runs, and hasWaitedUnderLightUse serves the wait for a rack and reserved room.

--- a/src/libfescuecleat/pool/poolscheduler.cpp
+++ b/src/libfescuecleat/pool/poolscheduler.cpp
@@ -149,7 +149,6 @@
         taskRun.phase_ = RunPhase::Starting;
         taskRun.resources_ = allocation;
         taskRun.unit_ = id;
-        taskRun.isLasting_ = job.step(unit).isLongRunning_;
         taskRun.startedAt_ = now;
         // Fencing: the worker rejects requests of the former lease holder that are still in flight.
         taskRun.acknowledgedAt_ = now;
--- a/src/libfescuecleat/pool/poolstate.cpp
+++ b/src/libfescuecleat/pool/poolstate.cpp
@@ -80,7 +80,6 @@
         workers[i]->health_.runStarted(now);
         taskRun.resources_ = allocation;
         taskRun.unit_ = id;
-        taskRun.isLasting_ = job.step(unit).isLongRunning_;
         taskRun.startedAt_ = now;
         addRun(run, taskRun, job);
         decisions_.starts_.push_back({ run, taskRun.worker_, unit.checkpoint_ });
@@ -90,8 +89,9 @@
     decisions_.changedJobs_.insert(job.id_);
 }
 
-void PoolState::addRun(const RunId& run, const TaskRun& taskRun, Job& job)
+void PoolState::addRun(const RunId& run, TaskRun taskRun, Job& job)
 {
+    taskRun.isLasting_ = job.step(taskRun.unit_.step_).isLongRunning_;
     PoolWorkerState& worker = workers_[taskRun.worker_];
     worker.addAllocation(taskRun);
     worker.runs_.insert(run);
--- a/src/libfescuecleat/pool/poolstate.h
+++ b/src/libfescuecleat/pool/poolstate.h
@@ -77,7 +77,7 @@
     /** Starts a new run of a unit; `workers` holds one worker per task. */
     void place(Job&, UnitId, const std::vector<PoolWorkerState*>& workers, Time now);
     /** Adds a run that may be active on its worker, and occupies its resources there. */
-    void addRun(const RunId&, const TaskRun&, Job&);
+    void addRun(const RunId&, TaskRun, Job&);
     /** Stops the open runs of a unit. A run whose start has not been sent to a worker ends at once. */
     void stopUnit(Job&, UnitId, const std::string& cause, Time now);
     /** Removes a worker that the registry doesn't list once nothing can run there any more. */
--- a/src/libfescuecleat/pool/schedulingpass.cpp
+++ b/src/libfescuecleat/pool/schedulingpass.cpp
@@ -307,8 +307,6 @@
 
 bool SchedulingPass::isHeadroomOpen(const Candidate& candidate, const PlacementRequest& request) const
 {
-    if (request.mayUseHeadroom_)
-        return false;
     // Tasks that last have no latest start before which they could wait. Without load, what keeps a unit from the other
     // workers is fragmentation, which no end of other work need change.
     if (request.step_->isLongRunning_ || view_.isLightlyUsed(*request.service_))
@@ -318,17 +316,22 @@
     return now_ > std::max(candidate.job_->creditExpiry_, request.waitingSince_) + maxHeadroomWait || !view_.fitsOutsideHeadroom(request);
 }
 
+bool SchedulingPass::hasWaitedUnderLightUse(const PlacementRequest& request) const
+{
+    return view_.isLightlyUsed(*request.service_) && now_ > request.waitingSince_ + maxWaitUnderLightUse;
+}
+
 bool SchedulingPass::isReservedOpen(const PlacementRequest& request) const
 {
     // A gang has the time of its reservation, but tasks that last are due now.
-    return request.step_->isLongRunning_ || (view_.isLightlyUsed(*request.service_) && now_ > request.waitingSince_ + maxWaitUnderLightUse);
+    return request.step_->isLongRunning_ || hasWaitedUnderLightUse(request);
 }
 
 bool SchedulingPass::shouldWaitForRack(const Candidate& candidate, const PlacementRequest& request) const
 {
     if (!request.step_->wantsOneRack_ || !view_.isAttainable(request))
         return false;
-    if (candidate.rank_ > Urgent && view_.isLightlyUsed(*request.service_) && now_ > request.waitingSince_ + maxWaitUnderLightUse)
+    if (candidate.rank_ > Urgent && hasWaitedUnderLightUse(request))
         return false;
     const auto rackWait = std::chrono::duration_cast<Duration>(state_.guaranteeLimit_ * rackWaitShare);
     const Time timeoutAt = request.waitingSince_ + (state_.stopCosts_ ? std::min<Duration>(rackWait, state_.guaranteeLimit_ - state_.stopCosts_->leadTime()) : rackWait);
@@ -344,7 +347,7 @@
             return *outcome;
     }
     Outcome outcome = placeInCapacity(candidate, unit, request);
-    if (outcome == Outcome::Unplaced && isHeadroomOpen(candidate, request)) {
+    if (outcome == Outcome::Unplaced && !request.mayUseHeadroom_ && isHeadroomOpen(candidate, request)) {
         request.mayUseHeadroom_ = true;
         outcome = placeInCapacity(candidate, unit, request);
     }
--- a/src/libfescuecleat/pool/schedulingpass.h
+++ b/src/libfescuecleat/pool/schedulingpass.h
@@ -53,6 +53,8 @@
     bool mustLeaveCapacity(const Candidate&) const;
     /** Whether a unit that finds no room elsewhere may use the workers that are kept free for urgent jobs. */
     bool isHeadroomOpen(const Candidate&, const PlacementRequest&) const;
+    /** Whether the unit has waited for a while although less than half of its service's capacity is in use. */
+    bool hasWaitedUnderLightUse(const PlacementRequest&) const;
     /** Whether a unit that finds no room elsewhere may use capacity that is reserved for waiting gangs. */
     bool isReservedOpen(const PlacementRequest&) const;
     /** What became of a unit that waits. */
--- a/src/libfescuecleat/pool/taskrun.h
+++ b/src/libfescuecleat/pool/taskrun.h
@@ -24,7 +24,7 @@
     RunPhase phase_ = RunPhase::Recording;
     Resources resources_;
     UnitId unit_;
-    /** It runs until its job is cancelled. */
+    /** It runs until its job is cancelled; set by PoolState::addRun(). */
     bool isLasting_ = false;
     /**
      * When the worker acknowledged the run or its stop. If a report that was requested
