tests: one check for small jobs beside a gang, one stream of small tasks

Two tests of RackReservationTest shared their last lines, and one its stream; a test named after a restart starts its task.

--- a/tests/pool/rackreservationtest.cpp
+++ b/tests/pool/rackreservationtest.cpp
@@ -56,7 +56,7 @@
     CPPUNIT_TEST(hopelessGangIsNoShortage);
     CPPUNIT_TEST(gangSpreadsIfNoRackCanHoldIt);
     CPPUNIT_TEST(gangSpreadsIfItsLimitPerWorkerFitsNoRack);
-    CPPUNIT_TEST(lastingTaskRestartsInReservedRack);
+    CPPUNIT_TEST(lastingTaskStartsInReservedRack);
     CPPUNIT_TEST(longReservationOfAnIdlePoolEnds);
     CPPUNIT_TEST(gangInTimeGetsItsRack);
     CPPUNIT_TEST_SUITE_END();
@@ -90,11 +90,7 @@
         pool.addWorkers(8, 8, workerCapacity);
         submitLasting(pool, 1, 8);
         pool.submit(gangOfRacks(8, 60s), 1);
-        pool.advance(500ms);
-        const std::string job = submitSmall(pool);
-        pool.advance(500ms);
-        CPPUNIT_ASSERT(pool.timeToStart(job));
-        assertNoViolations(pool);
+        assertSmallJobStarts(pool);
     }
 
     /** The same after the loss of a worker. */
@@ -104,11 +100,7 @@
         pool.addWorkers(8, 8, workerCapacity);
         pool.crash({ 3 }, 1h);
         pool.submit(gangOfRacks(8, 60s), 1);
-        pool.advance(500ms);
-        const std::string job = submitSmall(pool);
-        pool.advance(500ms);
-        CPPUNIT_ASSERT(pool.timeToStart(job));
-        assertNoViolations(pool);
+        assertSmallJobStarts(pool);
     }
 
     /** The same for a gang that needs more workers with a label than there are. */
@@ -199,7 +191,7 @@
     }
 
     /** Guards against tasks that last and wait while a rack is kept free for a gang. */
-    void lastingTaskRestartsInReservedRack()
+    void lastingTaskStartsInReservedRack()
     {
         VirtualPool pool;
         pool.addWorkers(4, 4, workerCapacity);
@@ -238,24 +230,31 @@
     {
         VirtualPool pool;
         pool.addWorkers(8, 8, workerCapacity);
-        for (int i = 0; i < 60; ++i) {
-            StepSpec step = tasksOf(2, 200s);
-            step.resources_ = { 30000, 1000, 4 };
-            pool.setDurationFactor(pool.submit(step, 1), 0.015);
-            pool.advance(100ms);
-        }
+        StepSpec small = tasksOf(2, 200s);
+        small.resources_ = { 30000, 1000, 4 };
+        const auto submitStream = [&] {
+            for (int i = 0; i < 60; ++i) {
+                pool.setDurationFactor(pool.submit(small, 1), 0.015);
+                pool.advance(100ms);
+            }
+        };
+        submitStream();
         const std::string gang = pool.submit(gangOfRacks(8, 10s), 1);
-        for (int i = 0; i < 60; ++i) {
-            StepSpec step = tasksOf(2, 200s);
-            step.resources_ = { 30000, 1000, 4 };
-            pool.setDurationFactor(pool.submit(step, 1), 0.015);
-            pool.advance(100ms);
-        }
+        submitStream();
         CPPUNIT_ASSERT(pool.timeToStart(gang));
         assertNoViolations(pool);
     }
 
 private:
+    static void assertSmallJobStarts(VirtualPool& pool)
+    {
+        pool.advance(500ms);
+        const std::string job = submitSmall(pool);
+        pool.advance(500ms);
+        CPPUNIT_ASSERT(pool.timeToStart(job));
+        assertNoViolations(pool);
+    }
+
     static void assertNoViolations(const VirtualPool& pool)
     {
         CPPUNIT_ASSERT_EQUAL_MESSAGE(pool.violations().empty() ? std::string() : pool.violations().front(), std::size_t(0), pool.violations().size());
